--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,66 @@
+"""Run behave and close with a line of real counts."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from behave.configuration import Configuration
+from behave.model import Scenario, ScenarioOutline
+from behave.model_type import Status
+from behave.runner import Runner
+
+ROOT = Path(__file__).parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+KNOWN_RED_PREFIX = "test: "
+
+
+def _known_red() -> set[str]:
+    """Return the scenario names that KNOWN-RED.txt lists, one a `test: ` line."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {
+        line.removeprefix(KNOWN_RED_PREFIX).strip()
+        for line in lines
+        if line.startswith(KNOWN_RED_PREFIX)
+    }
+
+
+def _scenarios(runner: Runner) -> list[Scenario]:
+    found: list[Scenario] = []
+    for feature in runner.features:
+        for item in feature.walk_scenarios():
+            if not isinstance(item, ScenarioOutline):
+                found.append(item)
+    return found
+
+
+def main() -> int:
+    """Run every feature; return 0 only when something ran and nothing failed."""
+    arguments = ["--format=progress", "--no-source", "--no-timings", *sys.argv[1:]]
+    if not any(Path(argument).exists() for argument in sys.argv[1:]):
+        arguments.append(str(ROOT / "features"))
+    runner = Runner(Configuration(arguments))
+    aborted = runner.run() and runner.aborted
+    known = _known_red()
+    passed = failed = skipped = 0
+    for scenario in _scenarios(runner):
+        if scenario.status is Status.passed:
+            passed += 1
+        elif scenario.status in (Status.skipped, Status.untested):
+            skipped += 1
+        elif scenario.name in known:
+            skipped += 1
+            print(f"known red: {scenario.name}")
+        else:
+            failed += 1
+            print(f"FAILED: {scenario.location}: {scenario.name}")
+    hook_failed = any(feature.hook_failed for feature in runner.features)
+    closing = f"{passed} passed, {failed} failed"
+    print(closing + (f", {skipped} skipped" if skipped else ""))
+    return 0 if passed and not failed and not aborted and not hook_failed else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/hyssopwood/events.py
@@ -0,0 +1,94 @@
+"""Numbered log events and the set-up of loguru."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import Any
+
+from attrs import frozen
+from loguru import logger
+
+
+@frozen
+class EventSpec:
+    """Describe one kind of event: number, level and message."""
+
+    number: int
+    level: str
+    message: str
+
+
+class Event(Enum):
+    """Every event that the package logs; docs/events.md lists the same numbers.
+
+    100 process, 200 log and state, 300 membership and authority, 400 ownership,
+    500 requests, 600 peers, 700 input.
+    """
+
+    STARTED = EventSpec(100, "INFO", "started")
+    READY = EventSpec(101, "INFO", "ready")
+    NOT_READY = EventSpec(102, "WARNING", "not ready")
+    SHUTDOWN_STARTED = EventSpec(103, "INFO", "shutdown started")
+    STOPPED = EventSpec(104, "INFO", "stopped")
+    TASK_FAILED = EventSpec(105, "ERROR", "task failed and will be restarted")
+    CLOCK_JUMPED = EventSpec(106, "WARNING", "process was paused")
+
+    LOG_UNAVAILABLE = EventSpec(200, "WARNING", "log is unavailable")
+    LOG_RECOVERED = EventSpec(201, "INFO", "log is available again")
+    RECORD_REJECTED = EventSpec(202, "WARNING", "record was rejected")
+    TICKET_ACCEPTED = EventSpec(203, "INFO", "ticket is in force")
+    TICKET_REJECTED = EventSpec(204, "WARNING", "ticket was rejected")
+    CHECKPOINT_WRITTEN = EventSpec(205, "INFO", "checkpoint was written")
+    CHECKPOINT_LOADED = EventSpec(206, "INFO", "started from a checkpoint")
+    APPEND_RETRIED = EventSpec(207, "WARNING", "append is repeated with the same id")
+
+    JOINED = EventSpec(300, "INFO", "instance joined")
+    LEFT = EventSpec(301, "INFO", "instance left")
+    FENCED = EventSpec(302, "WARNING", "instance was fenced")
+    AUTHORITY_LOST = EventSpec(303, "WARNING", "authority was lost")
+    AUTHORITY_GAINED = EventSpec(304, "INFO", "authority was gained")
+    PLANNER_CLAIMED = EventSpec(305, "INFO", "planner epoch was claimed")
+    VOTERS_CHANGED = EventSpec(306, "INFO", "voters changed")
+
+    SESSION_OPENED = EventSpec(400, "INFO", "session with backend server was opened")
+    SESSION_LOST = EventSpec(401, "WARNING", "backend server does not renew its lease")
+    LEASE_LAPSED = EventSpec(402, "WARNING", "lease of backend server has lapsed")
+    PARTITION_GRANTED = EventSpec(403, "INFO", "partition was granted")
+    PARTITION_RELEASED = EventSpec(404, "INFO", "partition was released")
+    MOVE_DEFERRED = EventSpec(405, "INFO", "move waits for a long request")
+    HOT_KEY_ISOLATED = EventSpec(406, "INFO", "hot key got a partition of its own")
+    COORDINATOR_CHANGED = EventSpec(407, "INFO", "coordinator changed")
+
+    REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
+    REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
+    ANSWER_MISMATCHED = EventSpec(502, "ERROR", "answer belongs to another request")
+    ANSWER_CUT = EventSpec(503, "WARNING", "answer was incomplete")
+    CONNECTION_SILENT = EventSpec(504, "WARNING", "silent connection was closed")
+    POISON_SUSPECTED = EventSpec(505, "WARNING", "request ran when its server crashed")
+    POISON_REFUSED = EventSpec(506, "WARNING", "request is quarantined")
+    LOAD_REPORT_IGNORED = EventSpec(507, "INFO", "load report disagrees with own counts")
+
+    PEER_CONNECTED = EventSpec(600, "DEBUG", "peer connected")
+    PEER_LOST = EventSpec(601, "INFO", "peer connection was lost")
+    PEER_REJECTED = EventSpec(602, "WARNING", "peer sent malformed bytes")
+
+    BAD_SETTINGS = EventSpec(700, "ERROR", "settings are malformed")
+    BAD_REQUEST = EventSpec(701, "INFO", "caller sent a malformed request")
+    BAD_ANSWER = EventSpec(702, "WARNING", "backend server sent a malformed answer")
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Log an event with its fields."""
+    spec = event.value
+    shown = " ".join(f"{name}={value}" for name, value in fields.items())
+    bound = logger.bind(event=spec.number, name=event.name, fields=fields)
+    # Braces in field values must not be read as loguru format fields.
+    bound.log(spec.level, "{} {} {}", f"E{spec.number:03d}", spec.message, shown)
+
+
+def set_up_logging(level: str = "INFO", as_json: bool = False) -> None:
+    """Send events to standard error, as text or as one JSON object a line."""
+    logger.remove()
+    layout = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {message}"
+    logger.add(sys.stderr, level=level, format=layout, serialize=as_json, backtrace=False)
--- /dev/null
+++ b/src/hyssopwood/peer.capnp
@@ -0,0 +1,199 @@
+@0xd3c4b1a5f0e92877;
+# Messages between instances. Durations are in milliseconds.
+
+struct Envelope {
+  id @0 :UInt64;
+  replyTo @1 :UInt64;  # 0 when the message is no reply.
+
+  union {
+    hello @2 :Hello;
+    supportRequest @3 :SupportRequest;
+    supportReply @4 :SupportReply;
+    attestRequest @5 :AttestRequest;
+    attestReply @6 :AttestReply;
+    permitRequest @7 :PermitRequest;
+    permitReply @8 :PermitReply;
+    permitReturn @9 :PermitReturn;
+    permitCancel @10 :PermitCancel;
+    releaseQuery @11 :ReleaseQuery;
+    releaseReply @12 :ReleaseReply;
+    serverReleaseQuery @13 :ServerReleaseQuery;
+    serverReleaseReply @14 :ServerReleaseReply;
+    recordsRequest @15 :RecordsRequest;
+    recordsReply @16 :RecordsReply;
+    checkpointRequest @17 :CheckpointRequest;
+    checkpointReply @18 :CheckpointReply;
+    usageReport @19 :UsageReport;
+    idempotencyCopy @20 :IdempotencyCopy;
+    ack @21 :Ack;
+    suspectReport @22 :SuspectReport;
+    positionRequest @23 :PositionRequest;
+    positionReply @24 :PositionReply;
+    errorReply @25 :ErrorReply;
+  }
+}
+
+struct Hello {
+  instance @0 :Text;
+  incarnation @1 :Text;
+  stream @2 :Text;
+}
+
+struct SupportRequest {
+  incarnation @0 :Text;
+  membershipOffset @1 :Int64;
+}
+
+struct SupportReply {
+  granted @0 :Bool;
+  membershipOffset @1 :Int64;
+  applied @2 :Int64;
+}
+
+struct AttestRequest {
+  incarnation @0 :Text;
+}
+
+struct AttestReply {
+  attested @0 :Bool;
+  waitMs @1 :UInt32;
+}
+
+struct PermitRequest {
+  requestId @0 :Text;
+  server @1 :Text;
+  service @2 :Text;
+  operation @3 :Text;
+  key @4 :Text;
+  deadlineMs @5 :UInt32;
+  digest @6 :UInt64;
+  idempotencyKey @7 :Text;
+  customer @8 :Text;
+}
+
+struct PermitReply {
+  granted @0 :Bool;
+  permitId @1 :UInt64;
+  partition @2 :Text;
+  token @3 :Int64;
+  epoch @4 :Int64;
+  validMs @5 :UInt32;
+  reason @6 :Text;
+  detail @7 :Text;
+  retryAfterMs @8 :UInt32;
+  storedStatus @9 :UInt16;
+  storedBody @10 :Data;
+}
+
+struct PermitReturn {
+  permitId @0 :UInt64;
+  outcome @1 :Text;
+  durationMs @2 :Float64;
+  status @3 :UInt16;
+  body @4 :Data;
+}
+
+struct PermitCancel {
+  requestId @0 :Text;
+}
+
+struct ReleaseQuery {
+  partition @0 :Text;
+  token @1 :Int64;
+}
+
+struct ReleaseReply {
+  released @0 :Bool;
+  waitMs @1 :UInt32;
+}
+
+struct ServerReleaseQuery {
+  server @0 :Text;
+  epoch @1 :Int64;
+}
+
+struct ServerReleaseReply {
+  released @0 :Bool;
+  waitMs @1 :UInt32;
+}
+
+struct RecordsRequest {
+  from @0 :Int64;
+  limit @1 :UInt32;
+}
+
+struct Record {
+  offset @0 :Int64;
+  timeMs @1 :Int64;
+  data @2 :Text;
+}
+
+struct RecordsReply {
+  first @0 :Int64;
+  next @1 :Int64;
+  records @2 :List(Record);
+}
+
+struct CheckpointRequest {
+}
+
+struct CheckpointReply {
+  through @0 :Int64;
+  data @1 :Text;
+}
+
+struct PartitionUsage {
+  partition @0 :Text;
+  requestsPerS @1 :Float64;
+  busyRatio @2 :Float64;
+}
+
+struct KeyUsage {
+  service @0 :Text;
+  key @1 :Text;
+  requestsPerS @2 :Float64;
+}
+
+struct ServerUsage {
+  server @0 :Text;
+  status @1 :Text;
+  busyRatio @2 :Float64;
+  partitions @3 :List(PartitionUsage);
+  hotKeys @4 :List(KeyUsage);
+}
+
+struct UsageReport {
+  instance @0 :Text;
+  servers @1 :List(ServerUsage);
+}
+
+struct IdempotencyCopy {
+  server @0 :Text;
+  service @1 :Text;
+  idempotencyKey @2 :Text;
+  digest @3 :UInt64;
+  state @4 :Text;
+  status @5 :UInt16;
+  body @6 :Data;
+}
+
+struct Ack {
+}
+
+struct SuspectReport {
+  digest @0 :UInt64;
+  server @1 :Text;
+  weight @2 :Float64;
+  cleared @3 :Bool;
+}
+
+struct PositionRequest {
+}
+
+struct PositionReply {
+  applied @0 :Int64;
+}
+
+struct ErrorReply {
+  reason @0 :Text;
+}
--- /dev/null
+++ b/src/hyssopwood/settings.py
@@ -0,0 +1,113 @@
+"""Settings of the daemon."""
+
+from __future__ import annotations
+
+import ipaddress
+from pathlib import Path
+from typing import Any
+
+from attrs import Attribute, field, frozen
+
+from hyssopwood.errors import Fault, InputError
+from hyssopwood.structure import FieldError, parse_as
+
+MAX_SETTINGS_BYTES = 131_072
+MAX_PORT = 65_535
+
+
+def _address(_: Any, __: Attribute[str], value: str) -> None:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) <= MAX_PORT
+    except ValueError:
+        valid = False
+    if not valid:
+        raise FieldError(value, "an IP number and a port, such as 127.0.0.1:8080")
+
+
+def _positive(_: Any, __: Attribute[Any], value: float) -> None:
+    if not value > 0:
+        raise FieldError(value, "a number above 0")
+
+
+def _name(_: Any, __: Attribute[str], value: str) -> None:
+    if not value or not value.replace("-", "").replace("_", "").isalnum():
+        raise FieldError(value, "a name of letters, digits, '-' and '_'")
+
+
+def _url(_: Any, __: Attribute[str], value: str) -> None:
+    if not value.startswith(("http://", "https://")) or value.endswith("/"):
+        raise FieldError(value, "a URL without a trailing slash")
+
+
+@frozen(kw_only=True)
+class Timing:
+    """Durations of leases, promises and limits, all in milliseconds."""
+
+    support_interval_ms: int = field(default=75, validator=_positive)
+    promise_ms: int = field(default=300, validator=_positive)
+    renew_interval_ms: int = field(default=100, validator=_positive)
+    lease_ms: int = field(default=400, validator=_positive)
+    max_message_life_ms: int = field(default=100, validator=_positive)
+    permit_ms: int = field(default=200, validator=_positive)
+    move_freeze_ms: int = field(default=250, validator=_positive)
+    leaving_grace_ms: int = field(default=3_000, validator=_positive)
+    planner_interval_ms: int = field(default=100, validator=_positive)
+    pause_detect_ms: int = field(default=100, validator=_positive)
+    instance_list_lag_ms: int = field(default=30_000, validator=_positive)
+    peer_timeout_ms: int = field(default=250, validator=_positive)
+    server_timeout_ms: int = field(default=250, validator=_positive)
+    log_timeout_ms: int = field(default=2_000, validator=_positive)
+    balancer_grace_ms: int = field(default=1_000, validator=_positive)
+    drain_limit_ms: int = field(default=30_000, validator=_positive)
+    idempotency_window_ms: int = field(default=60_000, validator=_positive)
+    poison_quarantine_ms: int = field(default=60_000, validator=_positive)
+
+
+@frozen(kw_only=True)
+class Limits:
+    """Bounds on input sizes and on rates."""
+
+    head_bytes: int = field(default=16_384, validator=_positive)
+    body_bytes: int = field(default=1_048_576, validator=_positive)
+    append_rate_per_s: float = field(default=20.0, validator=_positive)
+    moves_per_minute: int = field(default=60, validator=_positive)
+    checkpoint_records: int = field(default=2_000, validator=_positive)
+    checkpoint_age_s: int = field(default=300, validator=_positive)
+
+
+@frozen(kw_only=True)
+class Settings:
+    """Settings of one instance."""
+
+    instance: str = field(validator=_name)
+    failure_domain: str = field(validator=_name)
+    http_address: str = field(validator=_address)
+    peer_address: str = field(validator=_address)
+    log_url: str = field(validator=_url)
+    stream: str = field(default="hyssopwood", validator=_name)
+    initial_voters: int = field(default=3, validator=_positive)
+    log_level: str = field(default="INFO")
+    log_json: bool = False
+    timing: Timing = field(factory=Timing)
+    limits: Limits = field(factory=Limits)
+
+
+def read_text(path: Path, limit_bytes: int) -> str:
+    """Read a small UTF-8 file; raise InputError when it can't be used."""
+    try:
+        size = path.stat().st_size
+        if size > limit_bytes:
+            raise InputError(str(path), (Fault("$", f"{size} bytes", f"at most {limit_bytes}"),))
+        return path.read_text(encoding="utf-8")
+    except OSError as error:
+        fault = Fault("$", error.strerror or "an unreadable file", "a readable file")
+        raise InputError(str(path), (fault,)) from error
+    except UnicodeDecodeError as error:
+        raise InputError(str(path), (Fault("$", "other bytes", "UTF-8 text"),)) from error
+
+
+def load_settings(path: Path) -> Settings:
+    """Load and check the settings file."""
+    return parse_as(str(path), read_text(path, MAX_SETTINGS_BYTES), Settings)
--- /dev/null
+++ b/src/hyssopwood/structure.py
@@ -0,0 +1,170 @@
+"""Read JSON with comments into attrs classes and report every fault."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+import json5
+from cattrs import Converter
+from cattrs.errors import (
+    AttributeValidationNote,
+    BaseValidationError,
+    ForbiddenExtraKeysError,
+    IterableValidationNote,
+)
+
+from hyssopwood.errors import Fault, InputError
+
+T = TypeVar("T")
+
+MAX_SHOWN_CHARACTERS = 60
+MAX_NESTING_DEPTH = 32
+MAX_COMMENTED_CHARACTERS = 131_072
+
+
+class DuplicateKeyError(ValueError):
+    """Raised when an object names a key twice."""
+
+
+class FieldError(ValueError):
+    """Raised by a field's validator with the value it got and what it expected."""
+
+    def __init__(self, value: object, expected: str) -> None:
+        super().__init__(f"got {value!r}, expected {expected}")
+        self.value = value
+        self.expected = expected
+
+
+def _strict(kind: type) -> Any:
+    def structure(value: object, _: type) -> object:
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise FieldError(value, _TYPE_NAMES[kind])
+        return value
+
+    return structure
+
+
+_TYPE_NAMES = {int: "an integer", float: "a number", str: "a string", bool: "true or false"}
+
+
+def make_converter() -> Converter:
+    """Return a converter that refuses unknown keys and never coerces scalars."""
+    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    for kind in _TYPE_NAMES:
+        converter.register_structure_hook(kind, _strict(kind))
+    return converter
+
+
+_CONVERTER = make_converter()
+
+
+def _shown(value: object) -> str:
+    text = repr(value)
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    return text[:MAX_SHOWN_CHARACTERS] + "..."
+
+
+def _note_path(error: BaseException) -> str:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            return f".{note.name}"
+        if isinstance(note, IterableValidationNote):
+            return f"[{note.index!r}]"
+    return ""
+
+
+def _faults_of(error: BaseException, path: str) -> Iterator[Fault]:
+    path += _note_path(error)
+    if isinstance(error, BaseValidationError):
+        for inner in error.exceptions:
+            yield from _faults_of(inner, path)
+    elif isinstance(error, ForbiddenExtraKeysError):
+        for name in sorted(error.extra_fields):
+            yield Fault(f"{path}.{name}", "an unknown key", "no such key")
+    elif isinstance(error, FieldError):
+        yield Fault(path, _shown(error.value), error.expected)
+    elif isinstance(error, KeyError):
+        yield Fault(path, "nothing", "a value")
+    elif isinstance(error, AttributeError):
+        yield Fault(path, "another type", "an object with named fields")
+    else:
+        yield Fault(path, _shown(str(error)), "a valid value")
+
+
+def _depth_exceeds(text: str, limit: int) -> bool:
+    depth = 0
+    for character in text:
+        if character in "{[":
+            depth += 1
+            if depth > limit:
+                return True
+        elif character in "}]":
+            depth -= 1
+    return False
+
+
+def parse_json(source: str, text: str) -> Any:
+    """Parse JSON with comments; raise InputError when it isn't.
+
+    Nesting is checked first because the parser recurses once per level.
+    """
+    if _depth_exceeds(text, MAX_NESTING_DEPTH):
+        raise InputError(source, (Fault("$", "deep nesting", f"{MAX_NESTING_DEPTH} levels"),))
+    try:
+        return parse_plain_json(text)
+    except DuplicateKeyError as error:
+        raise InputError(source, (Fault("$", _shown(str(error)), "each key once"),)) from error
+    except ValueError:
+        return _parse_with_comments(source, text)
+
+
+def _parse_with_comments(source: str, text: str) -> Any:
+    # json5 parses about 40 KB/s in pure Python, so plain JSON takes the fast path above.
+    if len(text) > MAX_COMMENTED_CHARACTERS:
+        expected = f"plain JSON, or at most {MAX_COMMENTED_CHARACTERS} characters with comments"
+        raise InputError(source, (Fault("$", f"{len(text)} characters", expected),))
+    try:
+        return json5.loads(text, allow_duplicate_keys=False)
+    except (ValueError, RecursionError) as error:
+        fault = Fault("$", _shown(str(error)), "JSON with comments")
+        raise InputError(source, (fault,)) from error
+
+
+def parse_plain_json(text: str) -> Any:
+    """Parse strict JSON; raise ValueError when it isn't or when a key stands twice."""
+    return json.loads(text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant)
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    unique = dict(pairs)
+    if len(unique) != len(pairs):
+        names = [name for name, _ in pairs]
+        raise DuplicateKeyError(next(name for name in names if names.count(name) > 1))
+    return unique
+
+
+def _refuse_constant(name: str) -> Any:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def structure(source: str, data: Any, kind: type[T]) -> T:
+    """Structure parsed JSON into an attrs class; raise InputError with every fault."""
+    try:
+        return _CONVERTER.structure(data, kind)
+    except (BaseValidationError, TypeError, ValueError, KeyError, AttributeError) as error:
+        raise InputError(source, tuple(_faults_of(error, "$"))) from error
+
+
+def unstructure(value: Any) -> Any:
+    """Return plain JSON data for an attrs value."""
+    return _CONVERTER.unstructure(value)
+
+
+def parse_as(source: str, text: str, kind: type[T]) -> T:
+    """Parse and structure in one step."""
+    return structure(source, parse_json(source, text), kind)
--- /dev/null
+++ b/src/hyssopwood/timers.py
@@ -0,0 +1,48 @@
+"""Timer service: monotonic time, sleeps and periodic ticks."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+
+class Timers(Protocol):
+    """Give parts the time; tests inject a manual implementation."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        ...
+
+    def wall_ms(self) -> int:
+        """Return wall-clock milliseconds, for display only."""
+        ...
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the caller for `seconds`."""
+        ...
+
+    def subscribe(self, interval_s: float) -> AsyncIterator[float]:
+        """Yield the time once every `interval_s` seconds; missed ticks are skipped."""
+        ...
+
+
+class SystemTimers:
+    """Timer service on the system's monotonic clock."""
+
+    def now(self) -> float:
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        return int(time.time() * 1000)
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(max(0.0, seconds))
+
+    async def subscribe(self, interval_s: float) -> AsyncIterator[float]:
+        due = self.now()
+        while True:
+            yield self.now()
+            due = max(due + interval_s, self.now())
+            await self.sleep(due - self.now())
--- /dev/null
+++ b/src/hyssopwood_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backend servers and the callers."""
