--- a/src/hyssopwood/settings.py
+++ b/src/hyssopwood/settings.py
@@ -15,7 +15,8 @@
 MAX_PORT = 65_535
 
 
-def _address(_: Any, __: Attribute[str], value: str) -> None:
+def validate_address(_: Any, __: Attribute[str], value: str) -> None:
+    """Raise FieldError unless the value is an IP number and a port."""
     host, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
@@ -26,12 +27,14 @@
         raise FieldError(value, "an IP number and a port, such as 127.0.0.1:8080")
 
 
-def _positive(_: Any, __: Attribute[Any], value: float) -> None:
+def validate_positive(_: Any, __: Attribute[Any], value: float) -> None:
+    """Raise FieldError unless the value is above 0."""
     if not value > 0:
         raise FieldError(value, "a number above 0")
 
 
-def _name(_: Any, __: Attribute[str], value: str) -> None:
+def validate_name(_: Any, __: Attribute[str] | None, value: str) -> None:
+    """Raise FieldError unless the value is a plain name."""
     if not value or not value.replace("-", "").replace("_", "").isalnum():
         raise FieldError(value, "a name of letters, digits, '-' and '_'")
 
@@ -45,49 +48,49 @@
 class Timing:
     """Durations of leases, promises and limits, all in milliseconds."""
 
-    support_interval_ms: int = field(default=75, validator=_positive)
-    promise_ms: int = field(default=300, validator=_positive)
-    renew_interval_ms: int = field(default=100, validator=_positive)
-    lease_ms: int = field(default=400, validator=_positive)
-    max_message_life_ms: int = field(default=100, validator=_positive)
-    permit_ms: int = field(default=200, validator=_positive)
-    move_freeze_ms: int = field(default=250, validator=_positive)
-    leaving_grace_ms: int = field(default=3_000, validator=_positive)
-    planner_interval_ms: int = field(default=100, validator=_positive)
-    pause_detect_ms: int = field(default=100, validator=_positive)
-    instance_list_lag_ms: int = field(default=30_000, validator=_positive)
-    peer_timeout_ms: int = field(default=250, validator=_positive)
-    server_timeout_ms: int = field(default=250, validator=_positive)
-    log_timeout_ms: int = field(default=2_000, validator=_positive)
-    balancer_grace_ms: int = field(default=1_000, validator=_positive)
-    drain_limit_ms: int = field(default=30_000, validator=_positive)
-    idempotency_window_ms: int = field(default=60_000, validator=_positive)
-    poison_quarantine_ms: int = field(default=60_000, validator=_positive)
+    support_interval_ms: int = field(default=75, validator=validate_positive)
+    promise_ms: int = field(default=300, validator=validate_positive)
+    renew_interval_ms: int = field(default=100, validator=validate_positive)
+    lease_ms: int = field(default=400, validator=validate_positive)
+    max_message_life_ms: int = field(default=100, validator=validate_positive)
+    permit_ms: int = field(default=200, validator=validate_positive)
+    move_freeze_ms: int = field(default=250, validator=validate_positive)
+    leaving_grace_ms: int = field(default=3_000, validator=validate_positive)
+    planner_interval_ms: int = field(default=100, validator=validate_positive)
+    pause_detect_ms: int = field(default=100, validator=validate_positive)
+    instance_list_lag_ms: int = field(default=30_000, validator=validate_positive)
+    peer_timeout_ms: int = field(default=250, validator=validate_positive)
+    server_timeout_ms: int = field(default=250, validator=validate_positive)
+    log_timeout_ms: int = field(default=2_000, validator=validate_positive)
+    balancer_grace_ms: int = field(default=1_000, validator=validate_positive)
+    drain_limit_ms: int = field(default=30_000, validator=validate_positive)
+    idempotency_window_ms: int = field(default=60_000, validator=validate_positive)
+    poison_quarantine_ms: int = field(default=60_000, validator=validate_positive)
 
 
 @frozen(kw_only=True)
 class Limits:
     """Bounds on input sizes and on rates."""
 
-    head_bytes: int = field(default=16_384, validator=_positive)
-    body_bytes: int = field(default=1_048_576, validator=_positive)
-    append_rate_per_s: float = field(default=20.0, validator=_positive)
-    moves_per_minute: int = field(default=60, validator=_positive)
-    checkpoint_records: int = field(default=2_000, validator=_positive)
-    checkpoint_age_s: int = field(default=300, validator=_positive)
+    head_bytes: int = field(default=16_384, validator=validate_positive)
+    body_bytes: int = field(default=1_048_576, validator=validate_positive)
+    append_rate_per_s: float = field(default=20.0, validator=validate_positive)
+    moves_per_minute: int = field(default=60, validator=validate_positive)
+    checkpoint_records: int = field(default=2_000, validator=validate_positive)
+    checkpoint_age_s: int = field(default=300, validator=validate_positive)
 
 
 @frozen(kw_only=True)
 class Settings:
     """Settings of one instance."""
 
-    instance: str = field(validator=_name)
-    failure_domain: str = field(validator=_name)
-    http_address: str = field(validator=_address)
-    peer_address: str = field(validator=_address)
+    instance: str = field(validator=validate_name)
+    failure_domain: str = field(validator=validate_name)
+    http_address: str = field(validator=validate_address)
+    peer_address: str = field(validator=validate_address)
     log_url: str = field(validator=_url)
-    stream: str = field(default="hyssopwood", validator=_name)
-    initial_voters: int = field(default=3, validator=_positive)
+    stream: str = field(default="hyssopwood", validator=validate_name)
+    initial_voters: int = field(default=3, validator=validate_positive)
     log_level: str = field(default="INFO")
     log_json: bool = False
     timing: Timing = field(factory=Timing)
