--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -212,6 +212,7 @@
 
     instance: str
     servers: tuple[ServerUsage, ...]
+    leaving: bool
 
 
 @frozen
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -165,6 +165,7 @@
 struct UsageReport {
   instance @0 :Text;
   servers @1 :List(ServerUsage);
+  leaving @2 :Bool;  # The sender shuts down and wants to hand its servers over.
 }
 
 struct IdempotencyCopy {
