--- /dev/null
+++ b/scripts/docs_check.py
@@ -0,0 +1,94 @@
+"""Check the docs: links, the event catalogue, the settings table and the examples."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from attrs import NOTHING, fields
+
+from hyssopwood.events import Event
+from hyssopwood.settings import Limits, Settings, Timing
+
+ROOT = Path(__file__).parent.parent
+LINK = re.compile(r"\[[^\]]*\]\(([^)#\s]+)(#[^)\s]*)?\)")
+EVENT_ROW = re.compile(r"^\| E(\d{3}) \| (\w+) \| ([A-Z]+) \| ([^|]+?) \|", re.MULTILINE)
+EVENT_USE = re.compile(r"\bEvent\.([A-Z_]+)\b")
+SETTING_ROW = re.compile(r"^\| `([\w.]+)` \| `?([^|`]*)`? \|", re.MULTILINE)
+
+
+def _broken_links() -> Iterator[str]:
+    pages = [ROOT / "README.md", ROOT / "CHANGES.md", *sorted((ROOT / "docs").glob("**/*.md"))]
+    for page in pages:
+        for match in LINK.finditer(page.read_text(encoding="utf-8")):
+            target = match.group(1)
+            if "://" not in target and not (page.parent / target).exists():
+                yield f"{page.relative_to(ROOT)}: link to {target!r} leads nowhere"
+
+
+def _event_faults() -> Iterator[str]:
+    text = (ROOT / "docs" / "events.md").read_text(encoding="utf-8")
+    listed = {int(number): row for number, *row in EVENT_ROW.findall(text)}
+    known = {event.value.number: event for event in Event}
+    if len(known) != len(Event):
+        yield "two events share a number"
+    for number, event in known.items():
+        spec = event.value
+        if listed.get(number) != [event.name, spec.level, spec.message]:
+            yield f"docs/events.md: E{number:03d} differs from the code or is missing"
+    for number in sorted(listed.keys() - known.keys()):
+        yield f"docs/events.md: E{number:03d} is not in the code"
+    yield from _unused_events()
+
+
+def _unused_events() -> Iterator[str]:
+    used: set[str] = set()
+    for module in (ROOT / "src" / "hyssopwood").glob("*.py"):
+        if module.name != "events.py":
+            used.update(EVENT_USE.findall(module.read_text(encoding="utf-8")))
+    for event in Event:
+        if event.name not in used:
+            yield f"event {event.name} is never emitted"
+
+
+def _setting_faults() -> Iterator[str]:
+    text = (ROOT / "docs" / "settings.md").read_text(encoding="utf-8")
+    listed = dict(SETTING_ROW.findall(text))
+    expected: dict[str, str] = {}
+    for prefix, kind in (("", Settings), ("timing.", Timing), ("limits.", Limits)):
+        for item in fields(kind):
+            if item.name not in ("timing", "limits"):
+                default = "required" if item.default is NOTHING else str(item.default)
+                expected[prefix + item.name] = default
+    for name in sorted(expected.keys() | listed.keys()):
+        if expected.get(name) != listed.get(name):
+            yield f"docs/settings.md: {name} is {listed.get(name)}, the code has {expected.get(name)}"
+
+
+def _example_faults() -> Iterator[str]:
+    examples = sorted((ROOT / "examples").glob("*.jsonc"))
+    if not examples:
+        yield "there are no examples"
+    for example in examples:
+        command = [sys.executable, "-m", "hyssopwood", "check", str(example)]
+        result = subprocess.run(command, capture_output=True, text=True, check=False)
+        if result.returncode:
+            yield f"{example.relative_to(ROOT)}: {result.stderr.strip() or result.stdout.strip()}"
+
+
+def main() -> int:
+    """Print every fault; return 1 if there is one."""
+    checks = (_broken_links, _event_faults, _setting_faults, _example_faults)
+    faults = [fault for check in checks for fault in check()]
+    for fault in faults:
+        print(f"docs: {fault}")
+    if not faults:
+        print("docs: links, events, settings and examples agree with the code")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/hyssopwood/settings.py
+++ b/src/hyssopwood/settings.py
@@ -67,6 +67,13 @@
     idempotency_window_ms: int = field(default=60_000, validator=validate_positive)
     poison_quarantine_ms: int = field(default=60_000, validator=validate_positive)
 
+    def __attrs_post_init__(self) -> None:
+        # One renewal or promise may be lost without the lease or the authority lapsing.
+        if self.renew_interval_ms * 2 >= self.lease_ms:
+            raise FieldError(self.lease_ms, "lease_ms above twice renew_interval_ms")
+        if self.support_interval_ms * 2 >= self.promise_ms:
+            raise FieldError(self.promise_ms, "promise_ms above twice support_interval_ms")
+
 
 @frozen(kw_only=True)
 class Limits:
