--- a/scripts/docs_check.py
+++ b/scripts/docs_check.py
@@ -64,8 +64,9 @@
                 default = "required" if item.default is NOTHING else str(item.default)
                 expected[prefix + item.name] = default
     for name in sorted(expected.keys() | listed.keys()):
-        if expected.get(name) != listed.get(name):
-            yield f"docs/settings.md: {name} is {listed.get(name)}, the code has {expected.get(name)}"
+        shown, actual = listed.get(name), expected.get(name)
+        if shown != actual:
+            yield f"docs/settings.md: {name} is {shown}, the code has {actual}"
 
 
 def _example_faults() -> Iterator[str]:
