--- a/src/hyssopwood/metrics.py
+++ b/src/hyssopwood/metrics.py
@@ -18,7 +18,7 @@
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
-class Durations:
+class DurationHistogram:
     """Record durations with a bounded relative error."""
 
     def __init__(self) -> None:
@@ -47,7 +47,7 @@
 
 
 class _DurationCollector(Collector):
-    def __init__(self, tables: dict[str, dict[str, Durations]]) -> None:
+    def __init__(self, tables: dict[str, dict[str, DurationHistogram]]) -> None:
         self._tables = tables
 
     def collect(self) -> Iterable[Metric]:
@@ -55,7 +55,7 @@
             yield from _families(name, by_label)
 
 
-def _families(name: str, by_label: dict[str, Durations]) -> Iterator[Metric]:
+def _families(name: str, by_label: dict[str, DurationHistogram]) -> Iterator[Metric]:
     summary = SummaryMetricFamily(name, f"{name} in seconds", labels=["label"])
     gauge = Metric(f"{name}_quantile", f"Quantiles of {name}", "gauge")
     for label, durations in by_label.items():
@@ -72,7 +72,7 @@
     """Hold the metrics of one instance."""
 
     _registry: CollectorRegistry = field(factory=CollectorRegistry)
-    _durations: dict[str, dict[str, Durations]] = field(factory=dict)
+    _durations: dict[str, dict[str, DurationHistogram]] = field(factory=dict)
     _counters: dict[str, Counter] = field(factory=dict)
     _gauges: dict[str, Gauge] = field(factory=dict)
 
@@ -84,7 +84,7 @@
         by_label = self._durations.setdefault(f"hyssopwood_{name}_seconds", {})
         durations = by_label.get(label)
         if durations is None:
-            durations = by_label[label] = Durations()
+            durations = by_label[label] = DurationHistogram()
         durations.record(seconds)
 
     def count(self, name: str, label: str = "", amount: float = 1) -> None:
@@ -105,7 +105,7 @@
             self._gauges[name] = gauge
         gauge.labels(label).set(value)
 
-    def durations(self, name: str) -> dict[str, Durations]:
+    def durations(self, name: str) -> dict[str, DurationHistogram]:
         """Return the durations of a metric by label."""
         return self._durations.get(f"hyssopwood_{name}_seconds", {})
 
