--- /dev/null
+++ b/src/hyssopwood/dispatch.py
@@ -0,0 +1,421 @@
+"""Request path of one caller request: route, permit, send, retry."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import AsyncIterator, Mapping
+from typing import Protocol
+
+import xxhash
+from attrs import define, frozen
+
+from hyssopwood.backend import (
+    BackendServer,
+    ServerRequest,
+)
+from hyssopwood.durations import Durations
+from hyssopwood.errors import HyssopwoodError
+from hyssopwood.events import Event, emit
+from hyssopwood.messages import PermitCancel, PermitReply, PermitRequest, PermitReturn
+from hyssopwood.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from hyssopwood.timers import Timers
+
+RETRY_RATIO = 0.1
+# Allows the first retries of an idle instance; the ratio bounds them under load.
+RETRY_BURST = 10.0
+RETRY_JITTER_S = 0.02
+# A moved key is served again within 1 s, so waiting longer for an owner is pointless.
+OWNER_WAIT_S = 1.0
+MAX_WAITING = 512
+# Wakes a waiting request although the view did not change, for a coordinator that came back.
+RECHECK_S = 0.05
+MAX_ATTEMPTS = 20
+STORED_BODY_BYTES = 16_384
+REFUSAL_RETRY_S = 0.1
+LATE_FACTOR = 4.0
+# Reasons that end when another server or coordinator takes over.
+_MOVING = frozenset({Reason.MOVED, Reason.NO_OWNER, Reason.NO_AUTHORITY})
+# A stored key says that the request may have run already.
+_MAY_HAVE_RUN = frozenset({Reason.IN_PROGRESS, Reason.ALREADY_RUN, Reason.RECORD_LOST})
+
+
+@frozen
+class CallerRequest:
+    """Hold one whole request of a caller; `deadline` is absolute timer time."""
+
+    service: str
+    customer: str
+    operation: str
+    repeatable: bool
+    key: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    deadline: float
+    idempotency_key: str = ""
+
+
+@frozen
+class Route:
+    """Say which server owns a key and which incarnation coordinates it."""
+
+    partition: str
+    server: str
+    address: str
+    connections: int
+    coordinator: str
+
+
+class RouterView(Protocol):
+    """View of the state in force that routing needs."""
+
+    @property
+    def version(self) -> int:
+        """Return a number that grows with each change of the view."""
+        ...
+
+    def route(self, service: str, key: str) -> Route | None:
+        """Return the owner of a key, None while it has none."""
+        ...
+
+    async def wait_changed(self, version: int) -> None:
+        """Return when the view is newer than `version`."""
+        ...
+
+
+class PermitClient(Protocol):
+    """Way to the coordinators of backend servers."""
+
+    async def request(self, permit: PermitRequest, coordinator: str) -> PermitReply:
+        """Return the reply; raise PeerUnavailableError or ProtocolError without one."""
+        ...
+
+    def give_back(self, permit: PermitReturn, coordinator: str) -> None:
+        """Return a permit without waiting."""
+        ...
+
+    def cancel(self, cancel: PermitCancel, coordinator: str) -> None:
+        """Withdraw a request that may still be queued, without waiting."""
+        ...
+
+
+class Sender(Protocol):
+    """Way to the backend servers."""
+
+    async def send(self, request: ServerRequest) -> Outcome:
+        """Send one attempt."""
+        ...
+
+
+class RetryBudget:
+    """Token bucket that bounds retries to a share of the requests."""
+
+    def __init__(self, ratio: float = RETRY_RATIO, burst: float = RETRY_BURST) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    def note_request(self) -> None:
+        """Earn a share of one retry."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Spend one retry; return False when the budget is used up."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def pack_answer(content_type: str, body: bytes) -> bytes:
+    """Return the stored form of a small answer; never empty, as empty means lost."""
+    return content_type.encode("latin-1", "replace") + b"\n" + body
+
+
+def unpack_answer(stored: bytes) -> tuple[str, bytes]:
+    """Return the content type and body of a stored answer."""
+    content_type, _, body = stored.partition(b"\n")
+    return content_type.decode("latin-1"), body
+
+
+async def _single(body: bytes) -> AsyncIterator[bytes]:
+    if body:
+        yield body
+
+
+def digest_of(request: CallerRequest) -> int:
+    """Return the digest that identifies equal requests on all instances."""
+    digest = xxhash.xxh64()
+    for part in (request.service, request.operation, request.key, request.method, request.path):
+        digest.update(part.encode("utf-8", "surrogateescape"))
+        digest.update(b"\0")
+    digest.update(request.body)
+    return digest.intdigest()
+
+
+@define(eq=False)
+class _Attempt:
+    """One permit and the route it was given for."""
+
+    route: Route
+    permit: PermitReply
+    request_id: str
+    first_byte_by: float
+    returned: bool = False
+
+
+class _ReturningBody:
+    """Pass an answer's body on and return its permit at the end."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, attempt: _Attempt, request: CallerRequest, answer: Answered
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._attempt = attempt
+        self._request = request
+        self._answer = answer
+        self._iterator = aiter(answer.body)
+        self._started = dispatcher.now()
+        self._stored: bytearray | None = bytearray() if request.idempotency_key else None
+
+    def __aiter__(self) -> _ReturningBody:
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = await anext(self._iterator)
+        except StopAsyncIteration:
+            self._finish(whole=True)
+            raise
+        except BaseException:
+            self._finish(whole=False)
+            raise
+        self._keep(chunk)
+        return chunk
+
+    async def aclose(self) -> None:
+        """Give up the rest of the body."""
+        close = getattr(self._iterator, "aclose", None)
+        if close is not None:
+            await close()
+        self._finish(whole=False)
+
+    def _keep(self, chunk: bytes) -> None:
+        if self._stored is None:
+            return
+        if len(self._stored) + len(chunk) > STORED_BODY_BYTES:
+            self._stored = None
+            return
+        self._stored += chunk
+
+    def _finish(self, whole: bool) -> None:
+        stored = b""
+        if whole and self._stored is not None:
+            content_type = self._answer.headers.get("Content-Type", "")
+            stored = pack_answer(content_type, bytes(self._stored))
+        self._dispatcher.finish(self._attempt, self._request, self._answer.status, stored, whole)
+
+
+class Dispatcher:
+    """Carry each caller request to the owner of its key."""
+
+    def __init__(
+        self,
+        router: RouterView,
+        permits: PermitClient,
+        backend: Sender,
+        timers: Timers,
+        incarnation: str,
+        *,
+        durations: Durations | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._router = router
+        self._permits = permits
+        self._backend = backend
+        self._timers = timers
+        self._incarnation = incarnation
+        self._durations = durations or Durations(timers)
+        self._rng = rng or random.Random()
+        self._budget = RetryBudget()
+        self._sequence = itertools.count(1)
+        self._waiting = 0
+        self._began: dict[int, float] = {}
+
+    def now(self) -> float:
+        """Return the timers' time."""
+        return self._timers.now()
+
+    async def handle(self, request: CallerRequest) -> Outcome:
+        """Return the final outcome of a request."""
+        self._budget.note_request()
+        base = f"{self._incarnation}.{next(self._sequence)}"
+        digest = digest_of(request)
+        owner_wait_until = min(request.deadline, self._timers.now() + OWNER_WAIT_S)
+        for number in range(MAX_ATTEMPTS):
+            version = self._router.version
+            outcome = await self._attempt(request, f"{base}#{number}", digest)
+            if isinstance(outcome, Answered):
+                return outcome
+            if self._timers.now() >= request.deadline:
+                return outcome
+            if isinstance(outcome, Unknown):
+                if not await self._may_repeat(request, outcome):
+                    return outcome
+            elif not await self._moved(outcome, version, owner_wait_until):
+                return outcome
+        return outcome
+
+    async def _attempt(self, request: CallerRequest, request_id: str, digest: int) -> Outcome:
+        route = self._router.route(request.service, request.key)
+        if route is None:
+            return NotRun(Reason.NO_OWNER, "the key has no owner now", REFUSAL_RETRY_S)
+        reply = await self._ask(request, route, request_id, digest)
+        if not isinstance(reply, _Attempt):
+            return reply
+        return await self._send(request, reply)
+
+    async def _ask(
+        self, request: CallerRequest, route: Route, request_id: str, digest: int
+    ) -> _Attempt | Outcome:
+        asked = self._timers.now()
+        left_ms = int((request.deadline - asked) * 1000)
+        if left_ms <= 0:
+            return NotRun(Reason.DEADLINE_EXCEEDED, "the deadline has passed")
+        permit = PermitRequest(
+            request_id,
+            route.server,
+            request.service,
+            request.operation,
+            request.key,
+            left_ms,
+            digest,
+            request.idempotency_key,
+            request.customer,
+        )
+        try:
+            reply = await self._permits.request(permit, route.coordinator)
+        except HyssopwoodError as error:
+            self._permits.cancel(PermitCancel(request_id), route.coordinator)
+            return NotRun(Reason.COORDINATOR_UNREACHABLE, str(error), REFUSAL_RETRY_S)
+        except asyncio.CancelledError:
+            self._permits.cancel(PermitCancel(request_id), route.coordinator)
+            raise
+        if not reply.granted:
+            return _refusal(reply)
+        # Counted from sending the request, as the coordinator can't know when it arrived.
+        return _Attempt(route, reply, request_id, asked + reply.valid_ms / 1000)
+
+    async def _send(self, request: CallerRequest, attempt: _Attempt) -> Outcome:
+        self._began[attempt.permit.permit_id] = self._timers.now()
+        try:
+            outcome = await self._backend.send(self._server_request(request, attempt))
+        except BaseException:
+            self._give_back(attempt, "unknown", 0, b"")
+            raise
+        if isinstance(outcome, Answered):
+            body = _ReturningBody(self, attempt, request, outcome)
+            return Answered(outcome.status, outcome.headers, body)
+        self._give_back(attempt, "not-run" if isinstance(outcome, NotRun) else "unknown", 0, b"")
+        return outcome
+
+    def _server_request(self, request: CallerRequest, attempt: _Attempt) -> ServerRequest:
+        route, permit = attempt.route, attempt.permit
+        high = self._durations.high(request.service, request.operation)
+        return ServerRequest(
+            server=BackendServer(route.server, route.address, route.connections),
+            request_id=attempt.request_id,
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+            key=request.key,
+            operation=request.operation,
+            partition=permit.partition or route.partition,
+            token=permit.token,
+            epoch=permit.epoch,
+            repeatable=request.repeatable,
+            deadline=request.deadline,
+            first_byte_by=attempt.first_byte_by,
+            late_after_s=high * LATE_FACTOR,
+        )
+
+    def finish(
+        self, attempt: _Attempt, request: CallerRequest, status: int, stored: bytes, whole: bool
+    ) -> None:
+        """Return the permit of an answer whose body has ended."""
+        if attempt.returned:
+            return
+        if whole:
+            began = self._began.get(attempt.permit.permit_id, self._timers.now())
+            self._durations.record(request.service, request.operation, self._timers.now() - began)
+        self._give_back(attempt, "answered" if whole else "unknown", status, stored)
+
+    def _give_back(self, attempt: _Attempt, outcome: str, status: int, body: bytes) -> None:
+        if attempt.returned:
+            return
+        attempt.returned = True
+        permit_id = attempt.permit.permit_id
+        began = self._began.pop(permit_id, self._timers.now())
+        duration_ms = (self._timers.now() - began) * 1000
+        self._permits.give_back(
+            PermitReturn(permit_id, outcome, duration_ms, status, body),
+            attempt.route.coordinator,
+        )
+
+    async def _may_repeat(self, request: CallerRequest, outcome: Unknown) -> bool:
+        if not request.repeatable or outcome.reason in _MAY_HAVE_RUN:
+            emit(Event.REQUEST_UNKNOWN, reason=outcome.reason.value, detail=outcome.detail)
+            return False
+        if not self._budget.take():
+            return False
+        await self._timers.sleep(self._rng.uniform(0.0, RETRY_JITTER_S))
+        return self._timers.now() < request.deadline
+
+    async def _moved(self, outcome: NotRun, version: int, until: float) -> bool:
+        """Wait for another owner; return whether another attempt makes sense."""
+        if outcome.reason not in _MOVING and outcome.reason not in _LOST_PEER:
+            return False
+        if self._router.version != version:
+            return True
+        if self._waiting >= MAX_WAITING:
+            return False
+        return await self._wait_changed(version, until)
+
+    async def _wait_changed(self, version: int, until: float) -> bool:
+        left = until - self._timers.now()
+        if left <= 0:
+            return False
+        self._waiting += 1
+        changed = asyncio.ensure_future(self._router.wait_changed(version))
+        recheck = asyncio.ensure_future(
+            self._timers.sleep(min(left, RECHECK_S * self._rng.uniform(0.5, 1.5)))
+        )
+        try:
+            await asyncio.wait((changed, recheck), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self._waiting -= 1
+            changed.cancel()
+            recheck.cancel()
+        return self._timers.now() < until
+
+
+# Reasons that end when a coordinator or a server is replaced.
+_LOST_PEER = frozenset({Reason.COORDINATOR_UNREACHABLE, Reason.SERVER_UNREACHABLE})
+
+
+def _refusal(reply: PermitReply) -> Outcome:
+    if reply.stored_status:
+        content_type, body = unpack_answer(reply.stored_body)
+        headers = {"Content-Type": content_type, "Content-Length": str(len(body))}
+        return Answered(reply.stored_status, headers, _single(body))
+    try:
+        reason = Reason(reply.reason)
+    except ValueError:
+        reason = Reason.COORDINATOR_UNREACHABLE
+    retry_after_s = reply.retry_after_ms / 1000 if reply.retry_after_ms else None
+    kind = Unknown if reason in _MAY_HAVE_RUN else NotRun
+    return kind(reason, reply.detail, retry_after_s)
