--- /dev/null
+++ b/src/hyssopwood/idempotency.py
@@ -0,0 +1,249 @@
+"""Records of idempotency keys that a coordinator keeps."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from typing import TypeAlias
+
+from attrs import define, frozen
+
+from hyssopwood.messages import IdempotencyCopy
+from hyssopwood.outcomes import Reason
+from hyssopwood.timers import Timers
+
+MAX_RECORDS = 20_000
+MAX_BODY_BYTES = 16_384
+# Sum over all records of one coordinator; larger sums drop the oldest bodies.
+MAX_STORED_BYTES = 8_388_608
+IN_PROGRESS_RETRY_S = 0.1
+ATTEMPT_SEPARATOR = "#"
+
+
+class KeyState(Enum):
+    """State of a recorded key."""
+
+    IN_PROGRESS = "in-progress"
+    ANSWERED = "answered"
+    ANSWER_LOST = "answer-lost"
+    UNKNOWN = "unknown"
+
+
+@define(eq=False)
+class _Record:
+    """One key; `holder` is the caller request that runs it."""
+
+    digest: int
+    state: KeyState
+    expires: float
+    holder: str = ""
+    status: int = 0
+    body: bytes = b""
+
+
+@frozen
+class Begun:
+    """Say that the request may run and that its key is recorded."""
+
+
+@frozen
+class Stored:
+    """Hold the answer of an equal earlier request."""
+
+    status: int
+    body: bytes
+
+
+@frozen
+class KeyRefused:
+    """Say why a request with this key must not run."""
+
+    reason: Reason
+    detail: str
+    retry_after_s: float | None = None
+
+
+BeginResult: TypeAlias = Begun | Stored | KeyRefused
+
+
+def holder_of(request_id: str) -> str:
+    """Return the caller request that an attempt's id belongs to."""
+    return request_id.partition(ATTEMPT_SEPARATOR)[0]
+
+
+class IdempotencyRecords:
+    """Remember keyed requests for a window, bounded in count and bytes.
+
+    A record is never dropped before its window ends, because its request could run twice;
+    new keys are refused instead.
+    """
+
+    def __init__(self, timers: Timers, window_s: float, max_records: int = MAX_RECORDS) -> None:
+        self._timers = timers
+        self._window_s = window_s
+        self._max_records = max_records
+        # Ordered by expiry, as the window is the same for all.
+        self._records: OrderedDict[tuple[str, str], _Record] = OrderedDict()
+        self._stored_bytes = 0
+        self._distrust_until = -math.inf
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def stored_bytes(self) -> int:
+        """Return the sum of the stored bodies."""
+        return self._stored_bytes
+
+    def begin(self, service: str, key: str, digest: int, request_id: str) -> BeginResult:
+        """Record a key before its request runs, or say why it must not run."""
+        now = self._timers.now()
+        self._expire(now)
+        record = self._records.get((service, key))
+        if record is not None:
+            return self._judge(record, digest, request_id, now)
+        if now < self._distrust_until:
+            detail = "the record of this key may have been lost with its coordinator"
+            return KeyRefused(Reason.RECORD_LOST, detail, self._distrust_until - now)
+        if len(self._records) >= self._max_records:
+            oldest = next(iter(self._records.values()))
+            detail = f"{len(self._records)} idempotency keys are recorded"
+            return KeyRefused(Reason.QUEUE_FULL, detail, max(0.0, oldest.expires - now))
+        record = _Record(digest, KeyState.IN_PROGRESS, now + self._window_s, holder_of(request_id))
+        self._records[service, key] = record
+        return Begun()
+
+    def finish(self, service: str, key: str, status: int, body: bytes) -> None:
+        """Record that a request ran; an empty or large `body` is not kept."""
+        record = self._records.get((service, key))
+        if record is None:
+            return
+        if body and len(body) <= MAX_BODY_BYTES:
+            self._settle(service, key, record, KeyState.ANSWERED)
+            record.status, record.body = status, body
+            self._stored_bytes += len(body)
+            self._bound_bytes()
+        else:
+            self._settle(service, key, record, KeyState.ANSWER_LOST)
+
+    def mark_unknown(self, service: str, key: str) -> None:
+        """Record that the outcome of a request is not known."""
+        record = self._records.get((service, key))
+        if record is not None and record.state is KeyState.IN_PROGRESS:
+            self._settle(service, key, record, KeyState.UNKNOWN)
+
+    def abandon(self, service: str, key: str) -> None:
+        """Forget a request that was proved not to have run, so that it may run later."""
+        record = self._records.get((service, key))
+        if record is not None and record.state is KeyState.IN_PROGRESS:
+            del self._records[service, key]
+
+    def lookup(self, service: str, key: str) -> KeyState | None:
+        """Return the state of a key."""
+        self._expire(self._timers.now())
+        record = self._records.get((service, key))
+        return None if record is None else record.state
+
+    def distrust_until(self, until: float) -> None:
+        """Refuse unknown keys until then, after a takeover without copies."""
+        self._distrust_until = max(self._distrust_until, until)
+
+    def copy_of(self, server: str, service: str, key: str) -> IdempotencyCopy | None:
+        """Return the copy of one record for the standby."""
+        record = self._records.get((service, key))
+        return None if record is None else _copy(server, service, key, record)
+
+    def export(self, server: str) -> Iterator[IdempotencyCopy]:
+        """Yield copies of all records, for a new standby."""
+        self._expire(self._timers.now())
+        for (service, key), record in list(self._records.items()):
+            yield _copy(server, service, key, record)
+
+    def import_copies(self, copies: Iterable[IdempotencyCopy]) -> None:
+        """Store copies from the coordinator; their window starts again."""
+        self._expire(self._timers.now())
+        for copy in copies:
+            self._import_one(copy)
+
+    def take_over(self) -> None:
+        """Stop waiting for requests of the previous coordinator: nobody reports their end."""
+        for (service, key), record in list(self._records.items()):
+            if record.state is KeyState.IN_PROGRESS:
+                self._settle(service, key, record, KeyState.UNKNOWN)
+
+    def _import_one(self, copy: IdempotencyCopy) -> None:
+        name = (copy.service, copy.idempotency_key)
+        known = self._records.get(name)
+        state = KeyState(copy.state)
+        if known is not None and state is KeyState.IN_PROGRESS:
+            # Copies may arrive out of order; an outcome is never replaced by its beginning.
+            return
+        if known is not None:
+            self._drop_body(known)
+            del self._records[name]
+        elif len(self._records) >= self._max_records:
+            # The lost key can't be told from an unused one any more.
+            self.distrust_until(self._timers.now() + self._window_s)
+            return
+        expires = self._timers.now() + self._window_s
+        body = copy.body[:MAX_BODY_BYTES]
+        self._records[name] = _Record(copy.digest, state, expires, "", copy.status, body)
+        self._stored_bytes += len(body)
+        self._bound_bytes()
+
+    def _judge(self, record: _Record, digest: int, request_id: str, now: float) -> BeginResult:
+        if record.digest != digest:
+            detail = "the idempotency key belongs to another request"
+            return KeyRefused(Reason.BAD_REQUEST, detail)
+        if record.state is KeyState.ANSWERED:
+            return Stored(record.status, record.body)
+        if record.state is KeyState.IN_PROGRESS:
+            if record.holder and record.holder == holder_of(request_id):
+                # A further attempt of the same caller request, whose entry keeps them apart.
+                return Begun()
+            detail = "an equal request is in progress"
+            return KeyRefused(Reason.IN_PROGRESS, detail, IN_PROGRESS_RETRY_S)
+        if record.state is KeyState.ANSWER_LOST:
+            return KeyRefused(Reason.ALREADY_RUN, "the request ran, its answer was not kept")
+        detail = "the outcome of an equal request is unknown"
+        return KeyRefused(Reason.RECORD_LOST, detail, max(0.0, record.expires - now))
+
+    def _settle(self, service: str, key: str, record: _Record, state: KeyState) -> None:
+        self._drop_body(record)
+        record.state = state
+        record.expires = self._timers.now() + self._window_s
+        self._records.move_to_end((service, key))
+
+    def _drop_body(self, record: _Record) -> None:
+        self._stored_bytes -= len(record.body)
+        record.body = b""
+
+    def _bound_bytes(self) -> None:
+        if self._stored_bytes <= MAX_STORED_BYTES:
+            return
+        for record in self._records.values():
+            if record.body:
+                self._drop_body(record)
+                record.state = KeyState.ANSWER_LOST
+            if self._stored_bytes <= MAX_STORED_BYTES:
+                return
+
+    def _expire(self, now: float) -> None:
+        while self._records:
+            name, record = next(iter(self._records.items()))
+            if record.expires > now:
+                return
+            if record.state is KeyState.IN_PROGRESS:
+                # Longer than any deadline: its entry is gone and nothing proves an outcome.
+                self._settle(*name, record, KeyState.UNKNOWN)
+            else:
+                self._drop_body(record)
+                del self._records[name]
+
+
+def _copy(server: str, service: str, key: str, record: _Record) -> IdempotencyCopy:
+    return IdempotencyCopy(
+        server, service, key, record.digest, record.state.value, record.status, record.body
+    )
