--- /dev/null
+++ b/src/hyssopwood_standins/__main__.py
@@ -0,0 +1,31 @@
+"""Command line of the stand-ins."""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import sys
+
+from hyssopwood_standins import web_process
+
+COMMANDS = {
+    "platform": "log service, instance list and load balancer",
+    "server": "backend server",
+}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the named stand-in."""
+    parser = argparse.ArgumentParser(prog="hyssopwood_standins")
+    parser.add_argument("--log-level", default="INFO")
+    commands = parser.add_subparsers(dest="command", required=True)
+    modules = {name: importlib.import_module(f"hyssopwood_standins.{name}") for name in COMMANDS}
+    for name, module in modules.items():
+        module.add_arguments(commands.add_parser(name, help=COMMANDS[name]))
+    arguments = parser.parse_args(argv)
+    web_process.set_up_logging(arguments.log_level)
+    return modules[arguments.command].main(arguments)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/hyssopwood_standins/recorder.py
@@ -0,0 +1,40 @@
+"""Append records as JSON lines to a file."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any, TextIO
+
+
+class Recorder:
+    """Write one JSON object a line, flushed at once so that SIGKILL loses none."""
+
+    def __init__(self, path: Path | None, **common: Any) -> None:
+        self._common = common
+        self._file: TextIO | None = None
+        if path is not None:
+            self._file = path.open("a", encoding="utf-8", buffering=1)
+
+    def write(self, kind: str, t: float, **fields: Any) -> None:
+        """Write a record; `t` is time.monotonic(), shared by all processes of a machine."""
+        if self._file is None:
+            return
+        record = {"type": kind, "t": t, **self._common, **fields}
+        self._file.write(json.dumps(record) + "\n")
+
+    def close(self) -> None:
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+class MemoryRecorder(Recorder):
+    """Keep the records in a list, for a process that analyses its own records."""
+
+    def __init__(self, **common: Any) -> None:
+        super().__init__(None, **common)
+        self.records: list[dict[str, Any]] = []
+
+    def write(self, kind: str, t: float, **fields: Any) -> None:
+        self.records.append({"type": kind, "t": t, **self._common, **fields})
