--- /dev/null
+++ b/features/standin_report.feature
@@ -0,0 +1,93 @@
+Feature: Stand-in report detects every violation of a guarantee
+
+  Scenario Outline: Stand-in report measures hand-made ownership records
+    Guards against a run with two owners that the report calls clean.
+    Given the stand-in case "<case>"
+    Then the stand-in measure "double_owner_ms" is <double_owner_ms>
+    And the stand-in measure "owner_changes" is <owner_changes>
+
+    Examples:
+      | case                                   | double_owner_ms | owner_changes |
+      | released before granted elsewhere      | 0               | 1             |
+      | granted elsewhere before released      | 500             | 1             |
+      | lapsed before granted elsewhere        | 0               | 1             |
+      | never released                         | 1000            | 1             |
+      | killed before granted elsewhere        | 0               | 1             |
+      | killed after granted elsewhere         | 250             | 1             |
+      | restarted before granted elsewhere     | 0               | 1             |
+      | run outlives its grant                 | 300             | 1             |
+      | unfenced grant never released          | 0               | 1             |
+      | unfenced run under another's grant     | 200             | 1             |
+      | key runs in shard and own partition    | 400             | 0             |
+      | key's own partition granted elsewhere  | 100             | 0             |
+      | same key in two services               | 0               | 0             |
+
+  Scenario Outline: Stand-in report measures hand-made requests
+    Guards against a violation of the request guarantees that the report calls clean.
+    Given the stand-in case "<case>"
+    Then the stand-in measure "<measure>" is <value>
+    And the stand-in violations name "<named>"
+
+    Examples:
+      | case                                        | measure            | value | named              |
+      | one good answer                             | answered           | 1     |                    |
+      | one good answer                             | wrong_answers      | 0     |                    |
+      | answer of another request                   | wrong_answers      | 1     | wrong_answers      |
+      | answer cut off                              | incomplete_answers | 1     | incomplete_answers |
+      | damaged answer told as unknown              | incomplete_answers | 0     |                    |
+      | non-repeatable request ran twice            | double_runs        | 1     | double_runs        |
+      | non-repeatable request ran on three servers | double_runs        | 2     | double_runs        |
+      | repeatable request ran twice                | double_runs        | 0     |                    |
+      | told not run but ran                        | not_run_but_ran    | 1     | not_run_but_ran    |
+      | told not run but crashed its server         | not_run_but_ran    | 1     | not_run_but_ran    |
+      | told not run and refused by its server      | not_run_but_ran    | 0     |                    |
+      | told not run after an earlier attempt ran   | not_run_but_ran    | 0     |                    |
+      | told not run and ran without a number       | not_run_but_ran    | 1     | not_run_but_ran    |
+      | nothing answered                            | answered           | 0     | no request         |
+
+  Scenario Outline: Stand-in report measures how long a key was unavailable
+    Guards against a gap in service that the report hides or invents.
+    Given the stand-in case "<case>"
+    Then the stand-in measure "max_key_unavailable_ms" is <value>
+
+    Examples:
+      | case                                     | value |
+      | one good answer                          | 10    |
+      | answered after a wait for a new owner    | 700   |
+      | refused until a new owner serves         | 600   |
+      | no demand between two answers            | 10    |
+      | refused because it already ran           | 10    |
+      | running on a frozen server               | 900   |
+      | running on a killed server               | 400   |
+
+  Scenario: Stand-in report has exactly the keys of the design page
+    Guards against a report that its readers can't parse.
+    Given the stand-in case "one good answer"
+    Then the stand-in measures have the keys
+      """
+      requests, answered, not_run, unknown, wrong_answers, incomplete_answers, double_runs,
+      not_run_but_ran, double_owner_ms, max_key_unavailable_ms, owner_changes, ticket_in_force_ms,
+      p50_ms, p99_ms
+      """
+
+  Scenario: Stand-in report tells that a ticket never came into force
+    Guards against a missing measurement that passes for a good one.
+    Given the stand-in case "one good answer"
+    When the stand-in ticket did not come into force
+    Then the stand-in violations name "ticket"
+
+  Scenario: Stand-in records of a killed process end in an unfinished line
+    Guards against a report that fails on the records of a killed server.
+    When a stand-in record file ends in an unfinished line
+    Then the stand-in reader returns the finished lines
+
+  Scenario Outline: Stand-in percentiles are ranks of the values
+    Guards against an off-by-one in the reported latencies.
+    Then the stand-in percentile <share> of 1 to <count> is <value>
+
+    Examples:
+      | share | count | value |
+      | 0.5   | 100   | 50    |
+      | 0.99  | 100   | 99    |
+      | 0.99  | 10    | 10    |
+      | 0.5   | 1     | 1     |
--- a/src/hyssopwood_standins/__main__.py
+++ b/src/hyssopwood_standins/__main__.py
@@ -11,6 +11,7 @@
 COMMANDS = {
     "platform": "log service, instance list and load balancer",
     "server": "backend server",
+    "caller": "open-loop load with checked answers",
 }
 
 
--- /dev/null
+++ b/src/hyssopwood_standins/launcher.py
@@ -0,0 +1,160 @@
+"""Start processes, end them by pid and leave none behind."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+
+from attrs import define
+from loguru import logger
+
+from hyssopwood_standins.recorder import Recorder
+
+# Below the usual ephemeral range, so that no outgoing connection takes a chosen port.
+PORT_RANGE = range(20_000, 32_000)
+PORT_ATTEMPTS = 1_000
+TERMINATE_LIMIT_S = 3.0
+POLL_S = 0.02
+PR_SET_PDEATHSIG = 1
+
+_LIBC = ctypes.CDLL(None) if sys.platform == "linux" else None
+
+
+def free_ports(count: int) -> list[int]:
+    """Return free loopback ports; all are held until the last one was found."""
+    held: list[socket.socket] = []
+    try:
+        for _ in range(PORT_ATTEMPTS):
+            if len(held) == count:
+                return [item.getsockname()[1] for item in held]
+            candidate = socket.socket()
+            try:
+                candidate.bind(("127.0.0.1", random.choice(PORT_RANGE)))
+                held.append(candidate)
+            except OSError:
+                candidate.close()
+    finally:
+        for item in held:
+            item.close()
+    raise OSError(f"found fewer than {count} free ports")
+
+
+def _end_with_parent() -> None:
+    """Ask the kernel to kill this process when its parent ends, however it ends."""
+    if _LIBC is not None:
+        _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@define
+class Child:
+    """A started process."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+
+    @property
+    def running(self) -> bool:
+        return self.process.poll() is None
+
+
+class Launcher:
+    """Own a set of processes for the duration of a `with` block."""
+
+    def __init__(self, directory: Path, recorder: Recorder) -> None:
+        self._directory = directory
+        self._recorder = recorder
+        self._children: dict[str, Child] = {}
+
+    def __enter__(self) -> Launcher:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.stop_all()
+
+    @property
+    def pids(self) -> dict[str, int]:
+        """Return the pids of the processes that still run."""
+        return {child.name: child.process.pid for child in self._children.values() if child.running}
+
+    def start(self, name: str, *arguments: str) -> Child:
+        """Start `python -m ARGUMENTS` with its output in `NAME.log`."""
+        with (self._directory / f"{name}.log").open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                # Ctrl-C must reach the launcher only, which then ends its children in order.
+                start_new_session=True,
+                preexec_fn=_end_with_parent,
+            )
+        child = Child(name, process)
+        self._children[name] = child
+        self._record("launched", name)
+        return child
+
+    def kill(self, name: str) -> None:
+        """End a process with SIGKILL."""
+        child = self._children[name]
+        self._signal(child, signal.SIGKILL)
+        child.process.wait()
+        self._record("killed", name)
+
+    def freeze(self, name: str) -> None:
+        self._signal(self._children[name], signal.SIGSTOP)
+        self._record("frozen", name)
+
+    def resume(self, name: str) -> None:
+        self._record("resumed", name)
+        self._signal(self._children[name], signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Send SIGTERM without waiting for the end."""
+        self._record("terminated", name)
+        self._signal(self._children[name], signal.SIGTERM)
+
+    def wait(self, name: str, timeout_s: float) -> int | None:
+        """Return the exit code, or None when the process still runs after `timeout_s`."""
+        try:
+            code = self._children[name].process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+        self._record("stopped", name)
+        return code
+
+    def stop_all(self) -> None:
+        """End every process: SIGTERM, and SIGKILL for those that are too slow."""
+        running = [child for child in self._children.values() if child.running]
+        for child in running:
+            self._signal(child, signal.SIGCONT)
+            self._signal(child, signal.SIGTERM)
+        limit = time.monotonic() + TERMINATE_LIMIT_S
+        while time.monotonic() < limit and any(child.running for child in running):
+            time.sleep(POLL_S)
+        for child in running:
+            if child.running:
+                logger.warning("{} did not stop on SIGTERM", child.name)
+                self._signal(child, signal.SIGKILL)
+            child.process.wait()
+            self._record("stopped", child.name)
+
+    def _signal(self, child: Child, number: signal.Signals) -> None:
+        # poll() first: the pid of a process that was already reaped may belong to another.
+        if child.running:
+            os.kill(child.process.pid, number)
+
+    def _record(self, kind: str, name: str) -> None:
+        self._recorder.write(kind, time.monotonic(), process=name)
--- /dev/null
+++ b/src/hyssopwood_standins/report.py
@@ -0,0 +1,414 @@
+"""Measures of a run, calculated from the records of servers, callers and the launcher.
+
+Records are JSON objects with `type` and `t` (time.monotonic(), shared by all processes of a
+machine). Callers write `attempt`; servers write `started`, `granted`, `token_changed`, `released`,
+`lapsed`, `run_started`, `run_ended` and `refused`; the launcher writes `killed`, `stopped`,
+`frozen` and `resumed` with the name of a process.
+"""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any, TypeAlias
+
+from attrs import field, frozen
+
+Record: TypeAlias = dict[str, Any]
+
+# A failed attempt counts as continued demand for its key for this long.
+DEMAND_BRIDGE_S = 0.25
+# Refusals of a request that already ran or still runs; its key is served meanwhile.
+SERVED_BEFORE = ("in-progress", "already-run", "record-lost", "poison")
+GRANT_ENDS = ("released", "lapsed")
+PROCESS_ENDS = ("killed", "stopped")
+
+
+@frozen
+class Interval:
+    """A time during which a server held a partition or ran a request."""
+
+    server: str
+    partition: str
+    start: float
+    end: float
+    key: str = ""
+
+
+@frozen
+class Recordings:
+    """Everything recorded during a run."""
+
+    attempts: list[Record] = field(factory=list)
+    servers: list[Record] = field(factory=list)
+    events: list[Record] = field(factory=list)
+
+    @property
+    def end(self) -> float:
+        """Return the time of the last record."""
+        ends = [record.get("done", record["t"]) for record in self.attempts]
+        return max([*ends, *(record["t"] for record in [*self.servers, *self.events])], default=0.0)
+
+
+def read_records(path: Path) -> list[Record]:
+    """Read JSON lines; a line that a killed process did not finish is left out."""
+    if not path.exists():
+        return []
+    records = []
+    for line in path.read_text(encoding="utf-8").splitlines():
+        try:
+            records.append(json.loads(line))
+        except ValueError:
+            continue
+    return records
+
+
+def merge(recordings: Iterable[Recordings]) -> Recordings:
+    """Join the recordings of several deployments."""
+    merged = Recordings()
+    for item in recordings:
+        merged.attempts.extend(item.attempts)
+        merged.servers.extend(item.servers)
+        merged.events.extend(item.events)
+    return merged
+
+
+def grant_intervals(recordings: Recordings) -> list[Interval]:
+    """Return when each server held each partition.
+
+    A grant ends when it is released or lapses, when its process ends, or with the records.
+    """
+    found: list[Interval] = []
+    for server, records in _by_server(recordings).items():
+        open_grants: dict[str, float] = {}
+        for record in records:
+            for partition in _ended_grants(record, open_grants):
+                start = open_grants.pop(partition)
+                found.append(Interval(server, partition, start, record["t"]))
+            if record["type"] == "granted":
+                open_grants[record["partition"]] = record["t"]
+        for partition, start in open_grants.items():
+            found.append(Interval(server, partition, start, recordings.end))
+    return found
+
+
+def _ended_grants(record: Record, open_grants: dict[str, float]) -> list[str]:
+    if record["type"] in (*PROCESS_ENDS, "started"):
+        return list(open_grants)
+    partition = record.get("partition", "")
+    ends = record["type"] in GRANT_ENDS and partition in open_grants
+    return [partition] if ends else []
+
+
+def run_intervals(recordings: Recordings) -> list[Interval]:
+    """Return when each server ran each request, to the end of its process at the latest."""
+    found: list[Interval] = []
+    for server, records in _by_server(recordings).items():
+        open_runs: dict[Any, Record] = {}
+        for record in records:
+            for number in _ended_runs(record, open_runs):
+                found.append(_run_interval(server, open_runs.pop(number), record["t"]))
+            if record["type"] == "run_started":
+                open_runs[record["run"]] = record
+        for run in open_runs.values():
+            found.append(_run_interval(server, run, recordings.end))
+    return found
+
+
+def _ended_runs(record: Record, open_runs: dict[Any, Record]) -> list[Any]:
+    if record["type"] in (*PROCESS_ENDS, "started"):
+        return list(open_runs)
+    ends = record["type"] == "run_ended" and record["run"] in open_runs
+    return [record["run"]] if ends else []
+
+
+def _run_interval(server: str, run: Record, end: float) -> Interval:
+    return Interval(server, run["partition"], run["t"], max(end, run["t"]), run["key"])
+
+
+def _by_server(recordings: Recordings) -> dict[str, list[Record]]:
+    """Return each server's records with the ends of its processes, in order of time."""
+    grouped: dict[str, list[Record]] = defaultdict(list)
+    for record in recordings.servers:
+        grouped[record["server"]].append(record)
+    for event in recordings.events:
+        if event["type"] in PROCESS_ENDS and event["process"] in grouped:
+            grouped[event["process"]].append(event)
+    for records in grouped.values():
+        records.sort(key=lambda record: record["t"])
+    return grouped
+
+
+def unfenced_servers(recordings: Recordings) -> set[str]:
+    """Return the servers that don't check fencing."""
+    started = (record for record in recordings.servers if record["type"] == "started")
+    return {record["server"] for record in started if not record["checks_fencing"]}
+
+
+def double_owner_ms(recordings: Recordings) -> float:
+    """Return for how long partitions or keys were owned by more than one server.
+
+    A server that checks fencing owns what it was granted. A server that doesn't keeps every grant
+    for ever, so it owns a partition only while it runs a request of it.
+    """
+    unfenced = unfenced_servers(recordings)
+    grants = [item for item in grant_intervals(recordings) if item.server not in unfenced]
+    runs = run_intervals(recordings)
+    by_partition: dict[str, list[Interval]] = defaultdict(list)
+    for item in [*grants, *runs]:
+        by_partition[item.partition].append(item)
+    total_s = sum(_overlap_s(items, partitions=1) for items in by_partition.values())
+    for items in _by_key(grants, runs).values():
+        total_s += _overlap_s(items, partitions=2)
+    return total_s * 1000
+
+
+def _by_key(grants: list[Interval], runs: list[Interval]) -> dict[str, list[Interval]]:
+    """Group runs by service and key, with the grants of the key's own partition.
+
+    A key's own partition is named `service=key`, a shard `service/index`.
+    """
+    grouped: dict[str, list[Interval]] = defaultdict(list)
+    for run in runs:
+        grouped[f"{_service(run.partition)}={run.key}"].append(run)
+    for grant in grants:
+        if grant.partition in grouped:
+            grouped[grant.partition].append(grant)
+    return grouped
+
+
+def _service(partition: str) -> str:
+    return partition.partition("/")[0].partition("=")[0]
+
+
+def _overlap_s(items: list[Interval], partitions: int) -> float:
+    """Return how long at least two servers, and `partitions` partitions, were active."""
+    changes = [(item.start, 1, item) for item in items]
+    changes += [(item.end, -1, item) for item in items]
+    # Ends come first, so that intervals that only touch do not overlap.
+    changes.sort(key=lambda change: change[:2])
+    servers: Counter[str] = Counter()
+    names: Counter[str] = Counter()
+    total = 0.0
+    previous = 0.0
+    for at, step, item in changes:
+        if len(+servers) > 1 and len(+names) >= partitions:
+            total += at - previous
+        servers[item.server] += step
+        names[item.partition] += step
+        previous = at
+    return total
+
+
+def double_runs(recordings: Recordings) -> int:
+    """Return how many runs of non-repeatable requests followed an earlier run of the same."""
+    once = {item["nonce"] for item in recordings.attempts if not item["repeatable"]}
+    runs = Counter(run["nonce"] for run in _runs(recordings) if run["nonce"] in once)
+    return sum(count - 1 for count in runs.values())
+
+
+def not_run_but_ran(recordings: Recordings) -> int:
+    """Return how many attempts were told that they were not run although they were.
+
+    A run without an attempt number belongs to any attempt of its request, so it contradicts the
+    callers only when they all were told that theirs was not run.
+    """
+    numbered = {(run["nonce"], run["attempt"]) for run in _runs(recordings) if run["attempt"]}
+    unnumbered = {run["nonce"] for run in _runs(recordings) if not run["attempt"]}
+    told = [item for item in recordings.attempts if item["outcome"] == "not_run"]
+    others = {item["nonce"] for item in recordings.attempts if item["outcome"] != "not_run"}
+    return sum(
+        (item["nonce"], item["attempt"]) in numbered
+        or (item["nonce"] in unnumbered and item["nonce"] not in others)
+        for item in told
+    )
+
+
+def wrong_answers(recordings: Recordings) -> int:
+    """Return how many answers told as good belong to another request."""
+    return sum(item["right"] is False for item in _answered(recordings))
+
+
+def incomplete_answers(recordings: Recordings) -> int:
+    """Return how many answers told as good are cut off or damaged."""
+    return sum(item["whole"] is False for item in _answered(recordings))
+
+
+def _runs(recordings: Recordings) -> Iterator[Record]:
+    return (record for record in recordings.servers if record["type"] == "run_started")
+
+
+def _answered(recordings: Recordings) -> Iterator[Record]:
+    return (item for item in recordings.attempts if item["outcome"] == "answered")
+
+
+def owner_changes(recordings: Recordings) -> int:
+    """Return how often a partition was granted to another server than before."""
+    grants = [record for record in recordings.servers if record["type"] == "granted"]
+    owners: dict[str, str] = {}
+    changes = 0
+    for record in sorted(grants, key=lambda item: item["t"]):
+        previous = owners.get(record["partition"], record["server"])
+        changes += previous != record["server"]
+        owners[record["partition"]] = record["server"]
+    return changes
+
+
+def max_overcommit(recordings: Recordings) -> int:
+    """Return the largest number of requests that a server ran above its slots."""
+    slots = {item["server"]: item["slots"] for item in recordings.servers if "slots" in item}
+    over = (run["running"] - slots.get(run["server"], 0) for run in _runs(recordings))
+    return max(0, max(over, default=0))
+
+
+def unavailable_ms(recordings: Recordings) -> dict[str, float]:
+    """Return for each key the longest time that it was in demand but not being served.
+
+    A key is in demand from the sending of a request until its end, and after a failed attempt
+    until the next one (at most `DEMAND_BRIDGE_S`). It is served while a server that is neither
+    frozen nor killed runs a request of it.
+    """
+    attempts: dict[str, list[Record]] = defaultdict(list)
+    for item in recordings.attempts:
+        if not any(reason in item.get("detail", "") for reason in SERVED_BEFORE):
+            attempts[item["key"]].append(item)
+    served: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    frozen = _frozen_times(recordings)
+    for run in run_intervals(recordings):
+        served[run.key] += _subtract((run.start, run.end), frozen.get(run.server, []))
+    return {
+        key: _longest_gap_s(_demand_spans(items), sorted(served[key])) * 1000
+        for key, items in attempts.items()
+    }
+
+
+def max_key_unavailable_ms(recordings: Recordings) -> float:
+    """Return the longest time that a key was in demand but not being served."""
+    return max(unavailable_ms(recordings).values(), default=0.0)
+
+
+def _frozen_times(recordings: Recordings) -> dict[str, list[tuple[float, float]]]:
+    found: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    since: dict[str, float] = {}
+    for event in sorted(recordings.events, key=lambda item: item["t"]):
+        name = event.get("process", "")
+        if event["type"] == "frozen":
+            since[name] = event["t"]
+        elif name in since and event["type"] in ("resumed", *PROCESS_ENDS):
+            found[name].append((since.pop(name), event["t"]))
+    for name, start in since.items():
+        found[name].append((start, recordings.end))
+    return found
+
+
+def _subtract(
+    span: tuple[float, float], holes: list[tuple[float, float]]
+) -> list[tuple[float, float]]:
+    start, end = span
+    parts = []
+    for hole_start, hole_end in sorted(holes):
+        if hole_end <= start or hole_start >= end:
+            continue
+        if hole_start > start:
+            parts.append((start, hole_start))
+        start = hole_end
+    return [*parts, (start, end)] if start < end else parts
+
+
+def _demand_spans(attempts: list[Record]) -> list[tuple[float, float]]:
+    sent = sorted(item["t"] for item in attempts)
+    pieces = [(item["t"], item["done"]) for item in attempts]
+    for item in attempts:
+        following = bisect_left(sent, item["done"])
+        if item["outcome"] == "answered" or following == len(sent):
+            continue
+        if sent[following] - item["done"] <= DEMAND_BRIDGE_S:
+            pieces.append((item["done"], sent[following]))
+    return _joined(pieces)
+
+
+def _joined(pieces: list[tuple[float, float]]) -> list[tuple[float, float]]:
+    spans: list[tuple[float, float]] = []
+    for start, end in sorted(pieces):
+        if spans and start <= spans[-1][1]:
+            spans[-1] = (spans[-1][0], max(spans[-1][1], end))
+        else:
+            spans.append((start, end))
+    return spans
+
+
+def _longest_gap_s(spans: list[tuple[float, float]], served: list[tuple[float, float]]) -> float:
+    longest = 0.0
+    for start, end in spans:
+        covered_to = start
+        for run_start, run_end in served:
+            if run_end <= start or run_start >= end:
+                continue
+            longest = max(longest, run_start - covered_to)
+            covered_to = max(covered_to, run_end)
+        longest = max(longest, end - covered_to)
+    return longest
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the smallest value that at least `share` of the values don't exceed."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    rank = max(1, -int(-share * len(ordered) // 1))
+    return ordered[rank - 1]
+
+
+def latencies_ms(recordings: Recordings) -> list[float]:
+    """Return the latencies of the answered attempts, from the time they were due."""
+    return [item["latency_ms"] for item in _answered(recordings)]
+
+
+def measures(recordings: Recordings, ticket_in_force_ms: float | None) -> dict[str, Any]:
+    """Return the measures of section 10 of the design page."""
+    outcomes = Counter(item["outcome"] for item in recordings.attempts)
+    latencies = latencies_ms(recordings)
+    return {
+        "requests": len(recordings.attempts),
+        "answered": outcomes["answered"],
+        "not_run": outcomes["not_run"],
+        "unknown": outcomes["unknown"],
+        "wrong_answers": wrong_answers(recordings),
+        "incomplete_answers": incomplete_answers(recordings),
+        "double_runs": double_runs(recordings),
+        "not_run_but_ran": not_run_but_ran(recordings),
+        "double_owner_ms": round(double_owner_ms(recordings), 3),
+        "max_key_unavailable_ms": round(max_key_unavailable_ms(recordings), 1),
+        "owner_changes": owner_changes(recordings),
+        "ticket_in_force_ms": None if ticket_in_force_ms is None else round(ticket_in_force_ms, 1),
+        "p50_ms": round(percentile(latencies, 0.5), 2),
+        "p99_ms": round(percentile(latencies, 0.99), 2),
+    }
+
+
+FORBIDDEN = (
+    "wrong_answers",
+    "incomplete_answers",
+    "double_runs",
+    "not_run_but_ran",
+    "double_owner_ms",
+)
+
+
+def violations(values: dict[str, Any]) -> list[str]:
+    """Return what contradicts a guarantee, one line each."""
+    found = [f"{name} is {values[name]}, expected 0" for name in FORBIDDEN if values[name] > 0]
+    if values["answered"] == 0:
+        found.append("no request was answered")
+    if values["ticket_in_force_ms"] is None:
+        found.append("a ticket was not in force on every instance")
+    return found
+
+
+def table(values: dict[str, Any]) -> str:
+    """Return the measures as aligned lines."""
+    width = max(len(name) for name in values)
+    return "\n".join(f"{name:<{width}}  {value}" for name, value in values.items())
--- a/src/hyssopwood_standins/server.py
+++ b/src/hyssopwood_standins/server.py
@@ -121,6 +121,10 @@
         """Give the server the means to list its open connections."""
         self._connections = connections
 
+    def settle(self) -> None:
+        """Record a lapse that a stopped process has not noticed yet."""
+        self._grants.settle(time.monotonic())
+
     @web.middleware
     async def _silence(
         self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -457,6 +461,7 @@
     try:
         await web_process.until_stopped()
     finally:
+        server.settle()
         await runner.cleanup()
 
 
