--- /dev/null
+++ b/src/hyssopwood/cli.py
@@ -0,0 +1,513 @@
+"""Commands for operators: check, ticket, in-force, owners, instances, audit, status, entry."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import getpass
+import json
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+from uuid import uuid4
+
+import aiohttp
+from attrs import define
+
+from hyssopwood.deadlines import within
+from hyssopwood.errors import (
+    Fault,
+    HyssopwoodError,
+    InputError,
+    LogError,
+    LogProtocolError,
+    LogUnavailableError,
+    NotFoundError,
+    PeerUnavailableError,
+    ProtocolError,
+    TicketRejectedError,
+    UsageError,
+)
+from hyssopwood.events import set_up_logging
+from hyssopwood.log_client import InstanceList, LogClient
+from hyssopwood.records import TicketRecord, decode_record
+from hyssopwood.replica import Replica
+from hyssopwood.settings import MAX_SETTINGS_BYTES, Settings, load_settings, read_text
+from hyssopwood.state import (
+    ClusterState,
+    Verdict,
+    partition_of,
+    partition_service,
+)
+from hyssopwood.structure import parse_json, structure, unstructure
+from hyssopwood.tables import render_table
+from hyssopwood.ticket import MAX_TICKET_BYTES, Rejection, Ticket
+from hyssopwood.ticket_rules import ticket_rejection
+from hyssopwood.timers import SystemTimers
+
+# A ticket file may be indented or commented; the published text is compact.
+MAX_TICKET_FILE_BYTES = 4 * 1_048_576
+MAX_STATUS_BYTES = 1_048_576
+DEFAULT_STREAM = "hyssopwood"
+DEFAULT_TIMEOUT_S = 10.0
+TICKET_KEYS = frozenset({"number", "services", "servers", "ownership", "limits"})
+INTERRUPTED = 130
+
+
+@define
+class _Output:
+    """Print either JSON for programs or text for people."""
+
+    as_json: bool
+
+    def show(self, data: Any, text: str) -> None:
+        print(json.dumps(data, indent=2, default=str) if self.as_json else text)
+
+
+@define
+class _Session:
+    """Hold the log and the state that a command reads."""
+
+    log: LogClient
+    replica: Replica
+
+    @property
+    def state(self) -> ClusterState:
+        return self.replica.state
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        options = _parser().parse_args(arguments)
+    except SystemExit as exit_:
+        return int(exit_.code or 0)
+    set_up_logging(level="ERROR")
+    try:
+        options.command(options)
+    except HyssopwoodError as error:
+        _report(options, error)
+        return error.exit_code
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except BrokenPipeError:
+        # The reader of our output has closed it, as `head` does.
+        sys.stderr.close()
+        return 0
+    return 0
+
+
+def _report(options: argparse.Namespace, error: HyssopwoodError) -> None:
+    if getattr(options, "json", False):
+        print(json.dumps(_error_data(error)), file=sys.stderr)
+    elif isinstance(error, InputError):
+        for fault in error.faults:
+            print(f"{error.source}: {fault}", file=sys.stderr)
+    else:
+        print(f"hyssopwood: {error}", file=sys.stderr)
+
+
+def _error_data(error: HyssopwoodError) -> dict[str, Any]:
+    data: dict[str, Any] = {"error": type(error).__name__, "detail": str(error)}
+    if isinstance(error, InputError):
+        data["faults"] = [unstructure(fault) for fault in error.faults]
+    if isinstance(error, TicketRejectedError):
+        data |= {"number": error.number, "reason": error.reason}
+    return data
+
+
+# Arguments
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="hyssopwood", description="Route requests to owners.")
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_entry(commands)
+    _add_check(commands)
+    _add_ticket(commands)
+    _add_readers(commands)
+    _add_status(commands)
+    return parser
+
+
+def _add_entry(commands: Any) -> None:
+    entry = commands.add_parser("entry", help="run an entry instance")
+    entry.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    entry.set_defaults(command=_entry)
+
+
+def _add_check(commands: Any) -> None:
+    check = commands.add_parser("check", help="check a settings or ticket file")
+    check.add_argument("file", type=Path, metavar="FILE")
+    _add_log_options(check, required=False)
+    check.set_defaults(command=_check)
+
+
+def _add_ticket(commands: Any) -> None:
+    ticket = commands.add_parser("ticket", help="publish or show tickets")
+    actions = ticket.add_subparsers(required=True, metavar="ACTION")
+    publish = actions.add_parser("publish", help="publish a ticket and wait until it is in force")
+    publish.add_argument("file", type=Path, metavar="FILE")
+    publish.add_argument("--publisher", help="name in the audit trail (default: the user)")
+    _add_log_options(publish)
+    publish.set_defaults(command=_publish)
+    show = actions.add_parser("show", help="show published tickets and their outcome")
+    show.add_argument("number", type=int, nargs="?", metavar="N")
+    _add_log_options(show)
+    show.set_defaults(command=_show)
+
+
+def _add_readers(commands: Any) -> None:
+    in_force = commands.add_parser("in-force", help="show the state in force")
+    _add_log_options(in_force)
+    in_force.set_defaults(command=_in_force)
+    owners = commands.add_parser("owners", help="show the owner of each partition or of a key")
+    owners.add_argument("key", nargs="?", metavar="KEY")
+    owners.add_argument("--service", metavar="S")
+    _add_log_options(owners)
+    owners.set_defaults(command=_owners)
+    instances = commands.add_parser("instances", help="show the instances and their roles")
+    _add_log_options(instances)
+    instances.set_defaults(command=_instances)
+    audit = commands.add_parser("audit", help="show who changed what")
+    audit.add_argument("--since", type=int, default=0, metavar="OFFSET")
+    audit.add_argument("--subject", default="", metavar="TEXT")
+    _add_log_options(audit)
+    audit.set_defaults(command=_audit)
+
+
+def _add_status(commands: Any) -> None:
+    status = commands.add_parser("status", help="show the status of one instance")
+    status.add_argument("--instance-url", required=True, metavar="URL")
+    status.add_argument("--json", action="store_true")
+    status.add_argument("--timeout", type=float, default=DEFAULT_TIMEOUT_S, metavar="SECONDS")
+    status.set_defaults(command=_status)
+
+
+def _add_log_options(parser: argparse.ArgumentParser, required: bool = True) -> None:
+    parser.add_argument("--log-url", required=required, metavar="URL")
+    parser.add_argument("--stream", default=DEFAULT_STREAM)
+    parser.add_argument("--json", action="store_true")
+    parser.add_argument("--timeout", type=float, default=DEFAULT_TIMEOUT_S, metavar="SECONDS")
+
+
+# Access to the log
+
+
+async def _with_log(options: argparse.Namespace, work: Callable[[_Session], Awaitable[Any]]) -> Any:
+    """Replay the log and run the work on its state."""
+    timers = SystemTimers()
+    _require_url(options.log_url)
+    log = LogClient(timers, options.log_url.rstrip("/"), options.stream)
+    incarnation = f"cli-{uuid4().hex}"
+    session = _Session(log, Replica(timers, log, incarnation, append_limit_s=options.timeout))
+    try:
+        await within(timers, options.timeout, session.replica.catch_up())
+        return await work(session)
+    except TimeoutError as error:
+        raise LogUnavailableError(f"replay took more than {options.timeout} s") from error
+    finally:
+        await log.close()
+
+
+def _require_url(url: str) -> None:
+    if not url.startswith(("http://", "https://")):
+        raise UsageError(f"{url!r} is not an http or https URL")
+
+
+def _replayed_state(options: argparse.Namespace) -> ClusterState:
+    async def work(session: _Session) -> ClusterState:
+        return session.state
+
+    return asyncio.run(_with_log(options, work))
+
+
+# Commands
+
+
+def _entry(options: argparse.Namespace) -> None:
+    settings = load_settings(options.settings)
+    daemon = import_module("hyssopwood.daemon")
+    daemon.run_daemon(settings)
+
+
+def _check(options: argparse.Namespace) -> None:
+    output = _Output(options.json)
+    item = _load_either(options.file)
+    if isinstance(item, Settings):
+        output.show({"valid": True, "kind": "settings"}, f"{options.file}: valid settings")
+        return
+    text = f"{options.file}: ticket {item.number} is well formed"
+    if options.log_url:
+        _require_acceptable(_replayed_state(options), item)
+        text += " and would come into force now"
+    output.show({"valid": True, "kind": "ticket", "number": item.number}, text)
+
+
+def _load_either(path: Path) -> Settings | Ticket:
+    text = read_text(path, MAX_TICKET_FILE_BYTES)
+    data = parse_json(str(path), text)
+    if isinstance(data, dict) and TICKET_KEYS.intersection(data):
+        return _ticket_from(path, data)
+    if len(text) > MAX_SETTINGS_BYTES:
+        fault = Fault("$", f"{len(text)} characters", f"at most {MAX_SETTINGS_BYTES}")
+        raise InputError(str(path), (fault,))
+    return structure(str(path), data, Settings)
+
+
+def _load_ticket(path: Path) -> tuple[Ticket, str]:
+    data = parse_json(str(path), read_text(path, MAX_TICKET_FILE_BYTES))
+    return _ticket_from(path, data), _compact(data)
+
+
+def _ticket_from(path: Path, data: Any) -> Ticket:
+    ticket = structure(str(path), data, Ticket)
+    size = len(_compact(data))
+    if size > MAX_TICKET_BYTES:
+        fault = Fault("$", f"{size} bytes", f"at most {MAX_TICKET_BYTES}")
+        raise InputError(str(path), (fault,))
+    return ticket
+
+
+def _compact(data: Any) -> str:
+    return json.dumps(data, separators=(",", ":"))
+
+
+def _require_acceptable(state: ClusterState, ticket: Ticket) -> None:
+    rejection = ticket_rejection(state, ticket)
+    if isinstance(rejection, Rejection):
+        raise TicketRejectedError(ticket.number, rejection.reason.value, rejection.detail)
+
+
+def _publish(options: argparse.Namespace) -> None:
+    ticket, text = _load_ticket(options.file)
+    publisher = options.publisher or getpass.getuser()
+
+    async def work(session: _Session) -> Verdict:
+        _require_acceptable(session.state, ticket)
+        return await _append_ticket(session, TicketRecord(publisher=publisher, text=text))
+
+    verdict = asyncio.run(_with_log(options, work))
+    if not verdict.accepted:
+        raise TicketRejectedError(ticket.number, verdict.reason, verdict.detail)
+    shown = f"ticket {verdict.number} is in force since offset {verdict.offset}"
+    _Output(options.json).show(unstructure(verdict), shown)
+
+
+async def _append_ticket(session: _Session, record: TicketRecord) -> Verdict:
+    tail = asyncio.ensure_future(session.replica.run())
+    try:
+        applied = await session.replica.append(record)
+    finally:
+        tail.cancel()
+        await asyncio.gather(tail, return_exceptions=True)
+    verdict = _verdict_of(applied.state, applied.record.id if applied.record else "")
+    if verdict is None:
+        raise LogProtocolError(f"the record was rejected: {applied.rejected}")
+    return verdict
+
+
+def _verdict_of(state: ClusterState, record_id: str) -> Verdict | None:
+    return next((v for v in reversed(state.verdicts) if v.record_id == record_id), None)
+
+
+def _show(options: argparse.Namespace) -> None:
+    async def work(session: _Session) -> tuple[list[Verdict], str | None]:
+        verdicts = [
+            verdict
+            for verdict in session.state.verdicts
+            if options.number in (None, verdict.number)
+        ]
+        accepted = [verdict for verdict in verdicts if verdict.accepted]
+        if options.number is None or not accepted:
+            return verdicts, None
+        return verdicts, await _ticket_text(session.log, accepted[-1].offset)
+
+    verdicts, text = asyncio.run(_with_log(options, work))
+    if not verdicts and options.number is not None:
+        raise NotFoundError(f"no verdict on ticket {options.number} is known")
+    shown = _verdict_table(verdicts) + (f"\n{text}" if text else "")
+    data = {"verdicts": [unstructure(verdict) for verdict in verdicts], "text": text}
+    _Output(options.json).show(data, shown)
+
+
+async def _ticket_text(log: LogClient, offset: int) -> str | None:
+    """Return the text of a ticket, or None when its record has expired."""
+    try:
+        page = await log.read(offset, 1, 0)
+        body = decode_record(page.records[0].data).body
+    except (LogError, ProtocolError, IndexError):
+        return None
+    return body.text if isinstance(body, TicketRecord) else None
+
+
+def _verdict_table(verdicts: Sequence[Verdict]) -> str:
+    rows = [(v.number, v.publisher, v.offset, v.reason or "in force", v.detail) for v in verdicts]
+    return render_table(("NUMBER", "PUBLISHER", "OFFSET", "OUTCOME", "DETAIL"), rows)
+
+
+def _in_force(options: argparse.Namespace) -> None:
+    state = _replayed_state(options)
+    data = {
+        "applied": state.applied,
+        "ticket_number": state.ticket_number,
+        "services": unstructure(dict(state.services)),
+        "servers": unstructure(dict(state.servers)),
+        "removed_servers": sorted(state.removed_servers),
+        "ownership": unstructure(dict(state.pins)),
+        "limits": unstructure(dict(state.limits)),
+        "hot_keys": dict(state.hot_keys),
+        "server_status": dict(state.server_status),
+    }
+    _Output(options.json).show(data, _in_force_text(state))
+
+
+def _in_force_text(state: ClusterState) -> str:
+    services = [
+        (name, item.customer, item.shards, item.path_prefix, len(item.operations))
+        for name, item in state.services.items()
+    ]
+    servers = [
+        (name, item.service, item.address, item.failure_domain, item.slots, item.state)
+        for name, item in state.servers.items()
+    ]
+    pins = [(name, key, to) for name, keys in state.pins.items() for key, to in keys.items()]
+    limits = [
+        (name, item.queue, item.deadline_ms, item.body_bytes) for name, item in state.limits.items()
+    ]
+    server_columns = ("SERVER", "SERVICE", "ADDRESS", "DOMAIN", "SLOTS", "STATE")
+    return "\n\n".join(
+        (
+            f"ticket {state.ticket_number} in force, log applied through {state.applied}",
+            render_table(("SERVICE", "CUSTOMER", "SHARDS", "PATH", "OPERATIONS"), services),
+            render_table(server_columns, servers),
+            render_table(("SERVICE", "PINNED KEY", "SERVER"), pins),
+            render_table(("SERVICE", "QUEUE", "DEADLINE_MS", "BODY_BYTES"), limits),
+        )
+    )
+
+
+def _owners(options: argparse.Namespace) -> None:
+    state = _replayed_state(options)
+    if options.service and options.service not in state.services:
+        raise NotFoundError(f"service {options.service!r} is not in force")
+    rows = [_owner_row(state, name) for name in _chosen_partitions(state, options)]
+    columns = ("partition", "server", "token", "awaiting", "coordinator")
+    data = [dict(zip(columns, row, strict=True)) for row in rows]
+    shown = [(*row[:3], ",".join(row[3]), row[4]) for row in rows]
+    _Output(options.json).show(data, render_table([name.upper() for name in columns], shown))
+
+
+def _chosen_partitions(state: ClusterState, options: argparse.Namespace) -> list[str]:
+    services = [options.service] if options.service else list(state.services)
+    if options.key is not None:
+        if not services:
+            raise NotFoundError("no service is in force")
+        return [partition_of(state, service, options.key) for service in services]
+    return [name for name in state.ownerships if partition_service(name) in services]
+
+
+def _owner_row(state: ClusterState, partition: str) -> tuple[str, str, int, list[str], str]:
+    owner = state.ownerships.get(partition)
+    if owner is None:
+        return partition, "", -1, [], ""
+    coordination = state.coordinations.get(owner.server)
+    coordinator = coordination.incarnation if coordination else ""
+    return partition, owner.server, owner.token, list(owner.awaiting), coordinator
+
+
+def _instances(options: argparse.Namespace) -> None:
+    async def work(session: _Session) -> tuple[ClusterState, InstanceList | None]:
+        try:
+            return session.state, await session.log.instances()
+        except LogError:
+            return session.state, None
+
+    state, listed = asyncio.run(_with_log(options, work))
+    platform = {item.name: item.state for item in listed.instances} if listed else {}
+    data = [
+        {
+            **unstructure(member),
+            "roles": _roles(state, member.incarnation),
+            "servers": _coordinated(state, member.incarnation),
+            "platform": platform.get(member.instance, "absent" if listed else "unknown"),
+        }
+        for member in state.members.values()
+    ]
+    rows = [
+        (
+            item["instance"],
+            item["incarnation"],
+            item["failure_domain"],
+            ",".join(item["roles"]),
+            len(item["servers"]),
+            item["platform"],
+        )
+        for item in data
+    ]
+    columns = ("INSTANCE", "INCARNATION", "DOMAIN", "ROLES", "SERVERS", "PLATFORM")
+    _Output(options.json).show(data, render_table(columns, rows))
+
+
+def _roles(state: ClusterState, incarnation: str) -> list[str]:
+    roles = {
+        "planner": incarnation == state.planner,
+        "voter": incarnation in state.voters,
+        "pending-voter": incarnation in state.pending_voters,
+        "coordinator": bool(_coordinated(state, incarnation)),
+    }
+    return [name for name, held in roles.items() if held]
+
+
+def _coordinated(state: ClusterState, incarnation: str) -> list[str]:
+    return [
+        server for server, item in state.coordinations.items() if item.incarnation == incarnation
+    ]
+
+
+def _audit(options: argparse.Namespace) -> None:
+    entries = [
+        entry
+        for entry in _replayed_state(options).audit
+        if entry.offset >= options.since and options.subject in entry.subject
+    ]
+    rows = [
+        (entry.offset, entry.actor, entry.subject, entry.old, entry.new, entry.cause)
+        for entry in entries
+    ]
+    columns = ("OFFSET", "ACTOR", "SUBJECT", "OLD", "NEW", "CAUSE")
+    data = [unstructure(entry) for entry in entries]
+    _Output(options.json).show(data, render_table(columns, rows))
+
+
+def _status(options: argparse.Namespace) -> None:
+    _require_url(options.instance_url)
+    data = asyncio.run(_fetch_status(options.instance_url.rstrip("/"), options.timeout))
+    rows = [(name, _flat(value)) for name, value in data.items()]
+    _Output(options.json).show(data, render_table(("NAME", "VALUE"), rows))
+
+
+def _flat(value: Any) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+async def _fetch_status(url: str, timeout_s: float) -> dict[str, Any]:
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(f"{url}/hyssopwood/status", allow_redirects=False) as response,
+        ):
+            content = await response.content.read(MAX_STATUS_BYTES + 1)
+            status = response.status
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        raise PeerUnavailableError(f"{url} can't be reached: {error}") from error
+    try:
+        data = json.loads(content)
+    except ValueError as error:
+        raise ProtocolError(f"{url} answered {status} without JSON") from error
+    if not isinstance(data, dict):
+        raise ProtocolError(f"{url} answered {status} without a JSON object")
+    return data
--- a/src/hyssopwood/errors.py
+++ b/src/hyssopwood/errors.py
@@ -88,6 +88,18 @@
     """Raised when a record exceeds the log's size limit."""
 
 
+class AppendBudgetError(LogError):
+    """Raised when an instance's append budget for a kind of record stays exhausted."""
+
+
+class LogProtocolError(LogError):
+    """Raised when the log service breaks its protocol."""
+
+
+class LogResponseTooLargeError(LogProtocolError):
+    """Raised when a response exceeds its bound; a smaller page may fit."""
+
+
 class ProtocolError(HyssopwoodError):
     """Raised when a peer, a caller or a backend server breaks its protocol."""
 
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -42,6 +42,8 @@
     CHECKPOINT_WRITTEN = EventSpec(205, "INFO", "checkpoint was written")
     CHECKPOINT_LOADED = EventSpec(206, "INFO", "started from a checkpoint")
     APPEND_RETRIED = EventSpec(207, "WARNING", "append is repeated with the same id")
+    CHECKPOINT_FAILED = EventSpec(208, "WARNING", "checkpoint was not written")
+    SUBSCRIBER_BEHIND = EventSpec(209, "WARNING", "a subscriber to changes fell behind")
 
     JOINED = EventSpec(300, "INFO", "instance joined")
     LEFT = EventSpec(301, "INFO", "instance left")
--- a/src/hyssopwood/structure.py
+++ b/src/hyssopwood/structure.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Iterator
 from typing import Any, TypeVar
 
@@ -96,25 +97,35 @@
         yield Fault(path, _shown(str(error)), "a valid value")
 
 
+_PLAIN_STRING = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL)
+_NOT_BRACKETS = re.compile(r"[^{}\[\]]+")
+
+
+def excessive_depth(text: str) -> bool:
+    """Return whether plain JSON nests more than MAX_NESTING_DEPTH levels.
+
+    The parser's own limit depends on the depth of the caller's stack, so two instances could
+    disagree about the same text.
+    """
+    if text.count("{") + text.count("[") <= MAX_NESTING_DEPTH:
+        return False
+    return _depth_exceeds(_PLAIN_STRING.sub("", text), MAX_NESTING_DEPTH)
+
+
 def _depth_exceeds(text: str, limit: int) -> bool:
     depth = 0
-    for character in text:
+    for character in _NOT_BRACKETS.sub("", text):
         if character in "{[":
             depth += 1
             if depth > limit:
                 return True
-        elif character in "}]":
+        else:
             depth -= 1
     return False
 
 
 def parse_json(source: str, text: str) -> Any:
-    """Parse JSON with comments; raise InputError when it isn't.
-
-    Nesting is checked first because the parser recurses once per level.
-    """
-    if _depth_exceeds(text, MAX_NESTING_DEPTH):
-        raise InputError(source, (Fault("$", "deep nesting", f"{MAX_NESTING_DEPTH} levels"),))
+    """Parse JSON with comments; raise InputError when it isn't."""
     try:
         return parse_plain_json(text)
     except DuplicateKeyError as error:
@@ -128,6 +139,9 @@
     if len(text) > MAX_COMMENTED_CHARACTERS:
         expected = f"plain JSON, or at most {MAX_COMMENTED_CHARACTERS} characters with comments"
         raise InputError(source, (Fault("$", f"{len(text)} characters", expected),))
+    # The parser recurses once per level.
+    if _depth_exceeds(text, MAX_NESTING_DEPTH):
+        raise InputError(source, (Fault("$", "deep nesting", f"{MAX_NESTING_DEPTH} levels"),))
     try:
         return json5.loads(text, allow_duplicate_keys=False)
     except (ValueError, RecursionError) as error:
@@ -137,6 +151,8 @@
 
 def parse_plain_json(text: str) -> Any:
     """Parse strict JSON; raise ValueError when it isn't or when a key stands twice."""
+    if excessive_depth(text):
+        raise ValueError(f"nesting exceeds {MAX_NESTING_DEPTH} levels")
     return json.loads(text, object_pairs_hook=_unique_keys, parse_constant=_refuse_constant)
 
 
--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping
 from functools import singledispatch
 
@@ -55,6 +56,9 @@
 from hyssopwood.ticket import Rejection, Ticket, parse_ticket
 from hyssopwood.ticket_rules import merged, ticket_rejection
 
+# 18 digits fit 64 bits; int() refuses texts of more than 4300 digits.
+_ID = re.compile(r"[\x21-\x7e]{1,128}:[0-9]{1,18}")
+
 
 class InvalidRecordError(Exception):
     """Raised inside `apply` when a record has no effect; never leaves this module."""
@@ -66,11 +70,15 @@
 
 @frozen
 class Applied:
-    """Hold the state after a record, and why the record had no effect if it had none."""
+    """Hold the state after a record, and why the record had no effect if it had none.
+
+    `record` is None for a record that can't be decoded and for a state from a checkpoint.
+    """
 
     state: ClusterState
     audit: tuple[AuditEntry, ...] = ()
     rejected: str = ""
+    record: LogRecord | None = None
 
 
 @frozen
@@ -92,19 +100,19 @@
 def apply(state: ClusterState, offset: int, time_ms: int, record: LogRecord) -> Applied:
     """Return the state after a record; a record that isn't valid changes only the position."""
     writer, _, sequence_text = record.id.rpartition(":")
-    if not writer or not sequence_text.isdecimal():
-        return _reject(state, offset, "bad-id")
+    if writer != record.writer or _ID.fullmatch(record.id) is None:
+        return _reject(state, offset, record, "bad-id")
     sequence = int(sequence_text)
     if state.writers.get(writer, -1) >= sequence:
-        return _reject(state, offset, "duplicate")
+        return _reject(state, offset, record, "duplicate")
     state = evolve(state, writers=_remember(state.writers, writer, sequence, MAX_WRITERS))
     context = _Context(offset, time_ms, record.id, record.writer)
     try:
         changed, entries = _effect(record.body, state, context)
     except InvalidRecordError as error:
-        return _reject(state, offset, error.reason)
+        return _reject(state, offset, record, error.reason)
     audit = (*changed.audit, *entries)[-MAX_AUDIT_ENTRIES:]
-    return Applied(evolve(changed, applied=offset, audit=audit), entries)
+    return Applied(evolve(changed, applied=offset, audit=audit), entries, record=record)
 
 
 def skip(state: ClusterState, offset: int) -> ClusterState:
@@ -112,8 +120,8 @@
     return evolve(state, applied=offset)
 
 
-def _reject(state: ClusterState, offset: int, reason: str) -> Applied:
-    return Applied(evolve(state, applied=offset), (), reason)
+def _reject(state: ClusterState, offset: int, record: LogRecord, reason: str) -> Applied:
+    return Applied(evolve(state, applied=offset), (), reason, record)
 
 
 def _remember(table: Mapping[str, int], name: str, value: int, limit: int) -> Mapping[str, int]:
