--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -50,6 +50,7 @@
     AUTHORITY_GAINED = EventSpec(304, "INFO", "authority was gained")
     PLANNER_CLAIMED = EventSpec(305, "INFO", "planner epoch was claimed")
     VOTERS_CHANGED = EventSpec(306, "INFO", "voters changed")
+    FENCE_ATTESTED = EventSpec(307, "INFO", "fence of an instance was attested")
 
     SESSION_OPENED = EventSpec(400, "INFO", "session with backend server was opened")
     SESSION_LOST = EventSpec(401, "WARNING", "backend server does not renew its lease")
@@ -59,6 +60,11 @@
     MOVE_DEFERRED = EventSpec(405, "INFO", "move waits for a long request")
     HOT_KEY_ISOLATED = EventSpec(406, "INFO", "hot key got a partition of its own")
     COORDINATOR_CHANGED = EventSpec(407, "INFO", "coordinator changed")
+    SERVER_RESTARTED = EventSpec(408, "WARNING", "backend server has a new incarnation")
+    SERVER_TAKEN_OVER = EventSpec(409, "INFO", "backend server was taken over")
+    SERVER_HANDED_OVER = EventSpec(410, "INFO", "backend server was handed over")
+    PARTITION_FROZEN = EventSpec(411, "DEBUG", "permits for a partition are stopped")
+    GRANT_UNCERTAIN = EventSpec(412, "WARNING", "answer to a grant was lost")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
     REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
@@ -72,6 +78,8 @@
     PEER_CONNECTED = EventSpec(600, "DEBUG", "peer connected")
     PEER_LOST = EventSpec(601, "INFO", "peer connection was lost")
     PEER_REJECTED = EventSpec(602, "WARNING", "peer sent malformed bytes")
+    PEER_SILENT = EventSpec(603, "WARNING", "silent peer connection was replaced")
+    HANDLER_FAILED = EventSpec(604, "ERROR", "handler of a peer message failed")
 
     BAD_SETTINGS = EventSpec(700, "ERROR", "settings are malformed")
     BAD_REQUEST = EventSpec(701, "INFO", "caller sent a malformed request")
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -108,10 +108,11 @@
 
 @frozen
 class ReleaseQuery:
-    """Ask the source's coordinator whether a partition was released."""
+    """Ask the source's coordinator whether a partition was released by `server`."""
 
     partition: str
     token: int
+    server: str
 
 
 @frozen
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -100,6 +100,7 @@
 struct ReleaseQuery {
   partition @0 :Text;
   token @1 :Int64;
+  server @2 :Text;  # The server that must have released the partition.
 }
 
 struct ReleaseReply {
--- /dev/null
+++ b/src/hyssopwood/waiting.py
@@ -0,0 +1,91 @@
+"""Waits that are bounded by the timer service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Coroutine
+from typing import Any, TypeVar
+
+from hyssopwood.timers import Timers
+
+T = TypeVar("T")
+
+
+class WaitTimeoutError(Exception):
+    """Raised when a bounded wait ends without its result."""
+
+
+async def within(timers: Timers, seconds: float, awaitable: Awaitable[T]) -> T:
+    """Return the awaitable's result; cancel it and raise WaitTimeoutError when it is late."""
+    task = asyncio.ensure_future(awaitable)
+    limit = asyncio.ensure_future(timers.sleep(max(0.0, seconds)))
+    try:
+        await asyncio.wait({task, limit}, return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            return task.result()
+        raise WaitTimeoutError
+    finally:
+        limit.cancel()
+        task.cancel()
+
+
+class Signal:
+    """Wake one waiting task; a signal that comes before the wait is kept."""
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._event = asyncio.Event()
+
+    def set(self) -> None:
+        """Wake the waiting task."""
+        self._event.set()
+
+    async def wait(self, seconds: float) -> None:
+        """Return at the next signal or after `seconds`."""
+        try:
+            await within(self._timers, seconds, self._event.wait())
+        except WaitTimeoutError:
+            pass
+        self._event.clear()
+
+
+class TaskGroup:
+    """Hold background tasks by name so that they can be ended together."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[object, asyncio.Task[Any]] = {}
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._tasks
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def start(self, name: object, work: Coroutine[Any, Any, Any]) -> None:
+        """Start a task unless one of that name still runs."""
+        if name in self._tasks:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self._tasks[name] = task
+        task.add_done_callback(lambda done: self._forget(name, done))
+
+    def stop(self, name: object) -> None:
+        """Cancel the named task."""
+        task = self._tasks.pop(name, None)
+        if task is not None:
+            task.cancel()
+
+    async def stop_all(self) -> None:
+        """Cancel every task and wait until all have ended."""
+        tasks = list(self._tasks.values())
+        self._tasks.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _forget(self, name: object, task: asyncio.Task[Any]) -> None:
+        if self._tasks.get(name) is task:
+            del self._tasks[name]
+        if not task.cancelled():
+            task.exception()
