--- a/src/hyssopwood/errors.py
+++ b/src/hyssopwood/errors.py
@@ -118,6 +118,10 @@
     """Raised when an instance acts without an unexpired majority of promises."""
 
 
+class MembershipLostError(HyssopwoodError):
+    """Raised when an incarnation acts that was fenced or is no longer a member."""
+
+
 class NotFoundError(HyssopwoodError):
     """Raised when the named item is not in force."""
 
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -50,6 +50,10 @@
     AUTHORITY_GAINED = EventSpec(304, "INFO", "authority was gained")
     PLANNER_CLAIMED = EventSpec(305, "INFO", "planner epoch was claimed")
     VOTERS_CHANGED = EventSpec(306, "INFO", "voters changed")
+    PLANNER_PAUSED = EventSpec(307, "WARNING", "planner waits for the log")
+    MEMBER_SUSPECTED = EventSpec(308, "WARNING", "instance does not answer")
+    INSTANCE_LIST_IGNORED = EventSpec(309, "WARNING", "platform's instance list is not usable")
+    INCARNATION_LOST = EventSpec(310, "WARNING", "own incarnation is no longer a member")
 
     SESSION_OPENED = EventSpec(400, "INFO", "session with backend server was opened")
     SESSION_LOST = EventSpec(401, "WARNING", "backend server does not renew its lease")
@@ -59,6 +63,8 @@
     MOVE_DEFERRED = EventSpec(405, "INFO", "move waits for a long request")
     HOT_KEY_ISOLATED = EventSpec(406, "INFO", "hot key got a partition of its own")
     COORDINATOR_CHANGED = EventSpec(407, "INFO", "coordinator changed")
+    PLAN_WRITTEN = EventSpec(408, "INFO", "plan was written")
+    APPEND_BUDGET_SPENT = EventSpec(409, "WARNING", "planner is over its append budget")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
     REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
