--- a/src/hyssopwood_standins/shared_work.py
+++ b/src/hyssopwood_standins/shared_work.py
@@ -59,7 +59,8 @@
         heapq.heapify(self._finishes)
         self._set_timer()
 
-    def _finish_due(self) -> None:
+    def finish_due(self) -> None:
+        """Complete the work that is done by now."""
         self._advance()
         while self._finishes and self._finishes[0][0] <= self._virtual_s + MIN_TIMER_S / 2:
             _, _, future = heapq.heappop(self._finishes)
@@ -74,4 +75,4 @@
         if self._finishes:
             remaining = (self._finishes[0][0] - self._virtual_s) / self._rate()
             delay = max(MIN_TIMER_S, remaining)
-            self._timer = asyncio.get_running_loop().call_later(delay, self._finish_due)
+            self._timer = asyncio.get_running_loop().call_later(delay, self.finish_due)
