--- a/src/hyssopwood/peer_link.py
+++ b/src/hyssopwood/peer_link.py
@@ -58,9 +58,7 @@
     received_at: float
 
     @classmethod
-    def of(
-        cls, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, timers: Timers
-    ) -> Wire:
+    def of(cls, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, timers: Timers) -> Wire:
         """Return the wire of an open connection."""
         return cls(reader, writer, timers, timers.now())
 
--- a/src/hyssopwood/session.py
+++ b/src/hyssopwood/session.py
@@ -51,9 +51,10 @@
 
 
 @define
-class _Doubt:
+class Doubt:
     """A grant without an answer: it may still lie unread in an older connection's buffers."""
 
+    incarnation: str
     settled_from: float = math.inf
 
 
@@ -72,6 +73,7 @@
         timers: Timers,
         timing: Timing,
         require: Callable[[], None],
+        doubts: dict[str, Doubt] | None = None,
     ) -> None:
         self._channel = channel
         self._coordinator = coordinator
@@ -83,7 +85,7 @@
         self._report: ServerReport | None = None
         self._incarnation = ""
         self._lapsed_at = -math.inf
-        self._doubts: dict[str, _Doubt] = {}
+        self._doubts = {} if doubts is None else doubts
 
     @property
     def report(self) -> ServerReport | None:
@@ -165,11 +167,9 @@
 
     def _note(self, report: ServerReport) -> None:
         self._report = report
-        if report.incarnation != self._incarnation:
-            self._doubts.clear()
         self._incarnation = report.incarnation
         for partition, doubt in list(self._doubts.items()):
-            if report.sent_at >= doubt.settled_from:
+            if report.incarnation != doubt.incarnation or report.sent_at >= doubt.settled_from:
                 del self._doubts[partition]
             elif doubt.settled_from == math.inf:
                 doubt.settled_from = report.received_at + self._message_life_s
@@ -178,7 +178,7 @@
         if grant:
             emit(Event.GRANT_UNCERTAIN, partitions=",".join(grant))
         for partition in grant:
-            self._doubts[partition] = _Doubt()
+            self._doubts[partition] = Doubt(self._incarnation)
 
     async def _post(self, path: str, body: Any, same_connection: bool) -> Any:
         self._require()
--- a/src/hyssopwood/waiting.py
+++ b/src/hyssopwood/waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Coroutine
 from typing import Any, TypeVar
 
@@ -42,10 +43,8 @@
 
     async def wait(self, seconds: float) -> None:
         """Return at the next signal or after `seconds`."""
-        try:
+        with contextlib.suppress(WaitTimeoutError):
             await within(self._timers, seconds, self._event.wait())
-        except WaitTimeoutError:
-            pass
         self._event.clear()
 
 
