--- a/src/hyssopwood_standins/__main__.py
+++ b/src/hyssopwood_standins/__main__.py
@@ -12,6 +12,7 @@
     "platform": "log service, instance list and load balancer",
     "server": "backend server",
     "caller": "open-loop load with checked answers",
+    "demo": "both deployments in small, with failures",
 }
 
 
--- /dev/null
+++ b/src/hyssopwood_standins/demo.py
@@ -0,0 +1,217 @@
+"""Run both deployments in small, break parts of them and check the guarantees."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from attrs import define, field
+from loguru import logger
+
+from hyssopwood_standins import report, web_process
+from hyssopwood_standins.deployment import BELLTONE, BERIDZE, Deployment
+from hyssopwood_standins.launcher import Launcher
+from hyssopwood_standins.recorder import MemoryRecorder
+
+OUTPUT = Path("out/demo.json")
+# Leaves the launcher time to stop everything within 60 s.
+TIME_LIMIT_S = 52
+READY_LIMIT_S = 15
+TRAFFIC_S = 30.0
+RATE_PER_S = 60.0
+HOT_RATE_PER_S = 60.0
+HOT_KEY = "hot-key"
+DRAIN_LIMIT_S = 6.0
+FREEZE_S = 1.5
+REPLACE_AFTER_S = 1.0
+OUTAGE_S = 2.0
+# Lets the last leases and releases reach the servers' records.
+SETTLE_S = 0.5
+
+
+@define
+class _Scenario:
+    """What one deployment goes through; times are seconds since its traffic started."""
+
+    deployment: Deployment
+    started: float = 0.0
+    tickets_ms: list[float] = field(factory=list)
+
+    async def run(self) -> None:
+        await self._bring_up()
+        self._start_traffic()
+        await self._lose_server(8)
+        await self._freeze_server(11)
+        await self._replace_entry(15)
+        await self._interrupt_log(20)
+        await self._change_limits(24)
+        await self._stop_entry(26)
+        await self.deployment.until_callers_end(TRAFFIC_S)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _bring_up(self) -> None:
+        deployment = self.deployment
+        await deployment.start()
+        self.tickets_ms.append(await deployment.publish(deployment.first_ticket()))
+        await deployment.until_ready(len(deployment.customer.domains), READY_LIMIT_S)
+
+    def _start_traffic(self) -> None:
+        self.started = time.monotonic()
+        stragglers = ("--straggler-share", "0.005", "--straggler-ms", "400")
+        keyless = ("--keyless-share", "0.2")
+        self.deployment.start_caller(TRAFFIC_S, RATE_PER_S, *stragglers, *keyless)
+        hot = ("--keys", "1", "--hot-key", f"{self._hot_key()}:1.0:0:{TRAFFIC_S}")
+        self.deployment.start_caller(TRAFFIC_S, HOT_RATE_PER_S, *hot)
+
+    def _hot_key(self) -> str:
+        return f"{self.deployment.customer.service}-{HOT_KEY}"
+
+    async def _at(self, second: float, what: str) -> None:
+        await asyncio.sleep(max(0.0, self.started + second - time.monotonic()))
+        logger.info("{}: {}", self.deployment.customer.name, what)
+
+    async def _lose_server(self, second: float) -> None:
+        await self._at(second, "a backend server is killed")
+        self.deployment.launcher.kill(self.deployment.server_name(1))
+
+    async def _freeze_server(self, second: float) -> None:
+        name = self.deployment.server_name(2)
+        await self._at(second, "a backend server is frozen")
+        self.deployment.launcher.freeze(name)
+        try:
+            await asyncio.sleep(FREEZE_S)
+        finally:
+            self.deployment.launcher.resume(name)
+
+    async def _replace_entry(self, second: float) -> None:
+        name = self.deployment.entry_name(1)
+        await self._at(second, "an entry instance is killed and replaced")
+        self.deployment.launcher.kill(name)
+        await asyncio.sleep(REPLACE_AFTER_S)
+        await self.deployment.unlist_entry(name)
+        await self.deployment.start_entry(len(self.deployment.customer.domains) + 1)
+
+    async def _interrupt_log(self, second: float) -> None:
+        await self._at(second, "the log is unavailable")
+        deployment = self.deployment
+        await deployment.control(deployment.platform, outage=True)
+        await asyncio.sleep(OUTAGE_S)
+        await deployment.control(deployment.platform, outage=False)
+
+    async def _change_limits(self, second: float) -> None:
+        await self._at(second, "a second ticket is published")
+        ticket = {"number": 2, **self.deployment.limits(50)}
+        self.tickets_ms.append(await self.deployment.publish(ticket))
+
+    async def _stop_entry(self, second: float) -> None:
+        name = self.deployment.entry_name(2)
+        await self._at(second, "an entry instance is stopped gracefully")
+        await self.deployment.list_entry(name, "leaving")
+        self.deployment.launcher.terminate(name)
+
+
+@asynccontextmanager
+async def _scenarios(directory: Path, launcher: Launcher) -> AsyncIterator[list[_Scenario]]:
+    async with aiohttp.ClientSession() as session:
+        yield [
+            _Scenario(Deployment(customer, launcher, directory, session))
+            for customer in (BERIDZE, BELLTONE)
+        ]
+
+
+async def _run(directory: Path, launcher: Launcher) -> list[_Scenario]:
+    _cancel_on_sigterm()
+    async with _scenarios(directory, launcher) as scenarios, asyncio.timeout(TIME_LIMIT_S):
+        async with asyncio.TaskGroup() as group:
+            for scenario in scenarios:
+                group.create_task(scenario.run())
+        return scenarios
+
+
+def _cancel_on_sigterm() -> None:
+    task = asyncio.current_task()
+    if task is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+
+
+def _stop(launcher: Launcher, scenarios: list[_Scenario]) -> None:
+    """Stop the entries first, while the log and the servers still answer them."""
+    names = [name for scenario in scenarios for name in scenario.deployment.entries]
+    running = [name for name in names if name in launcher.pids]
+    for name in running:
+        launcher.terminate(name)
+    limit = time.monotonic() + DRAIN_LIMIT_S
+    for name in running:
+        if launcher.wait(name, max(0.0, limit - time.monotonic())) is None:
+            logger.warning("{} did not stop within {} s", name, DRAIN_LIMIT_S)
+
+
+def _measure(scenarios: list[_Scenario], events: list[dict[str, Any]]) -> dict[str, Any]:
+    recordings = [scenario.deployment.recordings(events) for scenario in scenarios]
+    for scenario, recording in zip(scenarios, recordings, strict=True):
+        _describe(scenario, recording)
+    merged = report.merge(recordings)
+    # Each deployment was given all events of the launcher.
+    merged.events[:] = events
+    tickets = [value for scenario in scenarios for value in scenario.tickets_ms]
+    return report.measures(merged, max(tickets, default=None))
+
+
+def _describe(scenario: _Scenario, recording: report.Recordings) -> None:
+    customer = scenario.deployment.customer
+    partition = f"{customer.service}={scenario._hot_key()}"
+    owners = report.owners_of(recording, partition)
+    logger.info("{}: hot key was owned by {}", customer.name, " then ".join(owners) or "its shard")
+    logger.info("{}: not answered: {}", customer.name, report.failures(recording))
+
+
+def _publish(values: dict[str, Any], output: Path) -> int:
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_text(json.dumps(values, indent=2) + "\n", encoding="utf-8")
+    print(report.table(values))
+    found = report.violations(values)
+    for line in found:
+        print(f"VIOLATED: {line}")
+    return 1 if found else 0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the options of the demo."""
+    parser.add_argument("--output", type=Path, default=OUTPUT)
+    parser.add_argument("--keep", type=Path, help="directory for logs and records, kept afterwards")
+
+
+def main(arguments: argparse.Namespace) -> int:
+    """Run the demo; return 1 when a guarantee was violated."""
+    if arguments.keep is not None:
+        arguments.keep.mkdir(parents=True, exist_ok=True)
+        return _demo(arguments.keep.resolve(), arguments.output)
+    with tempfile.TemporaryDirectory(prefix="hyssopwood-demo-") as name:
+        return _demo(Path(name), arguments.output)
+
+
+def _demo(directory: Path, output: Path) -> int:
+    events = MemoryRecorder()
+    started = time.monotonic()
+    try:
+        with Launcher(directory, events) as launcher:
+            scenarios = web_process.run(_run(directory, launcher))
+            _stop(launcher, scenarios)
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        logger.warning("interrupted; every process was ended")
+        return 130
+    except (ExceptionGroup, TimeoutError, OSError) as error:
+        logger.error("the demo failed: {!r}", error)
+        return 2
+    code = _publish(_measure(scenarios, events.records), output)
+    logger.info("the demo took {:.1f} s", time.monotonic() - started)
+    return code
--- a/src/hyssopwood_standins/report.py
+++ b/src/hyssopwood_standins/report.py
@@ -257,6 +257,22 @@
     return changes
 
 
+def owners_of(recordings: Recordings, partition: str) -> list[str]:
+    """Return the servers that were granted a partition, in order and without repeats."""
+    grants = [item for item in grant_intervals(recordings) if item.partition == partition]
+    owners: list[str] = []
+    for item in sorted(grants, key=lambda interval: interval.start):
+        if owners[-1:] != [item.server]:
+            owners.append(item.server)
+    return owners
+
+
+def failures(recordings: Recordings) -> dict[str, int]:
+    """Return how many attempts were not answered, by outcome and detail."""
+    failed = (item for item in recordings.attempts if item["outcome"] != "answered")
+    return dict(Counter(f"{item['outcome']} {item['detail']}" for item in failed))
+
+
 def max_overcommit(recordings: Recordings) -> int:
     """Return the largest number of requests that a server ran above its slots."""
     slots = {item["server"]: item["slots"] for item in recordings.servers if "slots" in item}
