--- a/src/hyssopwood/errors.py
+++ b/src/hyssopwood/errors.py
@@ -88,6 +88,18 @@
     """Raised when a record exceeds the log's size limit."""
 
 
+class AppendBudgetError(LogError):
+    """Raised when an instance's append budget for a kind of record stays exhausted."""
+
+
+class LogProtocolError(LogError):
+    """Raised when the log service breaks its protocol."""
+
+
+class LogResponseTooLargeError(LogProtocolError):
+    """Raised when a response exceeds its bound; a smaller page may fit."""
+
+
 class ProtocolError(HyssopwoodError):
     """Raised when a peer, a caller or a backend server breaks its protocol."""
 
@@ -118,6 +130,10 @@
     """Raised when an instance acts without an unexpired majority of promises."""
 
 
+class MembershipLostError(HyssopwoodError):
+    """Raised when an incarnation acts that was fenced or is no longer a member."""
+
+
 class NotFoundError(HyssopwoodError):
     """Raised when the named item is not in force."""
 
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -42,6 +42,8 @@
     CHECKPOINT_WRITTEN = EventSpec(205, "INFO", "checkpoint was written")
     CHECKPOINT_LOADED = EventSpec(206, "INFO", "started from a checkpoint")
     APPEND_RETRIED = EventSpec(207, "WARNING", "append is repeated with the same id")
+    CHECKPOINT_FAILED = EventSpec(208, "WARNING", "checkpoint was not written")
+    SUBSCRIBER_BEHIND = EventSpec(209, "WARNING", "a subscriber to changes fell behind")
 
     JOINED = EventSpec(300, "INFO", "instance joined")
     LEFT = EventSpec(301, "INFO", "instance left")
@@ -50,6 +52,11 @@
     AUTHORITY_GAINED = EventSpec(304, "INFO", "authority was gained")
     PLANNER_CLAIMED = EventSpec(305, "INFO", "planner epoch was claimed")
     VOTERS_CHANGED = EventSpec(306, "INFO", "voters changed")
+    FENCE_ATTESTED = EventSpec(307, "INFO", "fence of an instance was attested")
+    PLANNER_PAUSED = EventSpec(307, "WARNING", "planner waits for the log")
+    MEMBER_SUSPECTED = EventSpec(308, "WARNING", "instance does not answer")
+    INSTANCE_LIST_IGNORED = EventSpec(309, "WARNING", "platform's instance list is not usable")
+    INCARNATION_LOST = EventSpec(310, "WARNING", "own incarnation is no longer a member")
 
     SESSION_OPENED = EventSpec(400, "INFO", "session with backend server was opened")
     SESSION_LOST = EventSpec(401, "WARNING", "backend server does not renew its lease")
@@ -59,6 +66,13 @@
     MOVE_DEFERRED = EventSpec(405, "INFO", "move waits for a long request")
     HOT_KEY_ISOLATED = EventSpec(406, "INFO", "hot key got a partition of its own")
     COORDINATOR_CHANGED = EventSpec(407, "INFO", "coordinator changed")
+    SERVER_RESTARTED = EventSpec(408, "WARNING", "backend server has a new incarnation")
+    SERVER_TAKEN_OVER = EventSpec(409, "INFO", "backend server was taken over")
+    SERVER_HANDED_OVER = EventSpec(410, "INFO", "backend server was handed over")
+    PARTITION_FROZEN = EventSpec(411, "DEBUG", "permits for a partition are stopped")
+    GRANT_UNCERTAIN = EventSpec(412, "WARNING", "answer to a grant was lost")
+    PLAN_WRITTEN = EventSpec(408, "INFO", "plan was written")
+    APPEND_BUDGET_SPENT = EventSpec(409, "WARNING", "planner is over its append budget")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
     REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
@@ -72,6 +86,8 @@
     PEER_CONNECTED = EventSpec(600, "DEBUG", "peer connected")
     PEER_LOST = EventSpec(601, "INFO", "peer connection was lost")
     PEER_REJECTED = EventSpec(602, "WARNING", "peer sent malformed bytes")
+    PEER_SILENT = EventSpec(603, "WARNING", "silent peer connection was replaced")
+    HANDLER_FAILED = EventSpec(604, "ERROR", "handler of a peer message failed")
 
     BAD_SETTINGS = EventSpec(700, "ERROR", "settings are malformed")
     BAD_REQUEST = EventSpec(701, "INFO", "caller sent a malformed request")
