--- a/src/hyssopwood_standins/deployment.py
+++ b/src/hyssopwood_standins/deployment.py
@@ -77,7 +77,6 @@
     servers: dict[str, str] = field(factory=dict)
     entries: dict[str, str] = field(factory=dict)
     _callers: list[str] = field(factory=list)
-    _commands: int = 0
 
     @property
     def platform_url(self) -> str:
@@ -184,21 +183,20 @@
         return {"limits": {self.customer.service: {"queue": queue, "deadline_ms": 2_000}}}
 
     async def publish(self, ticket: dict[str, Any]) -> float:
-        """Publish a ticket; return the ms until it was in force on every entry instance."""
+        """Publish a ticket; return the ms from its append until every entry had it in force."""
         number = ticket["number"]
         name = f"{self.customer.name}-ticket-{number}"
         path = self._write(f"{name}.jsonc", f"Ticket {number} of {self.customer.name}", ticket)
-        started = time.monotonic()
-        command = asyncio.create_task(
-            self._command(name, "ticket", "publish", str(path), "--log-url", self.platform_url)
-        )
+        url = ("--log-url", self.platform_url)
+        arguments = ("ticket", "publish", str(path), *url, "--json")
+        command = asyncio.create_task(self._command(f"{name}-publish", *arguments))
         try:
             await self._until_in_force(number)
-            in_force_ms = (time.monotonic() - started) * 1000
-            await command
+            in_force_at_ms = time.time() * 1000
+            appended_at_ms = (await command)["time_ms"]
         finally:
             command.cancel()
-        return in_force_ms
+        return max(0.0, in_force_at_ms - appended_at_ms)
 
     def start_caller(self, duration_s: float, rate: float, *options: str) -> None:
         """Start a caller that sends traffic through the balancer's targets."""
@@ -252,18 +250,18 @@
 
         await self._until(in_force, COMMAND_LIMIT_S, f"ticket {number} in force")
 
-    async def _command(self, name: str, *arguments: str) -> None:
-        self._commands += 1
-        process = f"{name}-command-{self._commands}"
-        self.launcher.start(process, "hyssopwood", *arguments)
+    async def _command(self, name: str, *arguments: str) -> dict[str, Any]:
+        """Run a command of the product and return the JSON that it prints."""
+        self.launcher.start(name, "hyssopwood", *arguments)
 
         async def ended() -> bool:
-            return process not in self.launcher.pids
+            return name not in self.launcher.pids
 
-        await self._until(ended, COMMAND_LIMIT_S, f"the end of {process}")
-        code = self.launcher.wait(process, 0)
-        if code != 0:
-            raise DeploymentError(f"{process} ended with exit code {code}")
+        await self._until(ended, COMMAND_LIMIT_S, f"the end of {name}")
+        printed = self.launcher.output(name)
+        if self.launcher.wait(name, 0) != 0:
+            raise DeploymentError(f"{name} failed: {printed.strip()}")
+        return dict(json.loads(printed))
 
     async def _until_answers(self, url: str) -> None:
         async def answers() -> bool:
--- a/src/hyssopwood_standins/launcher.py
+++ b/src/hyssopwood_standins/launcher.py
@@ -91,7 +91,7 @@
 
     def start(self, name: str, *arguments: str) -> Child:
         """Start `python -m ARGUMENTS` with its output in `NAME.log`."""
-        with (self._directory / f"{name}.log").open("ab") as output:
+        with self._output_file(name).open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
                 stdin=subprocess.DEVNULL,
@@ -106,6 +106,10 @@
         self._record("launched", name)
         return child
 
+    def output(self, name: str) -> str:
+        """Return what a process has printed."""
+        return self._output_file(name).read_text(encoding="utf-8", errors="replace")
+
     def kill(self, name: str) -> None:
         """End a process with SIGKILL."""
         child = self._children[name]
@@ -151,6 +155,9 @@
             child.process.wait()
             self._record("stopped", child.name)
 
+    def _output_file(self, name: str) -> Path:
+        return self._directory / f"{name}.log"
+
     def _signal(self, child: Child, number: signal.Signals) -> None:
         # poll() first: the pid of a process that was already reaped may belong to another.
         if child.running:
