--- a/src/hyssopwood/admission.py
+++ b/src/hyssopwood/admission.py
@@ -295,13 +295,15 @@
         if self._closed is not None:
             reason, detail = self._closed
             return Refused(reason, detail, self._spread(MIN_RETRY_S))
+        if request.request_id in self._waiters:
+            return Refused(Reason.BAD_REQUEST, "the request is queued already", MIN_RETRY_S)
         left = request.deadline - now
         if left <= 0:
             return Refused(Reason.DEADLINE_EXCEEDED, "no time is left", 0.0)
         if not self._waiters and self._may_start(work_class):
             return None
         wait = self._predict(request, work_class, now)
-        if len(self._waiters) >= max(1, self._queue_limit * self._warm_share()):
+        if len(self._waiters) >= math.ceil(self._queue_limit * self._warm_share()):
             detail = f"{len(self._waiters)} requests wait for {self._server}"
             return Refused(Reason.QUEUE_FULL, detail, self._spread(wait))
         limit = (
--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from contextvars import ContextVar
 from enum import Enum, auto
@@ -31,6 +31,8 @@
 # One report of an idle server may be older than the request, two are not.
 IDLE_PROBES = 2
 MAX_CONTROL_TASKS = 256
+MAX_REFUSAL_BYTES = 4_096
+ABANDONED_S = 10.0
 REFUSAL_RETRY_S = 0.1
 
 REQUEST_ID = "Hyssopwood-Request-Id"
@@ -130,14 +132,20 @@
     request: ServerRequest
     pool: _Pool
     timers: Timers
+    is_paused: Callable[[float], bool]
     late_at: float
     sent_at: float | None = None
     connection: Any = None
-    answered: bool = False
+    response: aiohttp.ClientResponse | None = None
     ended: _End | None = None
     probing: bool = False
     idle_probes: int = 0
 
+    @property
+    def whole(self) -> bool:
+        """Return whether the last byte of the answer is here."""
+        return self.response is not None and self.response.content.is_eof()
+
     def note_sending(self, connection: Any) -> None:
         """Check that a byte may leave now, and remember that it does."""
         if self.sent_at is not None:
@@ -147,6 +155,8 @@
         if protocol is None or protocol.transport is None or protocol.transport.is_closing():
             raise NotSentError(Reason.SERVER_UNREACHABLE, "the connection closed before sending")
         now = self.timers.now()
+        if self.is_paused(now):
+            raise NotSentError(Reason.SERVER_UNREACHABLE, "this process was paused")
         if self.ended is not None or now >= self.request.deadline:
             raise NotSentError(Reason.DEADLINE_EXCEEDED, "the deadline passed before sending")
         if now >= self.request.first_byte_by:
@@ -184,14 +194,11 @@
 class _Pool:
     """Connections to one backend server."""
 
-    def __init__(self, server: BackendServer, connect_s: float) -> None:
+    def __init__(self, server: BackendServer) -> None:
         self.server = server
         self._base = f"http://{server.address}"
         self.in_use = 0
         self.retired = False
-        timeout = aiohttp.ClientTimeout(
-            total=None, connect=connect_s, sock_connect=connect_s, sock_read=None
-        )
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=server.connections,
@@ -200,7 +207,6 @@
             ),
             request_class=_GatedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=timeout,
             auto_decompress=False,
             skip_auto_headers=_SKIP_AUTO_HEADERS,
             read_bufsize=READ_BUFFER_BYTES,
@@ -245,6 +251,14 @@
         self._chunks = response.content.iter_any()
         self._ended = False
 
+    def on_whole(self, callback: Callable[[], None]) -> None:
+        """Call back when the last byte has arrived, read or not."""
+        content = self._response.content
+        if content.is_eof() and content.exception() is None:
+            callback()
+            return
+        content.on_eof(callback)
+
     def __aiter__(self) -> _AnswerBody:
         return self
 
@@ -288,12 +302,14 @@
     def __init__(self, timers: Timers, timing: Timing | None = None) -> None:
         self._timers = timers
         self._timing = timing or Timing()
+        self._connect_s = self._timing.server_timeout_ms / 1000
+        self._timeout = _connect_timeout(self._connect_s)
         self._pools: dict[str, _Pool] = {}
         self._old_pools: set[_Pool] = set()
         self._attempts: set[_Attempt] = set()
         self._control: set[asyncio.Task[None]] = set()
         self._watch_task: asyncio.Task[None] | None = None
-        self._last_tick: float | None = None
+        self._last_tick = timers.now()
         self._closed = False
 
     @property
@@ -365,7 +381,9 @@
         pool = self._pool_of(request.server)
         pool.in_use += 1
         late_s = max(request.late_after_s, self._timing.server_timeout_ms / 1000)
-        attempt = _Attempt(request, pool, self._timers, self._timers.now() + late_s)
+        attempt = _Attempt(
+            request, pool, self._timers, self._is_paused, self._timers.now() + late_s
+        )
         self._attempts.add(attempt)
         return attempt
 
@@ -377,7 +395,7 @@
             # The server has a new address or limit.
             self._old_pools.add(pool)
             self._spawn(pool.retire())
-        pool = _Pool(server, self._timing.server_timeout_ms / 1000)
+        pool = _Pool(server)
         self._pools[server.name] = pool
         return pool
 
@@ -390,10 +408,17 @@
                 request.path,
                 headers=self._headers(request),
                 data=request.body or None,
+                timeout=self._connect_timeout(request),
             )
         finally:
             _ATTEMPT.reset(token)
 
+    def _connect_timeout(self, request: ServerRequest) -> aiohttp.ClientTimeout:
+        left_s = request.deadline - self._timers.now()
+        if left_s >= self._connect_s:
+            return self._timeout
+        return _connect_timeout(max(0.001, left_s))
+
     def _headers(self, request: ServerRequest) -> CIMultiDict[str]:
         headers = end_to_end(request.headers)
         for name in _REPLACED:
@@ -409,7 +434,7 @@
         return headers
 
     async def _judge(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> Outcome:
-        attempt.answered = True
+        attempt.response = response
         request = attempt.request
         echoed = response.headers.get(REQUEST_ID)
         if echoed != request.request_id:
@@ -417,7 +442,7 @@
             emit(Event.ANSWER_MISMATCHED, server=request.server.name, echoed=echoed)
             return Unknown(Reason.MISMATCHED_ANSWER, "the answer has another request id")
         if response.headers.get(RUN) == "not-run":
-            return _refused(response)
+            return await _refused(response)
         if not _has_certain_end(request.method, response):
             response.close()
             emit(Event.BAD_ANSWER, server=request.server.name, fault="no length")
@@ -427,6 +452,8 @@
 
     def _failed(self, attempt: _Attempt, error: Exception) -> NotRun | Unknown:
         name = attempt.request.server.name
+        if isinstance(error, aiohttp.ClientResponseError):
+            emit(Event.BAD_ANSWER, server=name, fault=type(error).__name__)
         if attempt.ended is _End.DEADLINE:
             reason, detail = Reason.DEADLINE_EXCEEDED, "the deadline has passed"
         elif attempt.sent_at is None:
@@ -439,36 +466,48 @@
 
     def _start_watch(self) -> None:
         if self._watch_task is None or self._watch_task.done():
-            self._last_tick = None
+            self._last_tick = self._timers.now()
             self._watch_task = asyncio.get_running_loop().create_task(self._watch())
 
+    def _is_paused(self, now: float) -> bool:
+        """Return whether the watch missed ticks, as it does when the process is paused."""
+        return now - self._last_tick > self._timing.pause_detect_ms / 1000 + WATCH_INTERVAL_S
+
     async def _watch(self) -> None:
         """Enforce deadlines, probe silent connections and detect pauses."""
-        jump_s = self._timing.pause_detect_ms / 1000 + WATCH_INTERVAL_S
         async for now in self._timers.subscribe(WATCH_INTERVAL_S):
-            if self._last_tick is not None and now - self._last_tick > jump_s:
-                emit(Event.CLOCK_JUMPED, seconds=round(now - self._last_tick, 3))
-                await self._break_all(_End.CLOCK_JUMP)
+            paused_s, paused = now - self._last_tick, self._is_paused(now)
             self._last_tick = now
+            if paused:
+                emit(Event.CLOCK_JUMPED, seconds=round(paused_s, 3))
+                await self._break_all(_End.CLOCK_JUMP)
             for attempt in list(self._attempts):
                 self._check(attempt, now)
 
     def _check(self, attempt: _Attempt, now: float) -> None:
-        if now >= attempt.request.deadline and attempt.ended is None:
-            self.cancel_at_server(attempt)
-            attempt.end(_End.DEADLINE)
-        elif now >= attempt.late_at and not attempt.answered and not attempt.probing:
+        overdue_s = now - attempt.request.deadline
+        if overdue_s > ABANDONED_S and attempt.ended is not None:
+            # Nobody reads this answer any more.
+            self._spawn(self.finish(attempt))
+        elif overdue_s >= 0:
+            self._end_overdue(attempt)
+        elif now >= attempt.late_at and attempt.response is None and not attempt.probing:
             attempt.probing = True
             attempt.late_at = now + self._timing.server_timeout_ms / 1000
             self._spawn(self._probe(attempt))
 
+    def _end_overdue(self, attempt: _Attempt) -> None:
+        if attempt.ended is None and not attempt.whole:
+            self.cancel_at_server(attempt)
+            attempt.end(_End.DEADLINE)
+
     async def _probe(self, attempt: _Attempt) -> None:
         """Ask the server over a new connection whether it runs anything."""
         try:
             running = await self._fetch_running(attempt.request.server)
         finally:
             attempt.probing = False
-        if running is None or attempt.answered or attempt.sent_at is None:
+        if running is None or attempt.response is not None or attempt.sent_at is None:
             return
         server = attempt.request.server.name
         if self._pools.get(server) is attempt.pool:
@@ -519,6 +558,11 @@
             await pool.close()
 
 
+def _connect_timeout(seconds: float) -> aiohttp.ClientTimeout:
+    # Only the connection; the watch enforces the deadline of the rest.
+    return aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
+
+
 def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that are passed on, repeated ones included."""
     kept = CIMultiDict(headers)
@@ -538,13 +582,21 @@
     return chunked or hdrs.CONTENT_LENGTH in headers
 
 
-def _refused(response: aiohttp.ClientResponse) -> NotRun:
+async def _refused(response: aiohttp.ClientResponse) -> NotRun:
     retry_after_s = REFUSAL_RETRY_S
     with suppress(KeyError, ValueError):
         retry_after_s = max(retry_after_s, float(response.headers["Retry-After"]))
+    await _skip_body(response)
     status = response.status
-    # The rest of a refusal is of no interest and may be long.
-    response.close() if not response.content.at_eof() else response.release()
     if status == 409:
         return NotRun(Reason.MOVED, "the backend server refused the token", retry_after_s)
     return NotRun(Reason.SERVER_REFUSED, f"the backend server refused ({status})", retry_after_s)
+
+
+async def _skip_body(response: aiohttp.ClientResponse) -> None:
+    """Read a short body, which keeps the connection, or close a long one."""
+    if (response.content_length or MAX_REFUSAL_BYTES + 1) > MAX_REFUSAL_BYTES:
+        response.close()
+        return
+    with suppress(aiohttp.ClientError, OSError):
+        await response.read()
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -15,6 +15,7 @@
     BackendServer,
     ServerRequest,
 )
+from hyssopwood.deadlines import DeadlineExceededError, Deadlines
 from hyssopwood.durations import Durations
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.events import Event, emit
@@ -29,14 +30,22 @@
 # A moved key is served again within 1 s, so waiting longer for an owner is pointless.
 OWNER_WAIT_S = 1.0
 MAX_WAITING = 512
-# Wakes a waiting request although the view did not change, for a coordinator that came back.
+# First interval after which the same owner is tried again; it doubles each time.
 RECHECK_S = 0.05
 MAX_ATTEMPTS = 20
 STORED_BODY_BYTES = 16_384
 REFUSAL_RETRY_S = 0.1
 LATE_FACTOR = 4.0
 # Reasons that end when another server or coordinator takes over.
-_MOVING = frozenset({Reason.MOVED, Reason.NO_OWNER, Reason.NO_AUTHORITY})
+_MOVING = frozenset(
+    {
+        Reason.MOVED,
+        Reason.NO_OWNER,
+        Reason.NO_AUTHORITY,
+        Reason.COORDINATOR_UNREACHABLE,
+        Reason.SERVER_UNREACHABLE,
+    }
+)
 # A stored key says that the request may have run already.
 _MAY_HAVE_RUN = frozenset({Reason.IN_PROGRESS, Reason.ALREADY_RUN, Reason.RECORD_LOST})
 
@@ -167,6 +176,20 @@
     returned: bool = False
 
 
+@define(eq=False)
+class _Patience:
+    """Bound how long one request waits for an owner."""
+
+    until: float
+    rechecks: int = 0
+
+    def next_recheck_s(self, rng: random.Random) -> float:
+        """Return the wait before the same owner is tried again."""
+        wait = RECHECK_S * 2**self.rechecks * rng.uniform(0.5, 1.5)
+        self.rechecks += 1
+        return wait
+
+
 class _ReturningBody:
     """Pass an answer's body on and return its permit at the end."""
 
@@ -178,8 +201,11 @@
         self._request = request
         self._answer = answer
         self._iterator = aiter(answer.body)
-        self._started = dispatcher.now()
         self._stored: bytearray | None = bytearray() if request.idempotency_key else None
+        on_whole = getattr(answer.body, "on_whole", None)
+        if on_whole is not None and self._stored is None:
+            # The server is done when its last byte is here, however slowly the caller reads.
+            on_whole(lambda: self._finish(whole=True))
 
     def __aiter__(self) -> _ReturningBody:
         return self
@@ -241,6 +267,7 @@
         self._durations = durations or Durations(timers)
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
+        self._deadlines = Deadlines(timers)
         self._sequence = itertools.count(1)
         self._waiting = 0
         self._began: dict[int, float] = {}
@@ -254,23 +281,23 @@
         self._budget.note_request()
         base = f"{self._incarnation}.{next(self._sequence)}"
         digest = digest_of(request)
-        owner_wait_until = min(request.deadline, self._timers.now() + OWNER_WAIT_S)
+        patience = _Patience(min(request.deadline, self._timers.now() + OWNER_WAIT_S))
         for number in range(MAX_ATTEMPTS):
-            version = self._router.version
-            outcome = await self._attempt(request, f"{base}#{number}", digest)
-            if isinstance(outcome, Answered):
-                return outcome
-            if self._timers.now() >= request.deadline:
+            route = self._router.route(request.service, request.key)
+            outcome = await self._attempt(request, route, f"{base}#{number}", digest)
+            if isinstance(outcome, Answered) or self._timers.now() >= request.deadline:
                 return outcome
             if isinstance(outcome, Unknown):
-                if not await self._may_repeat(request, outcome):
-                    return outcome
-            elif not await self._moved(outcome, version, owner_wait_until):
+                again = await self._may_repeat(request, outcome)
+            else:
+                again = outcome.reason in _MOVING and await self._moved(request, route, patience)
+            if not again:
                 return outcome
         return outcome
 
-    async def _attempt(self, request: CallerRequest, request_id: str, digest: int) -> Outcome:
-        route = self._router.route(request.service, request.key)
+    async def _attempt(
+        self, request: CallerRequest, route: Route | None, request_id: str, digest: int
+    ) -> Outcome:
         if route is None:
             return NotRun(Reason.NO_OWNER, "the key has no owner now", REFUSAL_RETRY_S)
         reply = await self._ask(request, route, request_id, digest)
@@ -297,7 +324,11 @@
             request.customer,
         )
         try:
-            reply = await self._permits.request(permit, route.coordinator)
+            with self._deadlines.limit(request.deadline):
+                reply = await self._permits.request(permit, route.coordinator)
+        except DeadlineExceededError:
+            self._permits.cancel(PermitCancel(request_id), route.coordinator)
+            return NotRun(Reason.DEADLINE_EXCEEDED, "no slot was free in time", REFUSAL_RETRY_S)
         except HyssopwoodError as error:
             self._permits.cancel(PermitCancel(request_id), route.coordinator)
             return NotRun(Reason.COORDINATOR_UNREACHABLE, str(error), REFUSAL_RETRY_S)
@@ -375,36 +406,47 @@
         await self._timers.sleep(self._rng.uniform(0.0, RETRY_JITTER_S))
         return self._timers.now() < request.deadline
 
-    async def _moved(self, outcome: NotRun, version: int, until: float) -> bool:
+    async def _moved(
+        self, request: CallerRequest, tried: Route | None, patience: _Patience
+    ) -> bool:
         """Wait for another owner; return whether another attempt makes sense."""
-        if outcome.reason not in _MOVING and outcome.reason not in _LOST_PEER:
-            return False
-        if self._router.version != version:
-            return True
         if self._waiting >= MAX_WAITING:
             return False
-        return await self._wait_changed(version, until)
-
-    async def _wait_changed(self, version: int, until: float) -> bool:
-        left = until - self._timers.now()
-        if left <= 0:
-            return False
         self._waiting += 1
-        changed = asyncio.ensure_future(self._router.wait_changed(version))
-        recheck = asyncio.ensure_future(
-            self._timers.sleep(min(left, RECHECK_S * self._rng.uniform(0.5, 1.5)))
-        )
         try:
-            await asyncio.wait((changed, recheck), return_when=asyncio.FIRST_COMPLETED)
+            with self._deadlines.limit(patience.until):
+                return await self._wait_for_owner(request, tried, patience)
+        except DeadlineExceededError:
+            return False
         finally:
             self._waiting -= 1
-            changed.cancel()
+
+    async def _wait_for_owner(
+        self, request: CallerRequest, tried: Route | None, patience: _Patience
+    ) -> bool:
+        recheck = self._sleep_once(patience.next_recheck_s(self._rng))
+        try:
+            while True:
+                version = self._router.version
+                if self._router.route(request.service, request.key) != tried:
+                    return True
+                # The same owner is only tried again within the budget for retries.
+                if recheck.done() and tried is not None and self._budget.take():
+                    return True
+                await self._wait_changed(version, recheck)
+        finally:
             recheck.cancel()
-        return self._timers.now() < until
 
+    async def _wait_changed(self, version: int, recheck: asyncio.Future[None]) -> None:
+        changed = asyncio.ensure_future(self._router.wait_changed(version))
+        waits = {changed} if recheck.done() else {changed, recheck}
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            changed.cancel()
 
-# Reasons that end when a coordinator or a server is replaced.
-_LOST_PEER = frozenset({Reason.COORDINATOR_UNREACHABLE, Reason.SERVER_UNREACHABLE})
+    def _sleep_once(self, seconds: float) -> asyncio.Future[None]:
+        return asyncio.ensure_future(self._timers.sleep(seconds))
 
 
 def _refusal(reply: PermitReply) -> Outcome:
--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -13,7 +13,13 @@
 from attrs import Factory, frozen
 from multidict import CIMultiDict
 from sanic import Sanic
-from sanic.exceptions import BadRequest, PayloadTooLarge, RequestCancelled, SanicException
+from sanic.exceptions import (
+    BadRequest,
+    PayloadTooLarge,
+    RequestCancelled,
+    RequestTimeout,
+    SanicException,
+)
 from sanic.http import Http, Stage
 from sanic.request import Request
 from sanic.response import HTTPResponse
@@ -472,6 +478,7 @@
             emit(Event.TASK_FAILED, task="entry", error=repr(error))
             return _problem(status, Reason.CONNECTION_LOST, "internal failure", run="unknown")
         fault = _fault_of(error)
+        status = 431 if fault == "oversize-head" else status
         emit(Event.BAD_REQUEST, fault=fault, detail=str(error))
         return _problem(status, Reason.BAD_REQUEST, str(error), fault=fault)
 
@@ -481,7 +488,7 @@
         return "truncated"
     if isinstance(error, PayloadTooLarge):
         return "oversize-head" if "header" in str(error) else "oversize-body"
-    return "malformed"
+    return "timeout" if isinstance(error, RequestTimeout) else "malformed"
 
 
 def _unknown_run(outcome: Unknown) -> str:
--- a/src/hyssopwood/poison.py
+++ b/src/hyssopwood/poison.py
@@ -13,9 +13,9 @@
 
 MAX_SUSPECTS = 10_000
 QUARANTINE_CRASHES = 2
-# Crashes with others beside count in part: with 2 requests each, two crashes are enough,
-# with 3 it takes three. Fewer would quarantine innocent repeated requests.
-QUARANTINE_WEIGHT = 1.0
+# Crashes with others beside count in part: with 2 requests each, two crashes are enough, with
+# 3 it takes three. Fewer would quarantine innocent repeated requests. Below 1 for rounding.
+QUARANTINE_WEIGHT = 0.999
 ALONE = 1.0
 
 
