--- a/src/hyssopwood/deadlines.py
+++ b/src/hyssopwood/deadlines.py
@@ -1,89 +1,27 @@
-"""Deadlines of waiting tasks, enforced by one periodic check."""
+"""Time limits on awaitables, measured by the timer service."""
 
 from __future__ import annotations
 
 import asyncio
-from types import TracebackType
+from collections.abc import Awaitable
+from typing import TypeVar
 
-from hyssopwood.errors import HyssopwoodError
 from hyssopwood.timers import Timers
 
-# One check for all waits costs less CPU than a timer per request.
-CHECK_INTERVAL_S = 0.01
-IDLE_CHECKS = 100
-
-
-class DeadlineExceededError(HyssopwoodError):
-    """Raised when a wait was ended by its deadline."""
-
-    exit_code = 6
-
-
-class _Limit:
-    """Context that ends the waits of the current task at a deadline."""
-
-    __slots__ = ("_deadlines", "_until", "_task", "_expired")
-
-    def __init__(self, deadlines: Deadlines, until: float) -> None:
-        self._deadlines = deadlines
-        self._until = until
-        self._task: asyncio.Task[object] | None = None
-        self._expired = False
-
-    @property
-    def until(self) -> float:
-        return self._until
-
-    def __enter__(self) -> None:
-        self._task = asyncio.current_task()
-        self._deadlines._add(self)
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self._deadlines._remove(self)
-        if not self._expired or self._task is None:
-            return
-        # A cancellation from elsewhere takes precedence over the deadline.
-        if self._task.uncancel() == 0 and kind is asyncio.CancelledError:
-            raise DeadlineExceededError("the deadline has passed") from error
-
-    def expire(self) -> None:
-        """Interrupt the task once."""
-        if not self._expired and self._task is not None:
-            self._expired = True
-            self._task.cancel()
-
-
-class Deadlines:
-    """Interrupt tasks whose deadline has passed."""
-
-    def __init__(self, timers: Timers) -> None:
-        self._timers = timers
-        self._limits: set[_Limit] = set()
-        self._checker: asyncio.Task[None] | None = None
-
-    def limit(self, until: float) -> _Limit:
-        """Return a context that raises DeadlineExceededError at `until`."""
-        return _Limit(self, until)
-
-    def _add(self, limit: _Limit) -> None:
-        self._limits.add(limit)
-        if self._checker is None or self._checker.done():
-            self._checker = asyncio.get_running_loop().create_task(self._check())
-
-    def _remove(self, limit: _Limit) -> None:
-        self._limits.discard(limit)
-
-    async def _check(self) -> None:
-        """Run while tasks wait, and a little longer to spare restarts."""
-        idle = 0
-        while idle < IDLE_CHECKS:
-            await self._timers.sleep(CHECK_INTERVAL_S)
-            now = self._timers.now()
-            idle = 0 if self._limits else idle + 1
-            for limit in [limit for limit in self._limits if limit.until <= now]:
-                limit.expire()
+T = TypeVar("T")
+
+
+async def within(timers: Timers, seconds: float, awaitable: Awaitable[T]) -> T:
+    """Await for at most `seconds`; cancel the awaitable and raise TimeoutError after that."""
+    work = asyncio.ensure_future(awaitable)
+    alarm = asyncio.ensure_future(timers.sleep(seconds))
+    try:
+        await asyncio.wait({work, alarm}, return_when=asyncio.FIRST_COMPLETED)
+        if work.done():
+            return work.result()
+        raise TimeoutError
+    finally:
+        # Waiting for the cancelled work closes its connection before the caller goes on.
+        work.cancel()
+        alarm.cancel()
+        await asyncio.gather(work, alarm, return_exceptions=True)
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -15,13 +15,13 @@
     BackendServer,
     ServerRequest,
 )
-from hyssopwood.deadlines import DeadlineExceededError, Deadlines
 from hyssopwood.durations import Durations
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.events import Event, emit
 from hyssopwood.messages import PermitCancel, PermitReply, PermitRequest, PermitReturn
 from hyssopwood.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from hyssopwood.timers import Timers
+from hyssopwood.wait_limits import WaitExpiredError, WaitLimits
 
 RETRY_RATIO = 0.1
 # Allows the first retries of an idle instance; the ratio bounds them under load.
@@ -267,7 +267,7 @@
         self._durations = durations or Durations(timers)
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
-        self._deadlines = Deadlines(timers)
+        self._wait_limits = WaitLimits(timers)
         self._sequence = itertools.count(1)
         self._waiting = 0
         self._began: dict[int, float] = {}
@@ -324,9 +324,9 @@
             request.customer,
         )
         try:
-            with self._deadlines.limit(request.deadline):
+            with self._wait_limits.limit(request.deadline):
                 reply = await self._permits.request(permit, route.coordinator)
-        except DeadlineExceededError:
+        except WaitExpiredError:
             self._permits.cancel(PermitCancel(request_id), route.coordinator)
             return NotRun(Reason.DEADLINE_EXCEEDED, "no slot was free in time", REFUSAL_RETRY_S)
         except HyssopwoodError as error:
@@ -414,9 +414,9 @@
             return False
         self._waiting += 1
         try:
-            with self._deadlines.limit(patience.until):
+            with self._wait_limits.limit(patience.until):
                 return await self._wait_for_owner(request, tried, patience)
-        except DeadlineExceededError:
+        except WaitExpiredError:
             return False
         finally:
             self._waiting -= 1
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -100,6 +100,7 @@
 struct ReleaseQuery {
   partition @0 :Text;
   token @1 :Int64;
+  server @2 :Text;  # The server that must have released the partition.
 }
 
 struct ReleaseReply {
@@ -165,6 +166,7 @@
 struct UsageReport {
   instance @0 :Text;
   servers @1 :List(ServerUsage);
+  leaving @2 :Bool;  # The sender shuts down and wants to hand its servers over.
 }
 
 struct IdempotencyCopy {
