--- a/features/environment.py
+++ b/features/environment.py
@@ -19,12 +19,14 @@
     context.loop = asyncio.new_event_loop()
     context.timers = ManualTimers()
     context.run = context.loop.run_until_complete
+    # Cleanups run in reverse order, so those of the steps still find an open loop.
+    context.add_cleanup(_close_loop, context.loop)
 
 
-def after_scenario(context, scenario):
-    context.loop.run_until_complete(_cancel_other_tasks())
-    context.loop.run_until_complete(context.loop.shutdown_asyncgens())
-    context.loop.close()
+def _close_loop(loop):
+    loop.run_until_complete(_cancel_other_tasks())
+    loop.run_until_complete(loop.shutdown_asyncgens())
+    loop.close()
 
 
 async def _cancel_other_tasks():
