--- a/src/hyssopwood/usage_meter.py
+++ b/src/hyssopwood/usage_meter.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from hyssopwood.hot_keys import HotKeyRate
 from hyssopwood.messages import KeyUsage, PartitionUsage
 from hyssopwood.state import partition_service
 
@@ -22,7 +23,7 @@
         """Count one request for a key."""
         ...
 
-    def top(self) -> Iterable[tuple[str, float]]:
+    def top(self) -> Iterable[HotKeyRate]:
         """Return the most frequent keys with their requests per second."""
         ...
 
@@ -33,7 +34,7 @@
     def add(self, key: str) -> None:
         """Ignore the key."""
 
-    def top(self) -> Iterable[tuple[str, float]]:
+    def top(self) -> Iterable[HotKeyRate]:
         """Return nothing."""
         return ()
 
@@ -84,7 +85,7 @@
 
     def hot_keys(self) -> tuple[KeyUsage, ...]:
         """Return the load of the most frequent keys."""
-        return tuple(KeyUsage(self.service, key, rate) for key, rate in self.keys.top())
+        return tuple(KeyUsage(self.service, item.key, item.rate) for item in self.keys.top())
 
     def _forget(self, now: float) -> None:
         faded = [name for name, item in self._requests.items() if item.read(now) < FORGET_BELOW]
