Close gaps in the transitions and report every fault of an input

Transitions: - The planner loses the role when it is fenced or leaves; before, its plans stayed valid. - A member may not leave while a successor still waits for it, unless the record shows that its position covers the change: it may have acted under a plan that it applied after writing. - A granted record may name taken-over servers, so that previous coordinators are not awaited for as long as they live. - A proposal of voters that lost its majority may be replaced; before, it blocked the cell. - A terminated incarnation can't be fenced again into a voter that counts. - Names of partitions must be canonical; a hot key without an owner can be removed; hot keys of a removed service are removed. - Audit entries and publishers are clipped, and tickets bounded in total, so that a checkpoint stays bounded.

Input: numbers are finite and bounded, addresses have one spelling, each field is validated with its own path, and a published ticket with the content in force is a repeat, not a lost race.

--- a/src/hyssopwood/checkpoint.py
+++ b/src/hyssopwood/checkpoint.py
@@ -17,7 +17,7 @@
 from hyssopwood.records import Body, CheckpointRecord, LogRecord
 from hyssopwood.settings import Limits
 from hyssopwood.state import ClusterState
-from hyssopwood.structure import make_converter, parse_as
+from hyssopwood.structure import make_converter, parse_plain_json, structure
 from hyssopwood.timers import Timers
 from hyssopwood.transitions import Applied
 
@@ -92,9 +92,9 @@
 def decode_part(text: str) -> CheckpointPart:
     """Return one part; raise CheckpointError when it is malformed."""
     try:
-        part = parse_as("checkpoint", text, CheckpointPart)
-    except InputError as error:
-        raise CheckpointError(str(error)) from error
+        part = structure("checkpoint", parse_plain_json(text), CheckpointPart)
+    except (InputError, ValueError) as error:
+        raise CheckpointError(f"checkpoint is malformed: {error}") from error
     if part.version != VERSION:
         raise CheckpointError(f"checkpoint has version {part.version}, expected {VERSION}")
     if not 0 <= part.part < part.parts <= MAX_PARTS:
--- a/src/hyssopwood/cli.py
+++ b/src/hyssopwood/cli.py
@@ -16,7 +16,6 @@
 import aiohttp
 from attrs import define
 
-from hyssopwood.deadlines import within
 from hyssopwood.errors import (
     Fault,
     HyssopwoodError,
@@ -46,6 +45,7 @@
 from hyssopwood.ticket import MAX_TICKET_BYTES, Rejection, Ticket
 from hyssopwood.ticket_rules import ticket_rejection
 from hyssopwood.timers import SystemTimers
+from hyssopwood.waiting import WaitTimeoutError, within
 
 # A ticket file may be indented or commented; the published text is compact.
 MAX_TICKET_FILE_BYTES = 4 * 1_048_576
@@ -206,7 +206,7 @@
     try:
         await within(timers, options.timeout, session.replica.catch_up())
         return await work(session)
-    except TimeoutError as error:
+    except WaitTimeoutError as error:
         raise LogUnavailableError(f"replay took more than {options.timeout} s") from error
     finally:
         await log.close()
--- a/src/hyssopwood/log_client.py
+++ b/src/hyssopwood/log_client.py
@@ -10,7 +10,6 @@
 import aiohttp
 from attrs import frozen
 
-from hyssopwood.deadlines import within
 from hyssopwood.errors import (
     LogProtocolError,
     LogResponseTooLargeError,
@@ -21,6 +20,7 @@
 )
 from hyssopwood.structure import excessive_depth
 from hyssopwood.timers import Timers
+from hyssopwood.waiting import WaitTimeoutError, within
 
 MAX_RECORD_BYTES = 1_048_576
 # A page must hold one record of 1 MiB whose every byte JSON escapes to six.
@@ -112,7 +112,7 @@
         exchange = self._exchange(method, path, limit_bytes, options)
         try:
             return await within(self._timers, timeout_s, exchange)
-        except TimeoutError as error:
+        except WaitTimeoutError as error:
             await self.close()
             raise LogUnavailableError(f"no answer from the log within {timeout_s} s") from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/src/hyssopwood/records.py
+++ b/src/hyssopwood/records.py
@@ -8,7 +8,7 @@
 from attrs import asdict, frozen
 
 from hyssopwood.errors import InputError, ProtocolError
-from hyssopwood.structure import structure
+from hyssopwood.structure import parse_plain_json, structure
 
 
 @frozen(kw_only=True)
@@ -32,10 +32,15 @@
 
 @frozen(kw_only=True)
 class LeaveRecord:
-    """Remove a member that has no role left."""
+    """Remove a member that has no role left.
+
+    `applied` is the member's position when it stopped coordinating for good. The default claims
+    nothing, and then the record is rejected while a successor still waits for the member.
+    """
 
     instance: str
     incarnation: str
+    applied: int = -1
 
 
 @frozen(kw_only=True)
@@ -128,11 +133,20 @@
     token: int
 
 
+@frozen(kw_only=True)
+class Takeover:
+    """Name a server and the epoch in which its coordinator has taken it over."""
+
+    server: str
+    epoch: int
+
+
 @frozen(kw_only=True)
 class GrantedRecord:
-    """Record that the previous holders have released and the owner holds the partition."""
+    """Record that previous holders have released partitions, and previous coordinators servers."""
 
-    grants: tuple[Grant, ...]
+    grants: tuple[Grant, ...] = ()
+    takeovers: tuple[Takeover, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -196,7 +210,7 @@
 def decode_record(text: str) -> LogRecord:
     """Return the record in a JSON text; raise ProtocolError when it isn't one."""
     try:
-        data: Any = json.loads(text)
+        data: Any = parse_plain_json(text)
     except (ValueError, RecursionError) as error:
         raise ProtocolError("log record is not JSON") from error
     if not isinstance(data, dict) or not all(isinstance(data.get(name), str) for name in _HEADER):
--- a/src/hyssopwood/replica.py
+++ b/src/hyssopwood/replica.py
@@ -14,7 +14,6 @@
 
 from hyssopwood.append_budget import AppendBudget
 from hyssopwood.checkpoint import CheckpointCollector, CheckpointError, decode_state, encode_state
-from hyssopwood.deadlines import within
 from hyssopwood.errors import (
     AppendBudgetError,
     AppendUnconfirmedError,
@@ -42,6 +41,7 @@
 from hyssopwood.state import ClusterState, has_quorum
 from hyssopwood.timers import Timers
 from hyssopwood.transitions import Applied, apply, skip
+from hyssopwood.waiting import WaitTimeoutError, within
 
 POLL_WAIT_MS = 1_000
 PAGE_RECORDS = 500
@@ -336,7 +336,7 @@
         """Wait for a state that satisfies the predicate; return False after the timeout."""
         try:
             await within(self._timers, timeout_s, self._until(predicate))
-        except TimeoutError:
+        except WaitTimeoutError:
             return predicate(self._state)
         return True
 
@@ -423,7 +423,7 @@
         try:
             # A record whose append answer was lost may be read back during the pause.
             await within(self._timers, seconds, asyncio.shield(waiter))
-        except TimeoutError:
+        except WaitTimeoutError:
             return
 
     # Peers
--- a/src/hyssopwood/settings.py
+++ b/src/hyssopwood/settings.py
@@ -13,30 +13,41 @@
 
 MAX_SETTINGS_BYTES = 131_072
 MAX_PORT = 65_535
+MAX_NAME_CHARACTERS = 100
+# JSON can't carry an infinite number, which 1e999 becomes, back out of the state.
+MAX_NUMBER = 10**12
 
 
 def validate_address(_: Any, __: Attribute[str], value: str) -> None:
     """Raise FieldError unless the value is an IP number and a port."""
+    if _canonical_address(value) != value:
+        raise FieldError(value, "an IP number and a port, such as 127.0.0.1:8080")
+
+
+def _canonical_address(value: str) -> str | None:
+    # One server must not be listed twice under two spellings of its address.
     host, _, port = value.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) <= MAX_PORT
+        address = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        number = int(port)
     except ValueError:
-        valid = False
-    if not valid:
-        raise FieldError(value, "an IP number and a port, such as 127.0.0.1:8080")
+        return None
+    if not 0 < number <= MAX_PORT:
+        return None
+    return f"[{address}]:{number}" if address.version == 6 else f"{address}:{number}"
 
 
 def validate_positive(_: Any, __: Attribute[Any], value: float) -> None:
-    """Raise FieldError unless the value is above 0."""
-    if not value > 0:
-        raise FieldError(value, "a number above 0")
+    """Raise FieldError unless the value is above 0 and at most MAX_NUMBER."""
+    if not 0 < value <= MAX_NUMBER:
+        raise FieldError(value, f"a number above 0 and at most {MAX_NUMBER}")
 
 
 def validate_name(_: Any, __: Attribute[str] | None, value: str) -> None:
     """Raise FieldError unless the value is a plain name."""
-    if not value or not value.replace("-", "").replace("_", "").isalnum():
-        raise FieldError(value, "a name of letters, digits, '-' and '_'")
+    if not value.replace("-", "").replace("_", "").isalnum() or len(value) > MAX_NAME_CHARACTERS:
+        expected = f"a name of at most {MAX_NAME_CHARACTERS} letters, digits, '-' and '_'"
+        raise FieldError(value, expected)
 
 
 def _url(_: Any, __: Attribute[str], value: str) -> None:
--- a/src/hyssopwood/state.py
+++ b/src/hyssopwood/state.py
@@ -70,6 +70,7 @@
     number: int
     reason: str
     detail: str
+    digest: str = ""
 
     @property
     def accepted(self) -> bool:
--- a/src/hyssopwood/structure.py
+++ b/src/hyssopwood/structure.py
@@ -8,6 +8,7 @@
 from typing import Any, TypeVar
 
 import json5
+from attrs import Attribute, fields, has
 from cattrs import Converter
 from cattrs.errors import (
     AttributeValidationNote,
@@ -15,6 +16,7 @@
     ForbiddenExtraKeysError,
     IterableValidationNote,
 )
+from cattrs.gen import make_dict_structure_fn, override
 
 from hyssopwood.errors import Fault, InputError
 
@@ -57,9 +59,44 @@
     converter = Converter(forbid_extra_keys=True, detailed_validation=True)
     for kind in _TYPE_NAMES:
         converter.register_structure_hook(kind, _strict(kind))
+    converter.register_structure_hook_factory(has, lambda kind: _class_hook(converter, kind))
     return converter
 
 
+def _class_hook(converter: Converter, kind: type) -> Any:
+    # A validator that runs in __init__ hides the faults of the other fields and its own field's
+    # name, so each field is also validated when it is structured.
+    overrides = {
+        attribute.name: override(struct_hook=_validated(converter, attribute))
+        for attribute in fields(kind)
+        if attribute.validator is not None
+    }
+    structure_fields = make_dict_structure_fn(
+        kind,
+        converter,
+        _cattrs_forbid_extra_keys=True,
+        _cattrs_detailed_validation=True,
+        **overrides,
+    )
+
+    def structure_object(value: Any, _: type) -> Any:
+        if not isinstance(value, dict):
+            raise FieldError(value, "an object with named fields")
+        return structure_fields(value, kind)
+
+    return structure_object
+
+
+def _validated(converter: Converter, attribute: Attribute[Any]) -> Any:
+    def structure_field(value: object, kind: Any) -> object:
+        structured = converter.structure(value, kind)
+        if attribute.validator is not None:
+            attribute.validator(None, attribute, structured)
+        return structured
+
+    return structure_field
+
+
 _CONVERTER = make_converter()
 
 
--- a/src/hyssopwood/ticket.py
+++ b/src/hyssopwood/ticket.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Mapping
 from enum import Enum
 from typing import Any
 
 from attrs import Attribute, field, frozen
+from xxhash import xxh64_hexdigest
 
 from hyssopwood.errors import InputError
 from hyssopwood.settings import validate_address, validate_name, validate_positive
-from hyssopwood.structure import FieldError, parse_plain_json, structure
+from hyssopwood.structure import FieldError, parse_plain_json, structure, unstructure
 
 MAX_TICKET_BYTES = 1_048_576 - 65_536  # leaves room for the record around the text
 MAX_SHARDS = 65_536
@@ -57,6 +60,17 @@
         raise FieldError(value, "a path that begins and ends with '/' outside /hyssopwood/")
 
 
+def _names(_: Any, __: Attribute[Any], value: Mapping[str, Any]) -> None:
+    for name in value:
+        validate_name(None, None, name)
+
+
+def _pinned_keys(_: Any, __: Attribute[Any], value: Mapping[str, Any]) -> None:
+    for keys in value.values():
+        for key in keys or {}:
+            validate_key(key)
+
+
 @frozen(kw_only=True)
 class Operation:
     """Describe one operation of a service."""
@@ -104,18 +118,11 @@
     """Hold the complete new state of everything that the ticket touches."""
 
     number: int = field(validator=validate_positive)
-    services: dict[str, Service | None] = field(factory=dict)
-    servers: dict[str, Server | None] = field(factory=dict)
-    ownership: dict[str, dict[str, str] | None] = field(factory=dict)
+    services: dict[str, Service | None] = field(factory=dict, validator=_names)
+    servers: dict[str, Server | None] = field(factory=dict, validator=_names)
+    ownership: dict[str, dict[str, str] | None] = field(factory=dict, validator=_pinned_keys)
     limits: dict[str, ServiceLimits | None] = field(factory=dict)
 
-    def __attrs_post_init__(self) -> None:
-        for name in (*self.services, *self.servers):
-            validate_name(self, None, name)
-        for keys in self.ownership.values():
-            for key in keys or {}:
-                validate_key(key)
-
 
 def validate_key(key: str) -> None:
     """Raise FieldError unless the key is 1 to 256 bytes of printable text."""
@@ -125,7 +132,8 @@
 
 def parse_ticket(text: str) -> Ticket | Rejection:
     """Parse a ticket as it stands in the log, in plain JSON."""
-    if len(text.encode()) > MAX_TICKET_BYTES:
+    # A lone surrogate has no UTF-8 form; its ticket is rejected by the checks of its fields.
+    if len(text.encode(errors="surrogatepass")) > MAX_TICKET_BYTES:
         return Rejection(RejectionReason.TOO_LARGE, f"more than {MAX_TICKET_BYTES} bytes")
     try:
         data = parse_plain_json(text)
@@ -135,3 +143,9 @@
         return structure("ticket", data, Ticket)
     except InputError as error:
         return Rejection(RejectionReason.MALFORMED, str(error)[:2_000])
+
+
+def ticket_digest(ticket: Ticket) -> str:
+    """Return a digest of the content, regardless of spacing, order and left-out defaults."""
+    text = json.dumps(unstructure(ticket), sort_keys=True)
+    return xxh64_hexdigest(text.encode())
--- a/src/hyssopwood/ticket_rules.py
+++ b/src/hyssopwood/ticket_rules.py
@@ -6,14 +6,19 @@
 from typing import TypeVar
 
 from hyssopwood.state import ClusterState, is_referenced, partition_service
-from hyssopwood.ticket import Rejection, RejectionReason, Server, Ticket
+from hyssopwood.ticket import Rejection, RejectionReason, Server, Ticket, ticket_digest
 
 T = TypeVar("T")
 
+# Bound the state, and so the checkpoint that every new instance reads.
+MAX_TOTAL_SHARDS = 262_144
+MAX_SERVERS = 4_096
+MAX_PINNED_KEYS = 16_384
+
 
 def ticket_rejection(state: ClusterState, ticket: Ticket) -> Rejection | None:
     """Return why a ticket may not come into force, or None when it may."""
-    for check in (_number_rejection, _service_rejection, _server_rejection, _reference_rejection):
+    for check in _CHECKS:
         rejection = check(state, ticket)
         if rejection is not None:
             return rejection
@@ -31,8 +36,10 @@
     winner = next((v for v in reversed(state.verdicts) if v.accepted), None)
     if winner is None:
         return Rejection(RejectionReason.REPEATED, f"ticket {ticket.number} is in force")
-    detail = f"ticket {ticket.number} by {winner.publisher} at offset {winner.offset} came first"
-    return Rejection(RejectionReason.LOST_RACE, detail)
+    named = f"ticket {ticket.number} by {winner.publisher} at offset {winner.offset}"
+    if winner.digest == ticket_digest(ticket):
+        return Rejection(RejectionReason.REPEATED, f"{named} has the same content")
+    return Rejection(RejectionReason.LOST_RACE, f"{named} came first")
 
 
 def _service_rejection(state: ClusterState, ticket: Ticket) -> Rejection | None:
@@ -125,7 +132,30 @@
     return None
 
 
+def _size_rejection(state: ClusterState, ticket: Ticket) -> Rejection | None:
+    services = merged(state.services, ticket.services).values()
+    pins = merged(state.pins, ticket.ownership).values()
+    sizes = (
+        ("shards", sum(service.shards for service in services), MAX_TOTAL_SHARDS),
+        ("servers", len(merged(state.servers, ticket.servers)), MAX_SERVERS),
+        ("pinned keys", sum(len(keys) for keys in pins), MAX_PINNED_KEYS),
+    )
+    for label, size, limit in sizes:
+        if size > limit:
+            return Rejection(RejectionReason.TOO_LARGE, f"{size} {label}, at most {limit}")
+    return None
+
+
 def merged(current: Mapping[str, T], changes: Mapping[str, T | None]) -> dict[str, T]:
     """Return the table after a ticket's changes; None removes an entry."""
     merged = {**current, **changes}
     return {name: value for name, value in merged.items() if value is not None}
+
+
+_CHECKS = (
+    _number_rejection,
+    _size_rejection,
+    _service_rejection,
+    _server_rejection,
+    _reference_rejection,
+)
--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -48,15 +48,20 @@
     has_quorum,
     hot_partition,
     is_live,
+    is_majority,
     is_referenced,
     partition_service,
     shard_of,
 )
-from hyssopwood.structure import unstructure
-from hyssopwood.ticket import Rejection, Ticket, parse_ticket
+from hyssopwood.structure import FieldError, unstructure
+from hyssopwood.ticket import Rejection, Ticket, parse_ticket, ticket_digest, validate_key
 from hyssopwood.ticket_rules import merged, ticket_rejection
 
+# Bounds the audit trail in a checkpoint; a ticket's full text stands in its own record.
+MAX_AUDIT_CHARACTERS = 1_000
+MAX_PUBLISHER_CHARACTERS = 100
 # 18 digits fit 64 bits; int() refuses texts of more than 4300 digits.
+_SHARD_INDEX = re.compile(r"0|[1-9][0-9]{0,5}")
 _ID = re.compile(r"[\x21-\x7e]{1,128}:[0-9]{1,18}")
 
 
@@ -89,9 +94,12 @@
     writer: str
 
     def entry(self, subject: str, old: object, new: object, cause: str) -> AuditEntry:
-        return AuditEntry(
-            self.offset, self.time_ms, self.writer, subject, str(old), str(new), cause
-        )
+        shown = (_clipped(str(text)) for text in (self.writer, subject, old, new, cause))
+        return AuditEntry(self.offset, self.time_ms, *shown)
+
+
+def _clipped(text: str) -> str:
+    return text if len(text) <= MAX_AUDIT_CHARACTERS else text[:MAX_AUDIT_CHARACTERS] + "..."
 
 
 _Effect = tuple[ClusterState, tuple[AuditEntry, ...]]
@@ -147,23 +155,24 @@
 
 @_effect.register
 def _(body: TicketRecord, state: ClusterState, context: _Context) -> _Effect:
+    publisher = body.publisher[:MAX_PUBLISHER_CHARACTERS]
     parsed = parse_ticket(body.text)
     rejection = parsed if isinstance(parsed, Rejection) else ticket_rejection(state, parsed)
-    number = parsed.number if isinstance(parsed, Ticket) else 0
     verdict = Verdict(
         context.offset,
         context.time_ms,
         context.record_id,
-        body.publisher,
-        number,
+        publisher,
+        parsed.number if isinstance(parsed, Ticket) else 0,
         rejection.reason.value if rejection else "",
         rejection.detail if rejection else "",
+        ticket_digest(parsed) if isinstance(parsed, Ticket) else "",
     )
     verdicts = (*state.verdicts, verdict)[-MAX_VERDICTS:]
     if rejection is not None or not isinstance(parsed, Ticket):
         return evolve(state, verdicts=verdicts), ()
     changed = _with_ticket(state, parsed)
-    entries = tuple(_ticket_entries(state, parsed, context, body.publisher))
+    entries = tuple(_ticket_entries(state, parsed, context, publisher))
     return _prune(evolve(changed, verdicts=verdicts)), entries
 
 
@@ -171,14 +180,20 @@
     named = {name for name, server in ticket.servers.items() if server is not None}
     gone = {name for name, server in ticket.servers.items() if server is None}
     kept = {name: server for name, server in ticket.servers.items() if server is not None}
+    services = merged(state.services, ticket.services)
     return evolve(
         state,
         ticket_number=ticket.number,
-        services=merged(state.services, ticket.services),
+        services=services,
         servers={**state.servers, **kept},
         removed_servers=(state.removed_servers | gone) - named,
         pins=merged(state.pins, ticket.ownership),
         limits=merged(state.limits, ticket.limits),
+        hot_keys={
+            partition: key
+            for partition, key in state.hot_keys.items()
+            if partition_service(partition) in services
+        },
     )
 
 
@@ -246,6 +261,13 @@
     _require(member is not None and member.instance == body.instance, "not-a-member")
     coordinates = any(c.incarnation == body.incarnation for c in state.coordinations.values())
     _require(not coordinates, "still-coordinates")
+    # The member may have applied a plan that named it after it wrote this record and before its
+    # successor's plan; only its position shows that it has handed those servers over.
+    awaited = any(
+        body.incarnation in c.previous and c.epoch > body.applied
+        for c in state.coordinations.values()
+    )
+    _require(not awaited, "still-awaited")
     entry = context.entry(f"instance {body.instance}", body.incarnation, "", "leave")
     return _without_member(state, body.incarnation), (entry,)
 
@@ -255,8 +277,10 @@
     member = state.members.get(body.incarnation)
     known = body.incarnation in (*state.voters, *state.pending_voters)
     _require(member is not None or known, "not-a-member")
+    # A terminated incarnation never counts as a voter again.
+    _require(state.fenced.get(body.incarnation, 0) >= 0, "already-fenced")
     if body.absent:
-        _require(context.writer == state.planner, "not-the-planner")
+        _require(bool(state.planner) and context.writer == state.planner, "not-the-planner")
     else:
         others = [name for name in body.attesters if name != body.incarnation]
         _require(has_quorum(state, others), "no-quorum")
@@ -277,7 +301,9 @@
         server: evolve(c, previous=tuple(p for p in c.previous if p != incarnation))
         for server, c in state.coordinations.items()
     }
-    return evolve(state, members=members, coordinations=coordinations)
+    # The epoch stays, so that the next claim names it; a record of the old planner has no effect.
+    planner = "" if state.planner == incarnation else state.planner
+    return evolve(state, members=members, coordinations=coordinations, planner=planner)
 
 
 @_effect.register
@@ -292,24 +318,35 @@
 
 def _require_epoch(state: ClusterState, context: _Context, epoch: int) -> None:
     _require(epoch == state.planner_epoch, "stale-epoch")
-    _require(context.writer == state.planner, "not-the-planner")
+    _require(bool(state.planner) and context.writer == state.planner, "not-the-planner")
 
 
 @_effect.register
 def _(body: VotersProposedRecord, state: ClusterState, context: _Context) -> _Effect:
     _require_epoch(state, context, body.epoch)
-    _require(not state.pending_voters, "voters-pending")
+    _require(not _may_be_committed(state), "voters-pending")
     _require(0 < len(body.voters) <= MAX_VOTERS, "bad-count")
     _require(len(set(body.voters)) == len(body.voters), "repeated-voter")
     _require(all(is_live(state, name) for name in body.voters), "not-a-member")
     entry = context.entry("voters", state.voters, body.voters, "proposed")
     if not effective_voters(state, state.voters):
-        changed = evolve(state, voters=body.voters)
+        changed = evolve(state, voters=body.voters, pending_voters=(), pending_offset=-1)
     else:
         changed = evolve(state, pending_voters=body.voters, pending_offset=context.offset)
     return evolve(changed, membership_offset=context.offset), (entry,)
 
 
+def _may_be_committed(state: ClusterState) -> bool:
+    """Return whether enough of the pending voters are members to commit them.
+
+    Giving up a proposal is safe at any time: until its commit, authority and fences both need a
+    majority of the old voters.
+    """
+    effective = effective_voters(state, state.pending_voters)
+    live = sum(1 for voter in effective if is_live(state, voter))
+    return is_majority(live, len(effective))
+
+
 @_effect.register
 def _(body: VotersCommittedRecord, state: ClusterState, context: _Context) -> _Effect:
     _require_epoch(state, context, body.epoch)
@@ -435,14 +472,18 @@
         return True
     service, _, index = partition.partition("/")
     known = draft.state.services.get(service)
-    return known is not None and index.isdecimal() and int(index) < known.shards
+    if known is None or _SHARD_INDEX.fullmatch(index) is None:
+        return False
+    return int(index) < known.shards
 
 
 def _add_hot_key(draft: _Draft, hot_key: HotKey) -> None:
     partition = hot_partition(hot_key.service, hot_key.key)
     if hot_key.service not in draft.state.services or partition in draft.hot_keys:
         return
-    shard = draft.ownerships.get(shard_of(draft.state, hot_key.service, hot_key.key))
+    if not _is_valid_key(hot_key.key):
+        return
+    shard = draft.ownerships.get(_shard(draft, hot_key))
     if shard is None or shard.awaiting or not shard.server:
         return
     draft.note(f"partition {partition}", "", shard.server, "hot key")
@@ -450,18 +491,36 @@
     draft.ownerships[partition] = Ownership(shard.server, draft.context.offset)
 
 
+def _is_valid_key(key: str) -> bool:
+    try:
+        validate_key(key)
+    except FieldError:
+        return False
+    return True
+
+
 def _remove_hot_key(draft: _Draft, hot_key: HotKey) -> None:
     partition = hot_partition(hot_key.service, hot_key.key)
-    own = draft.ownerships.get(partition)
-    if partition not in draft.hot_keys or own is None:
+    if partition not in draft.hot_keys or hot_key.service not in draft.state.services:
         return
-    shard = draft.ownerships.get(shard_of(draft.state, hot_key.service, hot_key.key))
-    settled = shard is not None and not shard.awaiting and not own.awaiting
-    if not settled or shard.server != own.server:
+    own = draft.ownerships.get(partition, Ownership("", -1))
+    if not _may_rejoin(own, draft.ownerships.get(_shard(draft, hot_key))):
         return
     draft.note(f"partition {partition}", own.server, "", "no longer hot")
     del draft.hot_keys[partition]
-    del draft.ownerships[partition]
+    draft.ownerships.pop(partition, None)
+
+
+def _shard(draft: _Draft, hot_key: HotKey) -> str:
+    return shard_of(draft.state, hot_key.service, hot_key.key)
+
+
+def _may_rejoin(own: Ownership, shard: Ownership | None) -> bool:
+    """Return whether nobody but the shard's settled owner can hold the key."""
+    if not own.server:
+        return not own.awaiting
+    settled = shard is not None and not shard.awaiting and not own.awaiting
+    return settled and shard.server == own.server
 
 
 @_effect.register
@@ -475,7 +534,16 @@
         ownerships[grant.partition] = settled
         subject = f"partition {grant.partition}"
         entries.append(context.entry(subject, "moving", settled.server, "granted"))
-    return _prune(evolve(state, ownerships=ownerships)), tuple(entries)
+    coordinations = dict(state.coordinations)
+    for takeover in body.takeovers:
+        current = coordinations.get(takeover.server)
+        if current is not None and (current.incarnation, current.epoch) == (
+            context.writer,
+            takeover.epoch,
+        ):
+            coordinations[takeover.server] = evolve(current, previous=())
+    changed = evolve(state, ownerships=ownerships, coordinations=coordinations)
+    return _prune(changed), tuple(entries)
 
 
 def _settled(state: ClusterState, grant: Grant, writer: str) -> Ownership | None:
