--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -277,14 +277,16 @@
     member = state.members.get(body.incarnation)
     known = body.incarnation in (*state.voters, *state.pending_voters)
     _require(member is not None or known, "not-a-member")
-    # A terminated incarnation never counts as a voter again.
-    _require(state.fenced.get(body.incarnation, 0) >= 0, "already-fenced")
+    # Only the news that a fenced voter was terminated adds something to its first fence.
+    mark = state.fenced.get(body.incarnation)
+    _require(mark is None or (body.absent and mark >= 0), "already-fenced")
     if body.absent:
         _require(bool(state.planner) and context.writer == state.planner, "not-the-planner")
     else:
         others = [name for name in body.attesters if name != body.incarnation]
         _require(has_quorum(state, others), "no-quorum")
-    # A negative value marks an incarnation that the platform has terminated.
+    # A negative value marks an incarnation that the platform has terminated, which never counts
+    # as a voter again.
     mark = -context.offset - 1 if body.absent else context.offset
     fenced = _remember(state.fenced, body.incarnation, mark, MAX_FENCED)
     changed = evolve(
@@ -337,11 +339,13 @@
 
 
 def _may_be_committed(state: ClusterState) -> bool:
-    """Return whether enough of the pending voters are members to commit them.
+    """Return whether enough voters of both sets remain to commit the pending ones.
 
     Giving up a proposal is safe at any time: until its commit, authority and fences both need a
     majority of the old voters.
     """
+    if not effective_voters(state, state.voters):
+        return False
     effective = effective_voters(state, state.pending_voters)
     live = sum(1 for voter in effective if is_live(state, voter))
     return is_majority(live, len(effective))
