--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -232,7 +232,6 @@
             self.membership.instance_list,
             timers,
         )
-        self.membership.report_locally = self.planner.on_usage_report
         self.tasks = []
 
     async def _position(self, sender, body):
--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -10,7 +10,7 @@
 from hyssopwood.errors import HyssopwoodError, LogError, MembershipLostError
 from hyssopwood.events import Event, emit
 from hyssopwood.liveness import PeerNetwork
-from hyssopwood.messages import ServerUsage, UsageReport
+from hyssopwood.messages import Ack, ServerUsage, UsageReport
 from hyssopwood.planner import LogReplica
 from hyssopwood.records import JoinRecord, LeaveRecord
 from hyssopwood.settings import Settings
@@ -20,7 +20,9 @@
 LIST_INTERVAL_S = 1.0
 CHECK_INTERVAL_S = 0.05
 REPORT_INTERVAL_S = 1.0
+REPORT_RETRY_S = 0.2
 RETRY_S = 0.5
+VOTER_HANDOVER_S = 5.0
 INCARNATION_BYTES = 4
 
 
@@ -90,7 +92,8 @@
         timers: Timers,
         usage: Callable[[], tuple[ServerUsage, ...]],
         on_lost: Callable[[str], Awaitable[None]],
-        report_locally: Callable[[str, UsageReport], Awaitable[Any]] | None = None,
+        coordinates: Callable[[], bool] = lambda: False,
+        note_report: Callable[[str, bool], None] = lambda planner, accepted: None,
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -99,7 +102,8 @@
         self._timers = timers
         self._usage = usage
         self._on_lost = on_lost
-        self.report_locally = report_locally
+        self._coordinates = coordinates
+        self._note_report = note_report
         self._joined = False
         self._leaving = False
         self._sent: tuple[object, ...] = ()
@@ -134,17 +138,30 @@
     async def leave(self) -> bool:
         """Hand over and leave; return False when that took longer than the drain limit."""
         self._leaving = True
-        deadline_s = self._timers.now() + self._settings.timing.drain_limit_ms / 1000
+        started_s = self._timers.now()
         while self._own in self._replica.state.members:
-            if self._timers.now() >= deadline_s:
+            waited_s = self._timers.now() - started_s
+            if waited_s >= self._settings.timing.drain_limit_ms / 1000:
                 return False
-            if not self._has_role(self._replica.state):
+            if self._may_leave(self._replica.state, waited_s):
                 await self._try_to_leave()
-                continue
-            await self._timers.sleep(CHECK_INTERVAL_S)
+            else:
+                await self._timers.sleep(CHECK_INTERVAL_S)
         emit(Event.LEFT, incarnation=self._own)
         return True
 
+    def _may_leave(self, state: ClusterState, waited_s: float) -> bool:
+        """Return whether others have taken over this instance's roles.
+
+        A member may leave while it is a voter, but then its vote is missing until it is replaced.
+        """
+        if self._coordinates():
+            return False
+        if any(c.incarnation == self._own for c in state.coordinations.values()):
+            return False
+        votes = self._own in (*state.voters, *state.pending_voters)
+        return not votes or len(state.members) == 1 or waited_s >= VOTER_HANDOVER_S
+
     async def _try_to_leave(self) -> None:
         body = LeaveRecord(instance=self._settings.instance, incarnation=self._own)
         try:
@@ -155,12 +172,12 @@
         if applied.rejected:
             await self._timers.sleep(CHECK_INTERVAL_S)
 
-    def _has_role(self, state: ClusterState) -> bool:
-        return any(self._own in (c.incarnation, *c.previous) for c in state.coordinations.values())
-
     async def run(self) -> None:
         """Watch the own membership and the platform's list, and report usage."""
-        await asyncio.gather(self._watch(), self._read_list(), self._report())
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._watch())
+            tasks.create_task(self._read_list())
+            tasks.create_task(self._report())
 
     async def _watch(self) -> None:
         async for _ in self._timers.subscribe(CHECK_INTERVAL_S):
@@ -182,29 +199,24 @@
 
     async def _report(self) -> None:
         async for now in self._timers.subscribe(CHECK_INTERVAL_S):
-            if not self._joined:
+            planner = self._replica.state.planner
+            if not self._joined or planner not in self._replica.state.members:
                 continue
             servers = self._usage()
-            planner = self._replica.state.planner
-            key = (planner, self._leaving, tuple((s.server, s.status) for s in servers))
             # Status changes and a new planner can't wait for the next periodic report.
+            key = (planner, self._leaving, tuple((s.server, s.status) for s in servers))
             if key == self._sent and now < self._report_due_s:
                 continue
             report = UsageReport(self._settings.instance, servers, self._leaving)
-            if await self._send(planner, report):
-                self._sent = key
-                self._report_due_s = now + REPORT_INTERVAL_S
+            accepted = await self._send(planner, report)
+            self._note_report(planner, accepted)
+            self._sent = key
+            self._report_due_s = now + (REPORT_INTERVAL_S if accepted else REPORT_RETRY_S)
 
     async def _send(self, planner: str, report: UsageReport) -> bool:
-        if planner not in self._replica.state.members:
-            return False
         try:
-            if planner == self._own:
-                if self.report_locally is not None:
-                    await self.report_locally(self._own, report)
-                return True
             timeout_s = self._settings.timing.peer_timeout_ms / 1000
-            await self._peers.request(planner, report, timeout_s)
+            reply = await self._peers.request(planner, report, timeout_s)
         except HyssopwoodError:
             return False
-        return True
+        return isinstance(reply, Ack)
--- a/src/hyssopwood/placement.py
+++ b/src/hyssopwood/placement.py
@@ -5,10 +5,13 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from hyssopwood.records import Move
 
+# Keeps ratios finite for a server that may not get load yet.
+MIN_CAPACITY_SLOTS = 1e-6
+
 
 @frozen(kw_only=True)
 class ServerLoad:
@@ -19,7 +22,6 @@
 
     name: str
     slots: int
-    failure_domain: str = ""
     usable: bool = True
     removed: bool = False
     share: float = 1.0
@@ -27,15 +29,15 @@
     @property
     def capacity(self) -> float:
         """Return the slots that placement may count on."""
-        return max(self.slots * self.share, 1e-6) if self.usable else 0.0
+        return max(self.slots * self.share, MIN_CAPACITY_SLOTS) if self.usable else 0.0
 
 
 @frozen(kw_only=True)
 class PartitionLoad:
     """Describe a partition: its owner, its load in busy slots and where a ticket pins it.
 
-    `holder` is a previous owner that has not released it yet; `movable` is false while a move is
-    under way or was made recently.
+    `holder` is a previous owner that has not released it yet. `movable` is false while a move is
+    under way and for some time after one.
     """
 
     name: str
@@ -46,12 +48,28 @@
     movable: bool = True
 
 
+@frozen(kw_only=True)
+class KeyLoad:
+    """Describe a key that may deserve a partition of its own, or has one.
+
+    `shard` is the partition that the key hashes to; `partition` is its own.
+    """
+
+    key: str
+    shard: str
+    partition: str
+    load: float
+    cold: bool = False
+
+
 @frozen(kw_only=True)
 class Snapshot:
     """Hold the load of one service."""
 
     servers: tuple[ServerLoad, ...]
     partitions: tuple[PartitionLoad, ...]
+    hot_candidates: tuple[KeyLoad, ...] = ()
+    isolated: tuple[KeyLoad, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -59,21 +77,33 @@
     """Bound rebalancing.
 
     A server counts as overloaded above `hysteresis` times its fair share. A move must take more
-    slot-seconds of excess load off its source within `horizon_s` than it makes unavailable in
-    `move_unavailable_s`.
+    slot-seconds of excess off its source within `horizon_s` than it makes unavailable in
+    `move_unavailable_s`, and at least `min_gain_ratio` of a server's mean load.
     """
 
-    hysteresis: float = 1.25
+    hysteresis: float = 1.15
     horizon_s: float = 10.0
     move_unavailable_s: float = 0.1
-    min_gain_slots: float = 0.05
+    min_gain_ratio: float = 0.05
+    # A key is isolated when it is this part of its server's slots and of its shard's load.
+    hot_slot_ratio: float = 0.1
+    hot_shard_ratio: float = 0.25
+    max_hot_keys: int = 32
+
+
+@frozen(kw_only=True)
+class HotKeyChanges:
+    """Hold the keys to isolate, the isolated keys to merge back, and the moves that allow it."""
+
+    added: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+    moves: tuple[Move, ...] = ()
 
 
 def required_moves(snapshot: Snapshot) -> tuple[Move, ...]:
     """Return the moves that can't wait: partitions without a usable owner, and pins."""
     servers = {server.name: server for server in snapshot.servers}
     usable = [server for server in snapshot.servers if server.usable]
-    loads = _loads(snapshot)
     moves: list[Move] = []
     unowned: list[PartitionLoad] = []
     for part in snapshot.partitions:
@@ -86,7 +116,7 @@
             unowned.append(part)
     if not usable:
         return (*moves, *_releases(unowned, servers))
-    return (*moves, *_spread(unowned, usable, loads))
+    return (*moves, *_spread(unowned, usable, _loads(snapshot)))
 
 
 def _releases(
@@ -102,19 +132,22 @@
 def _spread(
     unowned: list[PartitionLoad], usable: list[ServerLoad], loads: dict[str, float]
 ) -> Iterable[Move]:
-    """Assign partitions to the least loaded servers, the heaviest first."""
-    by_name = {server.name: server for server in usable}
+    """Assign partitions to the least loaded servers, the heaviest first.
+
+    A partition that a usable server has not released yet returns to it, which takes no release.
+    """
+    capacities = {server.name: server.capacity for server in usable}
     mean = sum(part.load for part in unowned) / max(len(unowned), 1)
 
     def entry(name: str) -> tuple[float, str]:
         # The ratio after one more partition keeps idle servers of small capacity from the top.
-        return (loads[name] + mean) / by_name[name].capacity, name
+        return (loads[name] + mean) / capacities[name], name
 
     heap = [entry(server.name) for server in usable]
     heapq.heapify(heap)
     for part in sorted(unowned, key=lambda item: (-item.load, item.name)):
         target = part.holder
-        if target not in by_name:
+        if target not in capacities:
             _, target = heapq.heappop(heap)
             loads[target] += part.load
             heapq.heappush(heap, entry(target))
@@ -129,62 +162,115 @@
     return loads
 
 
+class _Balance:
+    """Hold the loads of the usable servers while moves are chosen."""
+
+    def __init__(self, snapshot: Snapshot, limits: RebalanceLimits) -> None:
+        self.limits = limits
+        self.loads = _loads(snapshot)
+        usable = [server for server in snapshot.servers if server.usable]
+        self.capacities = {server.name: server.capacity for server in usable}
+        total = sum(self.loads[name] for name in self.capacities)
+        self.fair = total / sum(self.capacities.values()) if usable else 0.0
+        self.min_gain = limits.min_gain_ratio * total / max(len(usable), 1)
+
+    def ratio(self, name: str) -> float:
+        """Return a server's load relative to its fair share."""
+        return self.loads[name] / (self.fair * self.capacities[name])
+
+    def room(self, name: str) -> float:
+        """Return the load that a server lacks to its fair share."""
+        return self.fair * self.capacities[name] - self.loads[name]
+
+    def overloaded(self) -> list[str]:
+        """Return the servers above the hysteresis, the most overloaded first."""
+        if self.fair <= 0:
+            return []
+        names = [name for name in self.capacities if self.ratio(name) > self.limits.hysteresis]
+        return sorted(names, key=lambda name: (-self.ratio(name), name))
+
+    def gain(self, load: float, excess: float, room: float) -> float:
+        """Return the slot-seconds that a move gains, less those it makes unavailable."""
+        relieved = min(load, excess) - max(0.0, load - room)
+        if relieved < self.min_gain:
+            return 0.0
+        return relieved * self.limits.horizon_s - load * self.limits.move_unavailable_s
+
+    def move(self, load: float, source: str, target: str) -> None:
+        """Account for a move."""
+        self.loads[source] -= load
+        self.loads[target] += load
+
+
 def rebalancing_moves(snapshot: Snapshot, limits: RebalanceLimits, budget: int) -> tuple[Move, ...]:
-    """Return at most `budget` moves from overloaded servers to the least loaded ones."""
-    usable = [server for server in snapshot.servers if server.usable]
-    total_capacity = sum(server.capacity for server in usable)
-    if len(usable) < 2 or total_capacity <= 0:
-        return ()
-    loads = _loads(snapshot)
-    fair = sum(loads[server.name] for server in usable) / total_capacity
-    if fair <= 0:
-        return ()
-    owned: dict[str, list[PartitionLoad]] = {server.name: [] for server in usable}
+    """Return at most `budget` moves from overloaded servers to those with the most room."""
+    balance = _Balance(snapshot, limits)
+    owned: dict[str, list[PartitionLoad]] = {name: [] for name in balance.capacities}
     for part in snapshot.partitions:
         if part.owner in owned and part.movable and not part.pin:
             owned[part.owner].append(part)
     moves: list[Move] = []
     while len(moves) < budget:
-        move = _best_move(usable, owned, loads, fair, limits)
-        if move is None:
+        chosen = _best_move(balance, owned)
+        if chosen is None:
             break
-        part, source, target = move
-        owned[source].remove(part)
-        loads[source] -= part.load
-        loads[target] += part.load
+        part, target = chosen
+        owned[part.owner].remove(part)
+        balance.move(part.load, part.owner, target)
         moves.append(Move(partition=part.name, target=target))
     return tuple(moves)
 
 
 def _best_move(
-    usable: list[ServerLoad],
-    owned: Mapping[str, list[PartitionLoad]],
-    loads: Mapping[str, float],
-    fair: float,
-    limits: RebalanceLimits,
-) -> tuple[PartitionLoad, str, str] | None:
-    """Return the best move from the most overloaded server that has a worthwhile one."""
-    ratios = {server.name: loads[server.name] / server.capacity for server in usable}
-    rooms = {server.name: fair * server.capacity - loads[server.name] for server in usable}
-    target = max(usable, key=lambda server: (rooms[server.name], server.name))
-    room = rooms[target.name]
-    for source in sorted(usable, key=lambda server: (-ratios[server.name], server.name)):
-        if ratios[source.name] <= fair * limits.hysteresis:
-            return None
-        excess = loads[source.name] - fair * source.capacity
-        best = max(
-            owned[source.name],
-            key=lambda part: (_net_gain(part.load, excess, room, limits), part.name),
-            default=None,
-        )
-        if best is not None and _net_gain(best.load, excess, room, limits) > 0:
-            return best, source.name, target.name
+    balance: _Balance, owned: Mapping[str, list[PartitionLoad]]
+) -> tuple[PartitionLoad, str] | None:
+    """Return the best move off the most overloaded server that has a worthwhile one."""
+    sources = balance.overloaded()
+    if not sources:
+        return None
+    target = max(balance.capacities, key=lambda name: (balance.room(name), name))
+    room = balance.room(target)
+    for source in sources:
+        excess = -balance.room(source)
+        gains = [(balance.gain(part.load, excess, room), part.name, part) for part in owned[source]]
+        best = max(gains, key=lambda item: item[:2], default=None)
+        if best is not None and best[0] > 0:
+            return best[2], target
     return None
 
 
-def _net_gain(load: float, excess: float, room: float, limits: RebalanceLimits) -> float:
-    """Return the slot-seconds that a move gains, less those it makes unavailable."""
-    relieved = min(load, excess) - max(0.0, load - room)
-    if relieved < limits.min_gain_slots:
-        return 0.0
-    return relieved * limits.horizon_s - load * limits.move_unavailable_s
+def hot_key_changes(snapshot: Snapshot, limits: RebalanceLimits, budget: int) -> HotKeyChanges:
+    """Isolate the hot keys of overloaded servers and merge back keys that are no longer hot.
+
+    An isolated key stays with its server at first; rebalancing then moves it or its neighbours.
+    """
+    parts = {part.name: part for part in snapshot.partitions}
+    merge = _merges(snapshot, parts, budget)
+    room = limits.max_hot_keys - len(snapshot.isolated)
+    overloaded = set(_Balance(snapshot, limits).overloaded())
+    slots = {server.name: server.slots for server in snapshot.servers}
+    added = []
+    for key in sorted(snapshot.hot_candidates, key=lambda item: (-item.load, item.key)):
+        shard = parts.get(key.shard)
+        if shard is None or shard.holder or shard.owner not in overloaded:
+            continue
+        large = key.load >= limits.hot_slot_ratio * slots[shard.owner]
+        if large and key.load >= limits.hot_shard_ratio * shard.load:
+            added.append(key.key)
+    return evolve(merge, added=tuple(added[: max(room, 0)]))
+
+
+def _merges(snapshot: Snapshot, parts: Mapping[str, PartitionLoad], budget: int) -> HotKeyChanges:
+    removed: list[str] = []
+    moves: list[Move] = []
+    for key in snapshot.isolated:
+        own, shard = parts.get(key.partition), parts.get(key.shard)
+        if not key.cold or own is None or shard is None or own.pin:
+            continue
+        if own.holder or shard.holder or not shard.owner:
+            continue
+        if own.owner == shard.owner:
+            removed.append(key.key)
+        elif own.movable and len(moves) < budget:
+            moves.append(Move(partition=own.name, target=shard.owner))
+    return HotKeyChanges(removed=tuple(removed), moves=tuple(moves))
