--- a/features/request_backend.feature
+++ b/features/request_backend.feature
@@ -49,9 +49,11 @@
 
   Scenario: A silent connection is closed and its pool retired
     Guards against work sent into established connections that never answer again.
-    Given a backend server that stays silent
-    When a POST attempt is sent
-    And the server answers again
+    Given a backend server that answers
+    When 2 attempts are answered at the same time
+    And the server stays silent
+    And a POST attempt is sent
+    And the server answers
     And another POST attempt is sent on the same connection
     Then the attempt ends as answered whole
     And the second attempt used a new connection
--- a/features/steps/request_backend_steps.py
+++ b/features/steps/request_backend_steps.py
@@ -2,11 +2,20 @@
 
 import asyncio
 
-from behave import given, then, when
+import parse
+from behave import given, register_type, then, when
 
 from hyssopwood.backend import BackendClient
 from hyssopwood.outcomes import Answered, BodyCutError, NotRun
-from support.request_fakes import ScriptedServer, server_request, until
+from support.request_fakes import ScriptedServer, close_at_end, server_request, until
+
+
+@parse.with_pattern("stays silent|answers")
+def _behaviour(text):
+    return text
+
+
+register_type(Behaviour=_behaviour)
 
 
 def _start(context, behaviour, running):
@@ -14,12 +23,7 @@
     context.run(context.server.start())
     context.client = BackendClient(context.timers)
     context.changes = {}
-    context.add_cleanup(lambda: context.run(_stop(context)))
-
-
-async def _stop(context):
-    await context.client.close()
-    await context.server.stop()
+    close_at_end(context, context.client.close, context.server.stop)
 
 
 @given("a backend server that {behaviour}")
@@ -117,9 +121,18 @@
     context.outcome = context.run(_outcome(context, **context.changes))
 
 
-@when("the server answers again")
-def step_request_recovers(context):
-    context.server.behaviour = "answers"
+@when("{count:d} attempts are answered at the same time")
+def step_request_concurrent(context, count):
+    async def send_all():
+        return await asyncio.gather(*(_outcome(context) for _ in range(count)))
+
+    assert set(context.run(send_all())) == {"answered whole"}
+    assert context.server.connections == count
+
+
+@when("the server {behaviour:Behaviour}")
+def step_request_changes(context, behaviour):
+    context.server.behaviour = behaviour
 
 
 @when("the process is paused for {seconds:g} s")
--- a/features/support/request_fakes.py
+++ b/features/support/request_fakes.py
@@ -22,6 +22,20 @@
     raise AssertionError("the condition was not met in time")
 
 
+def close_at_end(context, *closers):
+    """Await the closers when the scenario's tasks are cancelled."""
+
+    async def guard():
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            for close in closers:
+                await close()
+
+    context.request_guard = context.loop.create_task(guard())
+    context.run(asyncio.sleep(0))
+
+
 class ScriptedServer:
     """Backend server whose answers follow a script; `running` is its own load report."""
 
--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -321,6 +321,8 @@
         """Send one attempt and return its outcome with the body still to be read."""
         if self._closed:
             return NotRun(Reason.SHUTTING_DOWN, "this instance is stopping", REFUSAL_RETRY_S)
+        if self._timers.now() >= request.deadline:
+            return NotRun(Reason.DEADLINE_EXCEEDED, "the deadline has passed")
         self._start_watch()
         attempt = self._begin(request)
         try:
--- a/src/hyssopwood/wait_limits.py
+++ b/src/hyssopwood/wait_limits.py
@@ -1,4 +1,4 @@
-"""WaitLimits of waiting tasks, enforced by one periodic check."""
+"""Limits on the waits of tasks, enforced by one periodic check."""
 
 from __future__ import annotations
 
