--- a/src/hyssopwood/status.py
+++ b/src/hyssopwood/status.py
@@ -39,7 +39,7 @@
     state = member.replica.state
     return {
         "incarnation": member.incarnation,
-        "ticket": state.ticket_number,
+        "ticket_number": state.ticket_number,
         "applied": state.applied,
         "log_reachable": member.replica.log_reachable,
         "authority": member.authority.held(),
