--- a/src/hyssopwood/hot_keys.py
+++ b/src/hyssopwood/hot_keys.py
@@ -17,7 +17,7 @@
 
 @frozen
 class HotKeyRate:
-    """Hold a key's decayed rate; the true rate lies between `rate - error` and `rate`."""
+    """Hold a key's decayed rate as a lower bound; the true rate is at most `rate + error`."""
 
     key: str
     rate: float
@@ -61,10 +61,11 @@
     def top(self, limit: int = DEFAULT_CAPACITY) -> tuple[HotKeyRate, ...]:
         """Return the keys by falling rate per second."""
         to_rate = math.log(2) / self._half_life_s / self._scale()
-        largest = heapq.nlargest(
-            limit, self._counters.items(), key=lambda item: (item[1].count, item[0])
+        rates = (
+            HotKeyRate(key, (counter.count - counter.error) * to_rate, counter.error * to_rate)
+            for key, counter in self._counters.items()
         )
-        return tuple(HotKeyRate(key, c.count * to_rate, c.error * to_rate) for key, c in largest)
+        return tuple(heapq.nlargest(limit, rates, key=lambda item: (item.rate, item.key)))
 
     def _scale(self) -> float:
         """Return the weight of one unit now, relative to the origin."""
--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
@@ -106,6 +107,8 @@
         self._note_report = note_report
         self._joined = False
         self._leaving = False
+        self._coordinated = False
+        self._handed_over_s = math.inf
         self._sent: tuple[object, ...] = ()
         self._report_due_s = 0.0
         self.instance_list = InstanceList(
@@ -138,6 +141,8 @@
     async def leave(self) -> bool:
         """Hand over and leave; return False when that took longer than the drain limit."""
         self._leaving = True
+        state = self._replica.state
+        self._coordinated = any(c.incarnation == self._own for c in state.coordinations.values())
         started_s = self._timers.now()
         while self._own in self._replica.state.members:
             waited_s = self._timers.now() - started_s
@@ -155,9 +160,15 @@
 
         A member may leave while it is a voter, but then its vote is missing until it is replaced.
         """
-        if self._coordinates():
+        named = any(c.incarnation == self._own for c in state.coordinations.values())
+        if named or self._coordinates():
+            self._handed_over_s = math.inf
             return False
-        if any(c.incarnation == self._own for c in state.coordinations.values()):
+        # A member that has left is not asked for its permits, so they must have ended before.
+        self._handed_over_s = min(self._handed_over_s, self._timers.now())
+        timing = self._settings.timing
+        permits_s = (timing.permit_ms + timing.max_message_life_ms) / 1000
+        if self._coordinated and self._timers.now() - self._handed_over_s < permits_s:
             return False
         votes = self._own in (*state.voters, *state.pending_voters)
         return not votes or len(state.members) == 1 or waited_s >= VOTER_HANDOVER_S
--- a/src/hyssopwood/placement.py
+++ b/src/hyssopwood/placement.py
@@ -81,7 +81,7 @@
     `move_unavailable_s`, and at least `min_gain_ratio` of a server's mean load.
     """
 
-    hysteresis: float = 1.15
+    hysteresis: float = 1.2
     horizon_s: float = 10.0
     move_unavailable_s: float = 0.1
     min_gain_ratio: float = 0.05
--- a/src/hyssopwood/planner.py
+++ b/src/hyssopwood/planner.py
@@ -21,7 +21,7 @@
 from hyssopwood.state import ClusterState, Member, effective_voters, has_quorum
 from hyssopwood.timers import Timers
 from hyssopwood.transitions import Applied
-from hyssopwood.usage import UsageBook
+from hyssopwood.usage_reports import UsageBook
 from hyssopwood.voters import choose_voters
 from hyssopwood.waiting import Signal
 
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -19,7 +19,7 @@
 from hyssopwood.settings import Settings
 from hyssopwood.state import STATUS_DOWN, STATUS_UP, ClusterState, Member, hot_partition, shard_of
 from hyssopwood.timers import Timers
-from hyssopwood.usage import UsageBook
+from hyssopwood.usage_reports import UsageBook
 from hyssopwood.voters import balancing_coordinators, required_coordinators
 
 REBALANCE_INTERVAL_S = 1.0
