Replicate idempotency records to a standby, the next coordinator and the next owner

Cause: records lived only in the memory of the coordinator of the key's present server, so a repeat after a move or after the loss of the coordinator ran again. Ruled out: the dispatcher sends a non-repeatable request again (the two runs had different caller requests).

--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -58,6 +58,8 @@
         self._active: dict[str, _Active] = {}
         # Epochs up to which servers were handed over; no older one is acted on again.
         self._given_up: dict[str, int] = {}
+        # Epochs of the coordinators that have got the records of a server.
+        self._passed: dict[str, int] = {}
         self._tasks = TaskGroup()
         self._leaving = False
         parts.peers.on(PermitRequest, self._on_permit_request)
@@ -242,14 +244,17 @@
 
     # Releases
 
-    async def _on_release_query(self, _: str, query: ReleaseQuery) -> ReleaseReply:
+    async def _on_release_query(self, sender: str, query: ReleaseQuery) -> ReleaseReply:
         until = self._parts.timers.now() + RELEASE_POLL_S
         while not self._released(query):
             left = until - self._parts.timers.now()
             if left <= 0:
                 return ReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
             await self._parts.changed.wait(left)
-        return ReleaseReply(True, 0)
+        # Without these records the next owner could run a repeated request again.
+        copied = await self._parts.hooks.before_release(query.partition, query.server, sender)
+        released = copied and self._released(query)
+        return ReleaseReply(released, 0 if released else int(CLEARANCE_RETRY_S * 1000))
 
     def _released(self, query: ReleaseQuery) -> bool:
         """Answer only for the token in force here and for a server under this coordinator."""
@@ -267,7 +272,7 @@
         return active.coordinator.release_if_certain(query.partition)
 
     async def _on_server_release_query(
-        self, _: str, query: ServerReleaseQuery
+        self, sender: str, query: ServerReleaseQuery
     ) -> ServerReleaseReply:
         """Hand a server over to the coordinator of a newer epoch, after stopping its permits."""
         state = self._parts.state
@@ -280,8 +285,19 @@
         if query.server in self._active:
             emit(Event.SERVER_HANDED_OVER, server=query.server, epoch=query.epoch)
             self._stop(query.server)
+        if not await self._passed_on(query, sender):
+            return ServerReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
         return ServerReleaseReply(True, self._permits_end_ms(query.server))
 
+    async def _passed_on(self, query: ServerReleaseQuery, asker: str) -> bool:
+        """Pass a server's records on once to each next coordinator."""
+        if self._passed.get(query.server, NO_EPOCH) >= query.epoch:
+            return True
+        if not await self._parts.hooks.before_hand_over(query.server, asker):
+            return False
+        self._passed[query.server] = query.epoch
+        return True
+
     def _permits_end_ms(self, server: str) -> int:
         records = self._records.get(server)
         if records is None:
--- a/src/hyssopwood/idempotency.py
+++ b/src/hyssopwood/idempotency.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 from typing import TypeAlias
 
@@ -29,6 +29,8 @@
     ANSWERED = "answered"
     ANSWER_LOST = "answer-lost"
     UNKNOWN = "unknown"
+    # Only in copies: the request was proved not to have run.
+    ABANDONED = "abandoned"
 
 
 @define(eq=False)
@@ -39,6 +41,7 @@
     state: KeyState
     expires: float
     holder: str = ""
+    request_key: str = ""
     status: int = 0
     body: bytes = b""
 
@@ -87,7 +90,7 @@
         # Ordered by expiry, as the window is the same for all.
         self._records: OrderedDict[tuple[str, str], _Record] = OrderedDict()
         self._stored_bytes = 0
-        self._distrust_until = -math.inf
+        self._distrust_until: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -97,21 +100,32 @@
         """Return the sum of the stored bodies."""
         return self._stored_bytes
 
-    def begin(self, service: str, key: str, digest: int, request_id: str) -> BeginResult:
+    def begin(
+        self,
+        service: str,
+        key: str,
+        digest: int,
+        request_id: str,
+        request_key: str = "",
+        partition: str = "",
+    ) -> BeginResult:
         """Record a key before its request runs, or say why it must not run."""
         now = self._timers.now()
         self._expire(now)
         record = self._records.get((service, key))
         if record is not None:
             return self._judge(record, digest, request_id, now)
-        if now < self._distrust_until:
+        distrust_s = self.distrust_s(partition)
+        if distrust_s > 0:
             detail = "the record of this key may have been lost with its coordinator"
-            return KeyRefused(Reason.RECORD_LOST, detail, self._distrust_until - now)
+            return KeyRefused(Reason.RECORD_LOST, detail, distrust_s)
         if len(self._records) >= self._max_records:
             oldest = next(iter(self._records.values()))
             detail = f"{len(self._records)} idempotency keys are recorded"
             return KeyRefused(Reason.QUEUE_FULL, detail, max(0.0, oldest.expires - now))
-        record = _Record(digest, KeyState.IN_PROGRESS, now + self._window_s, holder_of(request_id))
+        expires = now + self._window_s
+        holder = holder_of(request_id)
+        record = _Record(digest, KeyState.IN_PROGRESS, expires, holder, request_key)
         self._records[service, key] = record
         return Begun()
 
@@ -146,20 +160,31 @@
         record = self._records.get((service, key))
         return None if record is None else record.state
 
-    def distrust_until(self, until: float) -> None:
-        """Refuse unknown keys until then, after a takeover without copies."""
-        self._distrust_until = max(self._distrust_until, until)
+    def distrust_until(self, until: float, partition: str = "") -> None:
+        """Refuse unknown keys of a partition, or of all, until then; records may be missing."""
+        now = self._timers.now()
+        kept = {name: end for name, end in self._distrust_until.items() if end > now}
+        kept[partition] = max(until, kept.get(partition, until))
+        self._distrust_until = kept
+
+    def distrust_s(self, partition: str = "") -> float:
+        """Return for how many seconds unknown keys of a partition are still refused."""
+        ends = (self._distrust_until.get(name, -math.inf) for name in ("", partition))
+        return max(0.0, max(ends) - self._timers.now())
 
     def copy_of(self, server: str, service: str, key: str) -> IdempotencyCopy | None:
         """Return the copy of one record for the standby."""
         record = self._records.get((service, key))
         return None if record is None else _copy(server, service, key, record)
 
-    def export(self, server: str) -> Iterator[IdempotencyCopy]:
-        """Yield copies of all records, for a new standby."""
+    def export(
+        self, server: str, wanted: Callable[[str, str], bool] = lambda service, key: True
+    ) -> Iterator[IdempotencyCopy]:
+        """Yield copies of the records whose service and request key are wanted."""
         self._expire(self._timers.now())
         for (service, key), record in list(self._records.items()):
-            yield _copy(server, service, key, record)
+            if wanted(service, record.request_key):
+                yield _copy(server, service, key, record)
 
     def import_copies(self, copies: Iterable[IdempotencyCopy]) -> None:
         """Store copies from the coordinator; their window starts again."""
@@ -177,6 +202,9 @@
         name = (copy.service, copy.idempotency_key)
         known = self._records.get(name)
         state = KeyState(copy.state)
+        if state is KeyState.ABANDONED:
+            self.abandon(*name)
+            return
         if known is not None and state is KeyState.IN_PROGRESS:
             # Copies may arrive out of order; an outcome is never replaced by its beginning.
             return
@@ -189,7 +217,8 @@
             return
         expires = self._timers.now() + self._window_s
         body = copy.body[:MAX_BODY_BYTES]
-        self._records[name] = _Record(copy.digest, state, expires, "", copy.status, body)
+        record = _Record(copy.digest, state, expires, "", copy.key, copy.status, body)
+        self._records[name] = record
         self._stored_bytes += len(body)
         self._bound_bytes()
 
@@ -245,5 +274,12 @@
 
 def _copy(server: str, service: str, key: str, record: _Record) -> IdempotencyCopy:
     return IdempotencyCopy(
-        server, service, key, record.digest, record.state.value, record.status, record.body
+        server,
+        service,
+        key,
+        record.digest,
+        record.state.value,
+        record.status,
+        record.body,
+        record.request_key,
     )
--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -15,6 +15,7 @@
 from hyssopwood.durations import Durations
 from hyssopwood.errors import LogError, PeerUnavailableError
 from hyssopwood.hot_keys import HotKeys
+from hyssopwood.key_replication import KeyReplication
 from hyssopwood.log_client import LogClient
 from hyssopwood.membership import Membership, new_incarnation
 from hyssopwood.messages import Hello, SuspectReport
@@ -42,6 +43,7 @@
     replica: Replica = field(init=False)
     peers: Peers = field(init=False)
     authority: Authority = field(init=False)
+    replication: KeyReplication = field(init=False)
     guard: PermitGuard = field(init=False)
     coordinators: Coordinators = field(init=False)
     membership: Membership = field(init=False)
@@ -59,7 +61,10 @@
         self.peers = Peers(hello, self.replica, timers, settings.peer_address)
         self.replica.use_peers(self.peers)
         self.authority = Authority(self.peers, self.replica, timers, settings.timing)
-        self.guard = PermitGuard(timers, settings.timing, self._share_suspect)
+        self.replication = KeyReplication(self.replica, self.peers, timers, settings.timing)
+        self.guard = PermitGuard(
+            timers, settings.timing, self._share_suspect, self.replica, self.replication
+        )
         self.peers.on(SuspectReport, self.guard.on_suspect_report)
         self.coordinators = Coordinators(self._coordinator_parts())
         self.membership = self._make_membership()
@@ -81,6 +86,7 @@
             Child("peers", self.peers.run),
             Child("routes", self._follow_changes),
             Child("authority", self.authority.run),
+            Child("key replication", self.replication.run),
             Child("coordinators", self.coordinators.run),
             Child("join", self._join),
             Child("membership", self.membership.run),
@@ -140,7 +146,8 @@
         await self.membership.join()
 
     async def _follow_changes(self) -> None:
-        async for _ in self.replica.changes():
+        async for applied in self.replica.changes():
+            self.replication.note_state(applied.state)
             self.on_change()
 
     def _share_suspect(self, report: SuspectReport) -> None:
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -227,6 +227,20 @@
     state: str
     status: int
     body: bytes
+    key: str
+
+
+@frozen
+class IdempotencySynced:
+    """Say that the receiver holds every idempotency record of a server or a partition.
+
+    For `distrust_ms` an unknown key may stand for a record that was lost earlier.
+    """
+
+    server: str
+    epoch: int
+    partition: str
+    distrust_ms: int
 
 
 @frozen
@@ -288,6 +302,7 @@
     | PositionRequest
     | PositionReply
     | ErrorReply
+    | IdempotencySynced
 )
 
 
--- a/src/hyssopwood/ownership_parts.py
+++ b/src/hyssopwood/ownership_parts.py
@@ -112,6 +112,18 @@
         """Note the requests that may have run when a server crashed."""
         ...
 
+    def taken_over(self, server: str, epoch: int) -> None:
+        """Note that this instance now coordinates a server."""
+        ...
+
+    async def before_release(self, partition: str, server: str, asker: str) -> bool:
+        """Pass on what the next owner's coordinator must know; return whether it arrived."""
+        ...
+
+    async def before_hand_over(self, server: str, asker: str) -> bool:
+        """Pass on what a server's next coordinator must know; return whether it arrived."""
+        ...
+
 
 class NoHooks:
     """Let every request pass."""
@@ -129,6 +141,17 @@
     def crashed(self, server: str, running: tuple[PermitRequest, ...]) -> None:
         """Do nothing."""
 
+    def taken_over(self, server: str, epoch: int) -> None:
+        """Do nothing."""
+
+    async def before_release(self, partition: str, server: str, asker: str) -> bool:
+        """Return True."""
+        return True
+
+    async def before_hand_over(self, server: str, asker: str) -> bool:
+        """Return True."""
+        return True
+
 
 @define(eq=False)
 class Broadcast:
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -30,6 +30,7 @@
     positionRequest @23 :PositionRequest;
     positionReply @24 :PositionReply;
     errorReply @25 :ErrorReply;
+    idempotencySynced @26 :IdempotencySynced;
   }
 }
 
@@ -177,6 +178,14 @@
   state @4 :Text;
   status @5 :UInt16;
   body @6 :Data;
+  key @7 :Text;
+}
+
+struct IdempotencySynced {
+  server @0 :Text;
+  epoch @1 :Int64;
+  partition @2 :Text;  # Empty for all partitions of the server.
+  distrustMs @3 :UInt32;
 }
 
 struct Ack {
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -6,15 +6,18 @@
 
 from attrs import define, field
 
-from hyssopwood.idempotency import Begun, IdempotencyRecords, KeyRefused, Stored
+from hyssopwood.idempotency import Begun, KeyRefused, Stored
+from hyssopwood.key_replication import KeyReplication, StateSource
 from hyssopwood.messages import PermitReply, PermitRequest, PermitReturn, SuspectReport
 from hyssopwood.outcomes import Reason
 from hyssopwood.poison import Suspects
 from hyssopwood.settings import Timing
+from hyssopwood.state import partition_of
 from hyssopwood.timers import Timers
 
 OUTCOME_ANSWERED = "answered"
 OUTCOME_NOT_RUN = "not-run"
+STANDBY_RETRY_S = 0.1
 
 
 def _refusal(reason: Reason, detail: str, retry_after_s: float | None) -> PermitReply:
@@ -29,20 +32,13 @@
     _timers: Timers
     _timing: Timing
     _share: Callable[[SuspectReport], None]
-    _records: dict[str, IdempotencyRecords] = field(factory=dict, init=False)
+    _source: StateSource
+    _replication: KeyReplication
     _suspects: Suspects = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._suspects = Suspects(self._timers, self._timing.poison_quarantine_ms / 1000)
 
-    def records_of(self, server: str) -> IdempotencyRecords:
-        """Return the idempotency records of a server."""
-        records = self._records.get(server)
-        if records is None:
-            window_s = self._timing.idempotency_window_ms / 1000
-            records = self._records[server] = IdempotencyRecords(self._timers, window_s)
-        return records
-
     async def before(self, server: str, request: PermitRequest) -> PermitReply | None:
         """Return a refusal or a stored response, None after recording the key."""
         quarantine_s = self._suspects.quarantined_s(request.digest)
@@ -51,15 +47,22 @@
             return _refusal(Reason.POISON, detail, quarantine_s)
         if not request.idempotency_key:
             return None
-        return self._begin(server, request)
+        return await self._begin(server, request)
 
-    def _begin(self, server: str, request: PermitRequest) -> PermitReply | None:
-        result = self.records_of(server).begin(
-            request.service, request.idempotency_key, request.digest, request.request_id
+    async def _begin(self, server: str, request: PermitRequest) -> PermitReply | None:
+        records = self._replication.records_of(server)
+        service, key = request.service, request.idempotency_key
+        partition = partition_of(self._source.state, service, request.key)
+        result = records.begin(
+            service, key, request.digest, request.request_id, request.key, partition
         )
         match result:
             case Begun():
-                return None
+                if await self._replication.store(server, service, key):
+                    return None
+                records.abandon(service, key)
+                detail = "the standby of the coordinator can't store the idempotency key"
+                return _refusal(Reason.COORDINATOR_UNREACHABLE, detail, STANDBY_RETRY_S)
             case Stored(status, body):
                 return PermitReply(False, stored_status=status, stored_body=body)
             case KeyRefused(reason, detail, retry_after_s):
@@ -68,7 +71,12 @@
     def not_issued(self, server: str, request: PermitRequest) -> None:
         """Forget the key of a request that was proved not to have run."""
         if request.idempotency_key:
-            self.records_of(server).abandon(request.service, request.idempotency_key)
+            self._abandon(server, request)
+
+    def _abandon(self, server: str, request: PermitRequest) -> None:
+        service, key = request.service, request.idempotency_key
+        self._replication.records_of(server).abandon(service, key)
+        self._replication.publish(server, service, key, request.key)
 
     def returned(self, server: str, request: PermitRequest, outcome: PermitReturn) -> None:
         """Note the outcome of a request."""
@@ -78,14 +86,16 @@
                 self._share(cleared)
         if not request.idempotency_key:
             return
-        records = self.records_of(server)
+        records = self._replication.records_of(server)
         service, key = request.service, request.idempotency_key
+        if outcome.outcome == OUTCOME_NOT_RUN:
+            self._abandon(server, request)
+            return
         if outcome.outcome == OUTCOME_ANSWERED:
             records.finish(service, key, outcome.status, outcome.body)
-        elif outcome.outcome == OUTCOME_NOT_RUN:
-            records.abandon(service, key)
         else:
             records.mark_unknown(service, key)
+        self._replication.publish(server, service, key, request.key)
 
     def crashed(self, server: str, running: tuple[PermitRequest, ...]) -> None:
         """Suspect the requests that may have run when a server crashed."""
@@ -93,6 +103,18 @@
         for report in self._suspects.record_crash(server, digests):
             self._share(report)
 
+    def taken_over(self, server: str, epoch: int) -> None:
+        """Begin as a server's coordinator."""
+        self._replication.taken_over(server, epoch)
+
+    async def before_release(self, partition: str, server: str, asker: str) -> bool:
+        """Copy a partition's idempotency records to the coordinator of its next owner."""
+        return await self._replication.copy_partition(partition, server, asker)
+
+    async def before_hand_over(self, server: str, asker: str) -> bool:
+        """Copy a server's idempotency records to its next coordinator."""
+        return await self._replication.copy_all(server, asker)
+
     async def on_suspect_report(self, _: str, report: SuspectReport) -> None:
         """Take in a peer's suspect."""
         self._suspects.merge(report)
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -199,6 +199,7 @@
         now = self.parts.timers.now()
         self._taken_over_at = now
         self.inherited.begin(quiet_at, self._longest_s())
+        self.parts.hooks.taken_over(self.name, self.epoch)
         emit(Event.SERVER_TAKEN_OVER, server=self.name, epoch=self.epoch)
         self._clearances.start("quiet", self._await_quiet(takeover))
         await self.parts.timers.sleep(self.records.address_settled_at - now)
