--- a/src/hyssopwood/key_replication.py
+++ b/src/hyssopwood/key_replication.py
@@ -90,6 +90,8 @@
     _synced_to: dict[str, str] = field(factory=dict, init=False)
     _current: dict[str, Coordination] = field(factory=dict, init=False)
     _previous: dict[str, Coordination] = field(factory=dict, init=False)
+    _standbys: dict[str, str] = field(factory=dict, init=False)
+    _noted: ClusterState | None = field(default=None, init=False)
     _syncs: dict[str, asyncio.Task[bool]] = field(factory=dict, init=False)
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
@@ -108,15 +110,34 @@
     # Following the coordinators
 
     def note_state(self, state: ClusterState) -> None:
-        """Remember each server's previous coordinator."""
+        """Remember each server's previous coordinator and its standby."""
+        noted, self._noted = self._noted, state
+        if noted is not None and _same_roles(noted, state):
+            return
         for server, coordination in state.coordinations.items():
             known = self._current.get(server)
             if known is not None and known.epoch != coordination.epoch:
                 self._previous[server] = known
             self._current[server] = coordination
+            if coordination.incarnation in state.members:
+                self._standbys[server] = standby_of(state, server, coordination.incarnation)
         for server in [name for name in self._current if name not in state.coordinations]:
-            for table in (self._current, self._previous, self._records, self._synced_from):
-                table.pop(server, None)
+            self._forget(server)
+
+    def _forget(self, server: str) -> None:
+        for table in (
+            self._current,
+            self._previous,
+            self._records,
+            self._synced_from,
+            self._synced_to,
+            self._standbys,
+        ):
+            table.pop(server, None)
+
+    def last_standby(self, server: str) -> str:
+        """Return the standby of a server's last live coordinator, empty when not known."""
+        return self._standbys.get(server, "")
 
     def taken_over(self, server: str, epoch: int) -> None:
         """Begin as a server's coordinator with the copies that are here."""
@@ -290,5 +311,9 @@
         return task
 
 
+def _same_roles(one: ClusterState, other: ClusterState) -> bool:
+    return one.coordinations is other.coordinations and one.members is other.members
+
+
 def _belongs(state: ClusterState, service: str, key: str, partition: str) -> bool:
     return service in state.services and partition_of(state, service, key) == partition
--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -75,6 +75,7 @@
             self.authority,
             self.membership.instance_list,
             timers,
+            self.replication.last_standby,
         )
         self.membership.report_locally = self.planner.on_usage_report
 
--- a/src/hyssopwood/planner.py
+++ b/src/hyssopwood/planner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from hyssopwood.errors import LogError
@@ -77,6 +78,7 @@
         authority: AuthorityView,
         absence: AbsenceView,
         timers: Timers,
+        standby: Callable[[str], str] = lambda server: "",
     ) -> None:
         self._settings = settings
         self._replica = replica
@@ -90,7 +92,7 @@
         self._liveness = Liveness(peers, timers, self._suspect_after_s)
         self._attestations = Attestations(peers, timers, self._suspect_after_s, self._wake.set)
         self._usage = UsageBook(timers)
-        self._plans = PlanBuilder(settings, self._usage, timers)
+        self._plans = PlanBuilder(settings, self._usage, timers, standby)
         rate_per_s = settings.limits.append_rate_per_s * PLAN_APPEND_SHARE
         self._appends = TokenBucket(timers, rate_per_s, max(2.0, 2 * rate_per_s))
         self._epoch: int | None = None
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, evolve, field
 
@@ -84,8 +84,15 @@
 class PlanBuilder:
     """Build at most one plan record for each round."""
 
-    def __init__(self, settings: Settings, usage: UsageBook, timers: Timers) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        usage: UsageBook,
+        timers: Timers,
+        standby: Callable[[str], str] = lambda server: "",
+    ) -> None:
         self._usage = usage
+        self._standby = standby
         self._timers = timers
         self._lease_s = settings.timing.lease_ms / 1000
         self._limits = RebalanceLimits()
@@ -176,7 +183,7 @@
     def _coordinator_changes(
         self, state: ClusterState, eligible: Mapping[str, Member]
     ) -> tuple[CoordinatorChange, ...]:
-        required = required_coordinators(state, eligible, self._usage.leaving)
+        required = required_coordinators(state, eligible, self._usage.leaving, self._standby)
         if required:
             return required
         turns = tuple(self._turns(state, eligible))
--- a/src/hyssopwood/voters.py
+++ b/src/hyssopwood/voters.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from hyssopwood.records import CoordinatorChange
 from hyssopwood.state import MAX_VOTERS, ClusterState, Member
@@ -47,9 +47,15 @@
 
 
 def required_coordinators(
-    state: ClusterState, eligible: Mapping[str, Member], leaving: Collection[str]
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    leaving: Collection[str],
+    standby: Callable[[str], str] = lambda server: "",
 ) -> tuple[CoordinatorChange, ...]:
-    """Return changes for servers without a coordinator, or whose coordinator leaves."""
+    """Return changes for servers without a coordinator, or whose coordinator leaves.
+
+    A lost coordinator's standby is preferred, because it has copies of the idempotency records.
+    """
     counts = _counts(state, eligible)
     changes = []
     for server in sorted(state.servers):
@@ -57,7 +63,9 @@
         lost = current is None or current.incarnation not in state.members
         if not lost and current.incarnation not in leaving:
             continue
-        chosen = _least_busy(state, server, eligible, counts)
+        chosen: str | None = standby(server) if lost else ""
+        if chosen not in eligible or chosen in leaving:
+            chosen = _least_busy(state, server, eligible, counts)
         if chosen is not None:
             counts[chosen] += 1
             changes.append(CoordinatorChange(server=server, incarnation=chosen))
