Probe a quiet peer connection before replacing it

Cause: a connection counted as silent when no byte came for 100 ms while permit requests were outstanding, although those waited in a queue; each replacement failed all of them. Ruled out: an overloaded peer (it answered the probes at once).

--- a/src/hyssopwood/peers.py
+++ b/src/hyssopwood/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -10,7 +11,7 @@
 
 from hyssopwood.errors import HyssopwoodError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
-from hyssopwood.messages import Body, Envelope, ErrorReply, Hello
+from hyssopwood.messages import Body, Envelope, ErrorReply, Hello, PositionRequest
 from hyssopwood.peer_link import Link, Wire
 from hyssopwood.state import ClusterState
 from hyssopwood.timers import Timers
@@ -156,12 +157,21 @@
                 self._tasks.start(("probe", link.incarnation), self._replace_silent(link))
 
     async def _replace_silent(self, link: Link) -> None:
-        """Open a new connection; when the peer answers there, close the silent one."""
+        """Probe both the connection and a new one; close the old one if only the new one answers.
+
+        A connection without bytes may be idle because every outstanding request waits in a queue,
+        so the probe that is answered at once decides.
+        """
+        probed_at = self._timers.now()
         try:
+            number, answer = link.send(PositionRequest())
             fresh = await self._dial(link.incarnation)
         except (PeerUnavailableError, ProtocolError):
             return
-        if link.wire.received_at > fresh.wire.received_at - SILENCE_S:
+        with contextlib.suppress(WaitTimeoutError, PeerUnavailableError):
+            await within(self._timers, SILENCE_S, asyncio.shield(answer))
+        link.abandon(number)
+        if link.wire.received_at >= probed_at:
             fresh.close("the older connection works")
             return
         emit(Event.PEER_SILENT, incarnation=link.incarnation)
