Hand servers over to their standby, copy idempotency records in batches

Cause: a planned change of coordinator stopped permits for 0.6 to 1.2 s, because the records were copied one by one to an instance that had none, and each repeated query started the copying again.

--- a/src/hyssopwood/key_replication.py
+++ b/src/hyssopwood/key_replication.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Iterator
 from typing import Any, Protocol
 
 from attrs import define, field, frozen
@@ -11,12 +11,21 @@
 
 from hyssopwood.errors import PeerUnavailableError
 from hyssopwood.idempotency import IdempotencyRecords, KeyState
-from hyssopwood.messages import Ack, Body, ErrorReply, IdempotencyCopy, IdempotencySynced
+from hyssopwood.messages import (
+    Ack,
+    Body,
+    ErrorReply,
+    IdempotencyCopies,
+    IdempotencyCopy,
+    IdempotencySynced,
+)
 from hyssopwood.settings import Timing
-from hyssopwood.state import ClusterState, Coordination, partition_of
+from hyssopwood.state import NO_EPOCH, ClusterState, Coordination, partition_of
 from hyssopwood.timers import Timers
 
-COPIES_AT_ONCE = 32
+MAX_BATCH_COPIES = 128
+# Well below the peer protocol's frame limit of 1 MiB.
+MAX_BATCH_BYTES = 262_144
 SYNC_RETRY_S = 0.05
 SYNC_INTERVAL_S = 0.1
 MS_PER_S = 1000
@@ -96,7 +105,7 @@
     _tasks: set[asyncio.Task[Any]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._peers.on(IdempotencyCopy, self.on_copy)
+        self._peers.on(IdempotencyCopies, self.on_copies)
         self._peers.on(IdempotencySynced, self.on_synced)
 
     def records_of(self, server: str) -> IdempotencyRecords:
@@ -174,7 +183,7 @@
         copy = self.records_of(server).copy_of(server, service, key)
         if not standby or copy is None:
             return True
-        return await self._deliver(standby, copy)
+        return await self._deliver(standby, IdempotencyCopies((copy,)))
 
     def publish(self, server: str, service: str, key: str, request_key: str) -> None:
         """Copy a record's outcome in the background to whoever needs it next."""
@@ -183,7 +192,7 @@
             state = KeyState.ABANDONED.value
             copy = IdempotencyCopy(server, service, key, 0, state, 0, b"", request_key)
         for target in self._interested(server):
-            self._start(self._deliver(target, copy))
+            self._start(self._deliver(target, IdempotencyCopies((copy,))))
 
     def _interested(self, server: str) -> set[str]:
         """Return the standby, and the coordinator if this instance has handed over."""
@@ -218,6 +227,12 @@
         await self._timers.sleep(SYNC_RETRY_S)
         return False
 
+    async def pass_on_all(self, server: str, target: str) -> bool:
+        """Make sure that a server's next coordinator holds every record."""
+        if self._synced_to.get(server) == target and server not in self._syncs:
+            return True
+        return await self.copy_all(server, target)
+
     async def copy_all(self, server: str, target: str) -> bool:
         """Copy every record of a server to an instance; return whether all arrived."""
         records = self.records_of(server)
@@ -243,11 +258,8 @@
     async def _copy(
         self, target: str, copies: Iterable[IdempotencyCopy], marker: IdempotencySynced
     ) -> bool:
-        pending = list(copies)
-        for start in range(0, len(pending), COPIES_AT_ONCE):
-            batch = pending[start : start + COPIES_AT_ONCE]
-            delivered = await asyncio.gather(*(self._deliver(target, copy) for copy in batch))
-            if not all(delivered):
+        for batch in _batches(copies):
+            if not await self._deliver(target, IdempotencyCopies(batch)):
                 return False
         return await self._deliver(target, marker)
 
@@ -260,10 +272,17 @@
 
     # Copies from others
 
-    async def on_copy(self, _: str, copy: IdempotencyCopy) -> Ack | ErrorReply:
-        """Store a copy; a coordinator passes it on to its standby before it confirms."""
-        self.records_of(copy.server).import_copies([copy])
-        return await self._pass_on(copy.server, copy)
+    async def on_copies(self, _: str, message: IdempotencyCopies) -> Ack | ErrorReply:
+        """Store copies; a coordinator passes them on to its standby before it confirms."""
+        by_server: dict[str, list[IdempotencyCopy]] = {}
+        for copy in message.copies:
+            by_server.setdefault(copy.server, []).append(copy)
+        for server, copies in by_server.items():
+            self.records_of(server).import_copies(copies)
+            reply = await self._pass_on(server, IdempotencyCopies(tuple(copies)))
+            if isinstance(reply, ErrorReply):
+                return reply
+        return Ack()
 
     async def on_synced(self, sender: str, marker: IdempotencySynced) -> Ack | ErrorReply:
         """Note that all records of a server or a partition have arrived."""
@@ -294,11 +313,12 @@
         return standby_of(self._source.state, server, self._peers.incarnation)
 
     def _own_epoch(self, server: str) -> int:
-        current = self._source.state.coordinations.get(server)
-        if current is not None and current.incarnation == self._peers.incarnation:
-            return current.epoch
-        previous = self._previous.get(server)
-        return -1 if previous is None else previous.epoch
+        """Return the epoch under which this instance coordinates or last coordinated a server."""
+        in_force = self._source.state.coordinations.get(server)
+        for known in (in_force, self._current.get(server), self._previous.get(server)):
+            if known is not None and known.incarnation == self._peers.incarnation:
+                return known.epoch
+        return NO_EPOCH
 
     def _coordinates(self, server: str) -> bool:
         current = self._source.state.coordinations.get(server)
@@ -311,6 +331,19 @@
         return task
 
 
+def _batches(copies: Iterable[IdempotencyCopy]) -> Iterator[tuple[IdempotencyCopy, ...]]:
+    batch: list[IdempotencyCopy] = []
+    size = 0
+    for copy in copies:
+        if batch and (len(batch) >= MAX_BATCH_COPIES or size + len(copy.body) > MAX_BATCH_BYTES):
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(copy)
+        size += len(copy.body)
+    if batch:
+        yield tuple(batch)
+
+
 def _same_roles(one: ClusterState, other: ClusterState) -> bool:
     return one.coordinations is other.coordinations and one.members is other.members
 
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -218,7 +218,7 @@
 
 @frozen
 class IdempotencyCopy:
-    """Replicate one idempotency record to the standby."""
+    """Hold a copy of one idempotency record."""
 
     server: str
     service: str
@@ -230,6 +230,13 @@
     key: str
 
 
+@frozen
+class IdempotencyCopies:
+    """Copy idempotency records to a standby, a next coordinator or a next owner."""
+
+    copies: tuple[IdempotencyCopy, ...]
+
+
 @frozen
 class IdempotencySynced:
     """Say that the receiver holds every idempotency record of a server or a partition.
@@ -296,7 +303,7 @@
     | CheckpointRequest
     | CheckpointReply
     | UsageReport
-    | IdempotencyCopy
+    | IdempotencyCopies
     | Ack
     | SuspectReport
     | PositionRequest
@@ -318,6 +325,7 @@
 _BODY_TYPES: tuple[type, ...] = Body.__args__  # type: ignore[attr-defined]
 _LIST_TYPES = {
     (RecordsReply, "records"): Record,
+    (IdempotencyCopies, "copies"): IdempotencyCopy,
     (UsageReport, "servers"): ServerUsage,
     (ServerUsage, "partitions"): PartitionUsage,
     (ServerUsage, "hot_keys"): KeyUsage,
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -24,7 +24,7 @@
     checkpointRequest @17 :CheckpointRequest;
     checkpointReply @18 :CheckpointReply;
     usageReport @19 :UsageReport;
-    idempotencyCopy @20 :IdempotencyCopy;
+    idempotencyCopies @20 :IdempotencyCopies;
     ack @21 :Ack;
     suspectReport @22 :SuspectReport;
     positionRequest @23 :PositionRequest;
@@ -181,6 +181,10 @@
   key @7 :Text;
 }
 
+struct IdempotencyCopies {
+  copies @0 :List(IdempotencyCopy);
+}
+
 struct IdempotencySynced {
   server @0 :Text;
   epoch @1 :Int64;
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from attrs import define, field
 
@@ -35,6 +37,7 @@
     _source: StateSource
     _replication: KeyReplication
     _suspects: Suspects = field(init=False)
+    _copies: dict[object, asyncio.Task[bool]] = field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._suspects = Suspects(self._timers, self._timing.poison_quarantine_ms / 1000)
@@ -109,11 +112,22 @@
 
     async def before_release(self, partition: str, server: str, asker: str) -> bool:
         """Copy a partition's idempotency records to the coordinator of its next owner."""
-        return await self._replication.copy_partition(partition, server, asker)
+        copy = self._replication.copy_partition(partition, server, asker)
+        return await self._shared((partition, server, asker), copy)
 
     async def before_hand_over(self, server: str, asker: str) -> bool:
         """Copy a server's idempotency records to its next coordinator."""
-        return await self._replication.copy_all(server, asker)
+        return await self._shared((server, asker), self._replication.pass_on_all(server, asker))
+
+    async def _shared(self, name: object, copy: Coroutine[Any, Any, bool]) -> bool:
+        """Await one copying although the asker repeats its query while it goes on."""
+        task = self._copies.get(name)
+        if task is not None:
+            copy.close()
+        else:
+            task = self._copies[name] = asyncio.create_task(copy)
+            task.add_done_callback(lambda _: self._copies.pop(name, None))
+        return await asyncio.shield(task)
 
     async def on_suspect_report(self, _: str, report: SuspectReport) -> None:
         """Take in a peer's suspect."""
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -190,7 +190,7 @@
         if turns:
             return turns
         staying = {name: eligible[name] for name in eligible if name not in self._usage.leaving}
-        changes = balancing_coordinators(state, staying, self._handovers.available())
+        changes = balancing_coordinators(state, staying, self._handovers.available(), self._standby)
         self._handovers.spend(len(changes))
         return changes
 
--- a/src/hyssopwood/voters.py
+++ b/src/hyssopwood/voters.py
@@ -54,7 +54,7 @@
 ) -> tuple[CoordinatorChange, ...]:
     """Return changes for servers without a coordinator, or whose coordinator leaves.
 
-    A lost coordinator's standby is preferred, because it has copies of the idempotency records.
+    The standby is preferred, because it has copies of the idempotency records.
     """
     counts = _counts(state, eligible)
     changes = []
@@ -63,7 +63,7 @@
         lost = current is None or current.incarnation not in state.members
         if not lost and current.incarnation not in leaving:
             continue
-        chosen: str | None = standby(server) if lost else ""
+        chosen: str | None = standby(server)
         if chosen not in eligible or chosen in leaving:
             chosen = _least_busy(state, server, eligible, counts)
         if chosen is not None:
@@ -101,33 +101,51 @@
 
 
 def balancing_coordinators(
-    state: ClusterState, eligible: Mapping[str, Member], budget: int
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    budget: int,
+    standby: Callable[[str], str] = lambda server: "",
 ) -> tuple[CoordinatorChange, ...]:
-    """Return at most `budget` changes that even out the number of servers of each member."""
+    """Return at most `budget` changes that even out the number of servers of each member.
+
+    A server is handed over only to its standby, which has its idempotency records already, so
+    that its permits stop for milliseconds.
+    """
     counts = _counts(state, eligible)
-    if not counts or max(counts.values()) - min(counts.values()) < MIN_COORDINATION_DIFFERENCE:
-        return ()
-    held: dict[str, list[str]] = {name: [] for name in eligible}
-    for server, coordination in sorted(state.coordinations.items()):
-        if coordination.incarnation in held and not coordination.previous:
-            held[coordination.incarnation].append(server)
+    held = {
+        server: coordination.incarnation
+        for server, coordination in sorted(state.coordinations.items())
+        if coordination.incarnation in counts and not coordination.previous
+    }
     changes: list[CoordinatorChange] = []
     while len(changes) < budget:
-        target = min(counts, key=lambda name: (counts[name], eligible[name].joined))
-        source = max(counts, key=lambda name: (counts[name], eligible[name].joined))
-        if counts[source] - counts[target] < 2 or not held[source]:
+        move = _best_hand_over(state, eligible, counts, held, standby)
+        if move is None:
             break
-        server = _to_hand_over(state, held[source], eligible[source], eligible[target])
-        held[source].remove(server)
-        counts[source] -= 1
-        counts[target] += 1
-        changes.append(CoordinatorChange(server=server, incarnation=target))
+        counts[held.pop(move.server)] -= 1
+        counts[move.incarnation] += 1
+        changes.append(move)
     return tuple(changes)
 
 
-def _to_hand_over(state: ClusterState, servers: list[str], source: Member, target: Member) -> str:
-    def cost(server: str) -> tuple[bool, bool]:
+def _best_hand_over(
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    counts: Counter[str],
+    held: Mapping[str, str],
+    standby: Callable[[str], str],
+) -> CoordinatorChange | None:
+    """Return the hand-over that evens the counts most, None without one that is worth it."""
+    best: tuple[tuple[int, bool, bool], CoordinatorChange] | None = None
+    for server, source in held.items():
+        target = standby(server) or min(counts, key=lambda n: (counts[n], eligible[n].joined))
+        gain = counts[source] - counts.get(target, counts[source])
+        if gain < MIN_COORDINATION_DIFFERENCE:
+            continue
         domain = state.servers[server].failure_domain
-        return domain == target.failure_domain, domain != source.failure_domain
-
-    return min(servers, key=cost)
+        apart = domain != eligible[target].failure_domain
+        joined_apart = domain == eligible[source].failure_domain
+        rank = (gain, apart, joined_apart)
+        if best is None or rank > best[0]:
+            best = (rank, CoordinatorChange(server=server, incarnation=target))
+    return None if best is None else best[1]
