Recover from the loss of all voters and test the planner's fault cases

Without a majority the planner fences members that the platform's list has dropped for longer than its lag, members whose address a newer incarnation of the instance answers on, and fenced voters whose instance is back. A server that failed counts as up only after a time that doubles with each failure.

--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -11,21 +11,41 @@
     AttestReply,
     AttestRequest,
     ErrorReply,
+    KeyUsage,
     PartitionUsage,
     PositionReply,
     PositionRequest,
     ServerUsage,
 )
 from hyssopwood.planner import Planner
-from hyssopwood.records import LogRecord, TicketRecord, decode_record, encode_record
-from hyssopwood.settings import Settings
-from hyssopwood.state import ClusterState, has_quorum
+from hyssopwood.records import (
+    Grant,
+    GrantedRecord,
+    LogRecord,
+    Takeover,
+    TicketRecord,
+    decode_record,
+    encode_record,
+)
+from hyssopwood.settings import Settings, Timing
+from hyssopwood.state import ClusterState, has_quorum, partition_of
 from hyssopwood.transitions import apply
+from support.manual_timers import ManualTimers
 
 PROMISE_S = 0.3
+SETTLE_ROUNDS = 12
+LIST_LAG_MS = 3_000
 APPEND_S = 0.02
 
 
+class BriefTimers(ManualTimers):
+    """Manual timers with as many rounds as these fakes need; a cell has many sleepers."""
+
+    async def settle(self):
+        for _ in range(SETTLE_ROUNDS):
+            await asyncio.sleep(0)
+
+
 class FakeLog:
     """A log whose records are applied when they are appended."""
 
@@ -34,7 +54,10 @@
         self.state = ClusterState()
         self.records = []
         self.rejections = []
+        self.times = []
         self.down = False
+        self.append_s = APPEND_S
+        self.attempts = 0
         self.sequences = {}
 
     def write(self, writer, body):
@@ -44,6 +67,7 @@
         self.state = applied.state
         self.records.append(record)
         self.rejections.append(applied.rejected)
+        self.times.append(self.timers.now())
         return applied
 
     def publish(self, **entries):
@@ -55,6 +79,14 @@
     def kinds(self, start=0):
         return [record.kind for record in self.records[start:]]
 
+    def bodies(self, kind, start=0):
+        """Return (time, body) of the records of a kind that came into force."""
+        return [
+            (self.times[index], self.records[index].body)
+            for index in range(start, len(self.records))
+            if self.records[index].kind == kind and not self.rejections[index]
+        ]
+
 
 class FakeReplica:
     """A replica that reads the log without delay, unless it is held back."""
@@ -73,7 +105,8 @@
         return not self._log.down
 
     async def append(self, body):
-        await self._log.timers.sleep(APPEND_S)
+        self._log.attempts += 1
+        await self._log.timers.sleep(self._log.append_s)
         if self._log.down:
             raise LogUnavailableError("the log is down")
         return self._log.write(self.incarnation, body)
@@ -86,21 +119,22 @@
         self.timers = timers
         self.handlers = {}
         self.cut_since = {}
-        self.requests = []
+        self.dead_since = {}
 
     def cut(self, name, others):
         for other in others:
             for pair in ((name, other), (other, name)):
                 self.cut_since.setdefault(pair, self.timers.now())
 
-    def heal(self, name):
-        for pair in [pair for pair in self.cut_since if name in pair]:
-            del self.cut_since[pair]
-
     def silence(self, sender, receiver):
         """Return how long no message has passed, or None while messages pass."""
-        since = self.cut_since.get((sender, receiver))
-        return None if since is None else self.timers.now() - since
+        times = (
+            self.cut_since.get((sender, receiver)),
+            self.dead_since.get(sender),
+            self.dead_since.get(receiver),
+        )
+        known = [since for since in times if since is not None]
+        return self.timers.now() - min(known) if known else None
 
 
 class FakePeers:
@@ -115,7 +149,6 @@
         self._handlers[body_type] = handler
 
     async def request(self, incarnation, body, timeout_s):
-        self._network.requests.append((self._incarnation, incarnation, body))
         handler = self._network.handlers.get(incarnation, {}).get(type(body))
         if handler is None or self._network.silence(self._incarnation, incarnation) is not None:
             await self._network.timers.sleep(timeout_s)
@@ -142,6 +175,8 @@
 
     def _promised(self, voter):
         node = self._node
+        if node.unsupported:
+            return False
         if node.incarnation in node.cluster.attested.get(voter, ()):
             return False
         silence = node.cluster.network.silence(voter, node.incarnation)
@@ -201,6 +236,7 @@
         self.instance = instance
         self.incarnation = incarnation
         self.lost = []
+        self.unsupported = False
         self.settings = Settings(
             instance=instance,
             failure_domain=domain,
@@ -208,6 +244,7 @@
             peer_address="127.0.0.1:9000",
             log_url="http://127.0.0.1:7000",
             initial_voters=cluster.initial_voters,
+            timing=Timing(instance_list_lag_ms=LIST_LAG_MS),
         )
         timers = cluster.timers
         self.replica = FakeReplica(cluster.log, incarnation)
@@ -223,6 +260,7 @@
             timers,
             self.usage,
             self._lose,
+            note_report=lambda planner, accepted: self.planner.note_report(planner, accepted),
         )
         self.planner = Planner(
             self.settings,
@@ -256,8 +294,20 @@
         self.tasks = [
             asyncio.create_task(self.planner.run()),
             asyncio.create_task(self.membership.run()),
+            asyncio.create_task(self._take_over()),
         ]
 
+    async def _take_over(self):
+        """Record takeovers from live previous coordinators, as the coordinators do."""
+        async for _ in self.cluster.timers.subscribe(0.1):
+            taken = tuple(
+                Takeover(server=server, epoch=c.epoch)
+                for server, c in self.replica.state.coordinations.items()
+                if c.incarnation == self.incarnation and c.previous
+            )
+            if taken and not self.cluster.log.down:
+                self.cluster.log.write(self.incarnation, GrantedRecord(takeovers=taken))
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
@@ -276,6 +326,7 @@
         self.nodes = {}
         self.down_servers = set()
         self.loads = {}
+        self.hot_keys = {}
 
     @property
     def state(self):
@@ -283,13 +334,25 @@
 
     def server_usage(self, state, server):
         slots = state.servers[server].slots
-        parts = tuple(
-            PartitionUsage(name, 10.0, self.loads.get(name, 0.0) / slots)
-            for name, owner in state.ownerships.items()
-            if owner.server == server
+        owned = [name for name, owner in state.ownerships.items() if owner.server == server]
+        busy = {name: self.loads.get(name, 0.0) / slots for name in owned}
+        parts = tuple(PartitionUsage(name, 100 * ratio, ratio) for name, ratio in busy.items())
+        service = state.servers[server].service
+        keys = tuple(
+            KeyUsage(service, key, 100 * load / slots)
+            for key, load in self.hot_keys.items()
+            if partition_of(state, service, key) in owned
         )
         status = "down" if server in self.down_servers else "up"
-        return ServerUsage(server, status, sum(p.busy_ratio for p in parts), parts, ())
+        return ServerUsage(server, status, sum(busy.values()), parts, keys)
+
+    def settle_moves(self):
+        """Confirm every release, as the coordinators do."""
+        for name, owner in self.state.ownerships.items():
+            if owner.awaiting:
+                writer = self.state.coordinations[owner.server or owner.awaiting[0]].incarnation
+                grant = Grant(partition=name, token=owner.token)
+                self.log.write(writer, GrantedRecord(grants=(grant,)))
 
     def add(self, instance, domain, generation=1):
         node = FakeNode(self, instance, domain, f"{instance}.{generation}")
@@ -300,14 +363,13 @@
     async def start(self, *nodes):
         for node in nodes:
             task = asyncio.create_task(node.start())
-            await self.timers.advance(APPEND_S)
+            await self.timers.advance(self.log.append_s)
             await task
 
     def kill(self, instance):
         node = self.nodes.pop(instance)
         node.stop()
-        others = [name for name in self.network.handlers if name != node.incarnation]
-        self.network.cut(node.incarnation, [*others, node.incarnation])
+        self.network.dead_since[node.incarnation] = self.timers.now()
         return node
 
     def cut_off(self, instance):
--- a/scripts/placement_experiment.py
+++ b/scripts/placement_experiment.py
@@ -333,9 +333,7 @@
         return Snapshot(
             servers=servers,
             partitions=partitions,
-            hot_candidates=tuple(
-                self._key(key, keys) for key in top if key not in self._isolated
-            ),
+            hot_candidates=tuple(self._key(key, keys) for key in top if key not in self._isolated),
             isolated=tuple(
                 evolve(self._key(key, keys), cold=self._cold(key, second))
                 for key in sorted(self._isolated)
@@ -384,9 +382,7 @@
     return {metric: fmean(row[metric] for row in rows) for metric in rows[0]}
 
 
-def _print_case(
-    case: Case, policies: list[str], seeds: list[int], limits: RebalanceLimits
-) -> None:
+def _print_case(case: Case, policies: list[str], seeds: list[int], limits: RebalanceLimits) -> None:
     table = {name: _mean_row(case, name, seeds, limits) for name in policies}
     metrics = list(next(iter(table.values())))
     print(f"\n{case.name}: {case.servers} servers, {case.slots} slots, Zipf {case.zipf}\n")
--- a/src/hyssopwood/liveness.py
+++ b/src/hyssopwood/liveness.py
@@ -11,6 +11,7 @@
 from hyssopwood.waiting import TaskGroup
 
 MIN_ATTEST_WAIT_S = 0.01
+ANSWER_FRESH_S = 0.5
 
 
 class PeerNetwork(Protocol):
@@ -56,6 +57,11 @@
         now = self._timers.now()
         return now - self._last_answer_s.get(incarnation, now)
 
+    def answers(self, incarnation: str) -> bool:
+        """Return whether an incarnation has answered lately."""
+        answered = incarnation in self._positions
+        return answered and self.silent_s(incarnation) < ANSWER_FRESH_S
+
     def position(self, incarnation: str) -> int:
         """Return the last reported log position, or -1."""
         return self._positions.get(incarnation, -1)
--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
@@ -17,6 +16,7 @@
 from hyssopwood.settings import Settings
 from hyssopwood.state import ClusterState
 from hyssopwood.timers import Timers
+from hyssopwood.voters import instance_of
 
 LIST_INTERVAL_S = 1.0
 CHECK_INTERVAL_S = 0.05
@@ -66,7 +66,8 @@
             return
         self._as_of_ms = listed.as_of_ms
         now = self._timers.now()
-        known = {member.instance for member in state.members.values()}
+        voters = (instance_of(voter) for voter in (*state.voters, *state.pending_voters))
+        known = {*voters, *(member.instance for member in state.members.values())}
         self._absent_since = {
             name: self._absent_since.get(name, (now, listed.as_of_ms)) for name in known - names
         }
@@ -93,7 +94,6 @@
         timers: Timers,
         usage: Callable[[], tuple[ServerUsage, ...]],
         on_lost: Callable[[str], Awaitable[None]],
-        coordinates: Callable[[], bool] = lambda: False,
         note_report: Callable[[str, bool], None] = lambda planner, accepted: None,
     ) -> None:
         self._settings = settings
@@ -103,12 +103,9 @@
         self._timers = timers
         self._usage = usage
         self._on_lost = on_lost
-        self._coordinates = coordinates
         self._note_report = note_report
         self._joined = False
         self._leaving = False
-        self._coordinated = False
-        self._handed_over_s = math.inf
         self._sent: tuple[object, ...] = ()
         self._report_due_s = 0.0
         self.instance_list = InstanceList(
@@ -141,8 +138,6 @@
     async def leave(self) -> bool:
         """Hand over and leave; return False when that took longer than the drain limit."""
         self._leaving = True
-        state = self._replica.state
-        self._coordinated = any(c.incarnation == self._own for c in state.coordinations.values())
         started_s = self._timers.now()
         while self._own in self._replica.state.members:
             waited_s = self._timers.now() - started_s
@@ -160,15 +155,7 @@
 
         A member may leave while it is a voter, but then its vote is missing until it is replaced.
         """
-        named = any(c.incarnation == self._own for c in state.coordinations.values())
-        if named or self._coordinates():
-            self._handed_over_s = math.inf
-            return False
-        # A member that has left is not asked for its permits, so they must have ended before.
-        self._handed_over_s = min(self._handed_over_s, self._timers.now())
-        timing = self._settings.timing
-        permits_s = (timing.permit_ms + timing.max_message_life_ms) / 1000
-        if self._coordinated and self._timers.now() - self._handed_over_s < permits_s:
+        if any(self._own in (c.incarnation, *c.previous) for c in state.coordinations.values()):
             return False
         votes = self._own in (*state.voters, *state.pending_voters)
         return not votes or len(state.members) == 1 or waited_s >= VOTER_HANDOVER_S
--- a/src/hyssopwood/planner.py
+++ b/src/hyssopwood/planner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from collections.abc import Iterable
 from typing import Any, Protocol
 
 from hyssopwood.errors import LogError
@@ -18,11 +19,11 @@
     VotersProposedRecord,
 )
 from hyssopwood.settings import Settings
-from hyssopwood.state import ClusterState, Member, effective_voters, has_quorum
+from hyssopwood.state import ClusterState, Member, effective_voters, has_quorum, is_majority
 from hyssopwood.timers import Timers
 from hyssopwood.transitions import Applied
 from hyssopwood.usage_reports import UsageBook
-from hyssopwood.voters import choose_voters
+from hyssopwood.voters import choose_voters, instance_of
 from hyssopwood.waiting import Signal
 
 # Voters attest nothing before a promise has run out, so asking early only saves time.
@@ -30,8 +31,12 @@
 # A candidate waits a little less than a promise, so that the fence follows the claim at once.
 CLAIM_AFTER_S = 0.25
 CLAIM_STEP_S = 0.1
+# Silence of the planner, in probe intervals, after which candidates probe every member.
+PRECAUTION_INTERVALS = 1.2
 # A planner that answers but accepts no reports lacks a majority of the voters.
 IDLE_AFTER_S = 2.0
+# Longer than any promise or message lives after its process has ended.
+TERMINATED_AFTER_S = 1.0
 VOTER_WAIT_S = 2.0
 VOTER_SETTLE_S = 2.0
 RETRY_AFTER_LOG_ERROR_S = 1.0
@@ -141,11 +146,23 @@
             if now - last_s > pause_s:
                 self._liveness.restart()
             last_s = now
-            state = self._replica.state
-            watched = state.members if state.planner == self._own else (state.planner,)
-            self._liveness.probe(n for n in watched if n != self._own and n in state.members)
-            self._liveness.keep(state.members)
-            self._attestations.keep(state.members)
+            watched = tuple(self._watched(self._replica.state))
+            self._liveness.probe(watched)
+            self._liveness.keep(watched)
+
+    def _watched(self, state: ClusterState) -> Iterable[str]:
+        """Return the members to probe.
+
+        A candidate watches the planner only, until it may have to replace it; by the time of its
+        claim it then knows which others are silent too.
+        """
+        if state.planner != self._own and state.planner in state.members:
+            answers = (
+                self._liveness.silent_s(state.planner) < PRECAUTION_INTERVALS * self._interval_s
+            )
+            if answers and self._authority.held():
+                return (state.planner,)
+        return (name for name in state.members if name != self._own)
 
     async def _plan(self) -> None:
         while True:
@@ -240,16 +257,48 @@
         if self._authority.held() or not effective_voters(state, state.voters):
             return True
         planner = state.members.get(state.planner)
-        return planner is None or self._absence.absent(planner.instance)
+        return planner is None or self._is_terminated(state, planner)
 
     # Fences
 
     async def _fence_absent(self) -> None:
-        """Fence members that the platform has terminated, because no majority can attest it."""
+        """Fence what the platform has terminated, because no majority can attest it."""
         for name, member in tuple(self._replica.state.members.items()):
-            silent = self._liveness.silent_s(name) >= self._suspect_after_s
-            if name != self._own and silent and self._absence.absent(member.instance):
-                await self._fence(name, member, (), "absent")
+            if name != self._own and self._is_terminated(self._replica.state, member):
+                await self._fence(name, member.instance, (), "absent")
+        state = self._replica.state
+        for name in dict.fromkeys((*state.voters, *state.pending_voters)):
+            fenced = name not in state.members and state.fenced.get(name, 0) >= 0
+            if fenced and self._is_replaced(state, name):
+                await self._fence(name, instance_of(name), (), "absent")
+
+    def _is_terminated(self, state: ClusterState, member: Member) -> bool:
+        """Return whether a member's process is certainly gone.
+
+        Either the platform's list has not shown the instance for longer than its lag, or a newer
+        incarnation of the instance listens on the same address.
+        """
+        if self._liveness.silent_s(member.incarnation) < TERMINATED_AFTER_S:
+            return False
+        if self._absence.absent(member.instance):
+            return True
+        return any(
+            other.peer_address == member.peer_address and other.joined > member.joined
+            for other in self._answering(state, member.instance)
+        )
+
+    def _is_replaced(self, state: ClusterState, voter: str) -> bool:
+        """Return whether a fenced voter can't give promises any more.
+
+        A process ends a fenced incarnation before it joins as a new one.
+        """
+        instance = instance_of(voter)
+        return self._absence.absent(instance) or any(self._answering(state, instance))
+
+    def _answering(self, state: ClusterState, instance: str) -> Iterable[Member]:
+        for name, member in state.members.items():
+            if member.instance == instance and (name == self._own or self._liveness.answers(name)):
+                yield member
 
     async def _fence_suspects(self) -> None:
         state = self._replica.state
@@ -261,19 +310,20 @@
         for name in suspects - self._suspects:
             emit(Event.MEMBER_SUSPECTED, incarnation=name)
         self._suspects = suspects
+        self._attestations.keep(state.members)
         self._attestations.collect(suspects, {*state.voters, *state.pending_voters})
         for name in sorted(suspects):
             attesters = self._attestations.attesters(name)
             current = self._replica.state
             member = current.members.get(name)
             if member is not None and has_quorum(current, attesters):
-                await self._fence(name, member, attesters, "attested")
+                await self._fence(name, member.instance, attesters, "attested")
 
     async def _fence(
-        self, name: str, member: Member, attesters: tuple[str, ...], cause: str
+        self, name: str, instance: str, attesters: tuple[str, ...], cause: str
     ) -> None:
         body = FenceRecord(
-            instance=member.instance,
+            instance=instance,
             incarnation=name,
             attesters=attesters,
             absent=not attesters,
@@ -283,13 +333,13 @@
 
     # Voters
 
-    def _eligible(self, state: ClusterState) -> dict[str, Member]:
-        """Return the members that answer and stay."""
+    def _eligible(self, state: ClusterState, silent_s: float = math.inf) -> dict[str, Member]:
+        """Return the members that stay and answered within `silent_s` and the suspect time."""
+        limit_s = min(silent_s, self._suspect_after_s)
         return {
             name: member
             for name, member in state.members.items()
-            if name not in self._usage.leaving
-            and self._liveness.silent_s(name) < self._suspect_after_s
+            if name not in self._usage.leaving and self._liveness.silent_s(name) < limit_s
         }
 
     async def _propose_first_voters(self) -> None:
@@ -303,7 +353,7 @@
 
     async def _change_voters(self) -> None:
         state = self._replica.state
-        if state.pending_voters:
+        if state.pending_voters and _may_commit(state):
             await self._commit(state)
             return
         eligible = self._eligible(state)
@@ -348,7 +398,9 @@
             return
         self._over_budget = False
         state = self._replica.state
-        body = self._plans.build(state, self._eligible(state))
+        # Servers go to members that answered the last probe, if there are any.
+        prompt = self._eligible(state, PRECAUTION_INTERVALS * self._interval_s)
+        body = self._plans.build(state, prompt or self._eligible(state))
         if body is None:
             return
         self._appends.spend(1)
@@ -359,3 +411,9 @@
         """Append a record; return whether it came into force."""
         applied = await self._replica.append(body)
         return not applied.rejected
+
+
+def _may_commit(state: ClusterState) -> bool:
+    """Return whether a majority of the pending voters is left; otherwise others are proposed."""
+    effective = effective_voters(state, state.pending_voters)
+    return is_majority(sum(voter in state.members for voter in effective), len(effective))
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -148,12 +148,26 @@
                 continue
             if reported == state.server_status.get(server, STATUS_UP):
                 continue
+            if reported == STATUS_UP and not self._may_come_up(state, server):
+                continue
             # A coordinator knows nothing about its server at first; a server that only changed
             # hands must not lose its partitions.
             if reported == STATUS_DOWN and self._tenure_s(server) < self._lease_s:
                 continue
             yield ServerStatus(server=server, status=reported)
 
+    def _may_come_up(self, state: ClusterState, server: str) -> bool:
+        """Return whether a server that was down is steady, or no other one of its service is up."""
+        service = state.servers[server].service
+        others = (
+            name
+            for name, other in state.servers.items()
+            if other.service == service
+            and state.server_status.get(name, STATUS_UP) == STATUS_UP
+            and other.state == "active"
+        )
+        return self._usage.is_steady(server) or next(others, None) is None
+
     def _tenure_s(self, server: str) -> float:
         tenure = self._tenures.get(server)
         return -math.inf if tenure is None else self._timers.now() - tenure.since_s
--- a/src/hyssopwood/usage_reports.py
+++ b/src/hyssopwood/usage_reports.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from typing import TypeVar
 
-from attrs import define
+from attrs import define, frozen
 
 from hyssopwood.messages import KeyUsage, PartitionUsage, ServerUsage, UsageReport
 from hyssopwood.placement import KeyLoad, PartitionLoad, ServerLoad, Snapshot
@@ -31,9 +31,10 @@
 # It lies well below the ratio that isolates a key, so that a key does not alternate.
 COLD_SLOT_RATIO = 0.03
 COLD_AFTER_S = 30.0
-# A server that starts cold gets a growing share, and none for a while after repeated failures.
+# A server that starts cold gets a growing share of its load.
 RAMP_S = 30.0
 MIN_SHARE = 0.2
+# A server that failed counts as up after it was reported up for a time that doubles each time.
 FIRST_HOLD_S = 2.0
 MAX_HOLD_S = 300.0
 FLAP_MEMORY_S = 600.0
@@ -60,13 +61,23 @@
     failures: int = 0
 
     def share(self, now: float) -> float:
-        hold_s = 0.0
-        if self.failures:
-            hold_s = min(MAX_HOLD_S, FIRST_HOLD_S * 2.0 ** min(self.failures - 1, 10))
-        age_s = now - self.up_since_s - hold_s
-        if age_s < 0:
+        """Return the part of its load that the server may get."""
+        return min(1.0, MIN_SHARE + (1 - MIN_SHARE) * (now - self.up_since_s) / RAMP_S)
+
+    def hold_s(self) -> float:
+        """Return how long the server must be reported up before it counts as up."""
+        if not self.failures:
             return 0.0
-        return min(1.0, MIN_SHARE + (1 - MIN_SHARE) * age_s / RAMP_S)
+        return min(MAX_HOLD_S, FIRST_HOLD_S * 2.0 ** min(self.failures - 1, 10))
+
+
+@frozen
+class _Report:
+    """Hold a server's last report, and since when its reports name the same status."""
+
+    usage: ServerUsage
+    at_s: float
+    status_since_s: float
 
 
 class UsageBook:
@@ -78,7 +89,7 @@
         self._rates: dict[str, _Smoothed] = {}
         self._keys: dict[tuple[str, str], _Smoothed] = {}
         self._low_since_s: dict[str, float] = {}
-        self._servers: dict[str, tuple[float, ServerUsage]] = {}
+        self._servers: dict[str, _Report] = {}
         self._history: dict[str, _History] = {}
         self._leaving: set[str] = set()
         self._moved_s: dict[str, float] = {}
@@ -95,7 +106,7 @@
                 continue
             if usage.server not in state.servers:
                 continue
-            self._servers[usage.server] = (self._timers.now(), usage)
+            self._store(usage)
             for part in usage.partitions:
                 self._record_partition(usage.server, part, state)
             for key in usage.hot_keys:
@@ -104,6 +115,13 @@
             urgent = urgent or (usage.status in (STATUS_UP, STATUS_DOWN) and usage.status != known)
         return urgent
 
+    def _store(self, usage: ServerUsage) -> None:
+        now = self._timers.now()
+        old = self._servers.get(usage.server)
+        same = old is not None and old.usage.status == usage.status
+        since_s = old.status_since_s if same and old is not None else now
+        self._servers[usage.server] = _Report(usage, now, since_s)
+
     def _record_partition(self, server: str, part: PartitionUsage, state: ClusterState) -> None:
         owner = state.ownerships.get(part.partition)
         if owner is None or owner.server != server:
@@ -131,10 +149,17 @@
 
     def reported_status(self, server: str) -> str:
         """Return the status in a fresh report, or an empty string."""
-        at_s, usage = self._servers.get(server, (-math.inf, None))
-        if usage is None or self._timers.now() - at_s > REPORT_FRESH_S:
+        report = self._servers.get(server)
+        if report is None or self._timers.now() - report.at_s > REPORT_FRESH_S:
             return ""
-        return usage.status
+        return report.usage.status
+
+    def is_steady(self, server: str) -> bool:
+        """Return whether a server was reported up for long enough after its failures."""
+        report, history = self._servers.get(server), self._history.get(server)
+        if report is None or history is None:
+            return True
+        return self._timers.now() - report.status_since_s >= history.hold_s()
 
     def forget_report(self, server: str) -> None:
         """Drop a server's report, because its coordinator has changed."""
@@ -222,8 +247,8 @@
         smoothed = self._loads.get(partition)
         if smoothed is None:
             return 0.0
-        reported_s, _ = self._servers.get(owner, (-math.inf, None))
-        unmentioned_s = max(0.0, reported_s - smoothed.at_s)
+        report = self._servers.get(owner)
+        unmentioned_s = 0.0 if report is None else max(0.0, report.at_s - smoothed.at_s)
         return smoothed.value * math.exp(-unmentioned_s / SMOOTHING_S)
 
     def _key_loads(self, state: ClusterState, service: str) -> tuple[list[KeyLoad], list[KeyLoad]]:
--- a/src/hyssopwood/voters.py
+++ b/src/hyssopwood/voters.py
@@ -12,6 +12,11 @@
 MIN_COORDINATION_DIFFERENCE = 3
 
 
+def instance_of(incarnation: str) -> str:
+    """Return the instance in an incarnation id, `<instance>.<random hex>`."""
+    return incarnation.rpartition(".")[0]
+
+
 def choose_voters(
     eligible: Iterable[Member], current: Collection[str], limit: int = MAX_VOTERS
 ) -> tuple[str, ...]:
