--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -103,7 +103,7 @@
         self._timers = timers
         self._usage = usage
         self._on_lost = on_lost
-        self._note_report = note_report
+        self.note_report = note_report
         self._joined = False
         self._leaving = False
         self._sent: tuple[object, ...] = ()
@@ -207,7 +207,7 @@
                 continue
             report = UsageReport(self._settings.instance, servers, self._leaving)
             accepted = await self._send(planner, report)
-            self._note_report(planner, accepted)
+            self.note_report(planner, accepted)
             self._sent = key
             self._report_due_s = now + (REPORT_INTERVAL_S if accepted else REPORT_RETRY_S)
 
