--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -77,7 +77,7 @@
             timers,
             self.replication.last_standby,
         )
-        self.membership.report_locally = self.planner.on_usage_report
+        self.membership.note_report = self.planner.note_report
 
     def start(self) -> None:
         """Start every part."""
