--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -399,6 +399,7 @@
         self, request: Request, rule: ServiceRule, target: str, body: bytes, began: float
     ) -> CallerRequest:
         headers = request.headers
+        key = _text(headers, rule.key_header, "no-key")
         operation = _text(headers, "Hyssopwood-Operation", "no-operation")
         known = rule.operations.get(operation)
         if known is None:
@@ -408,7 +409,7 @@
             customer=rule.customer,
             operation=operation,
             repeatable=known.repeatable,
-            key=_text(headers, rule.key_header, "no-key"),
+            key=key,
             method=request.method,
             path=target,
             headers=headers,
@@ -450,9 +451,9 @@
         if close or self._stopping:
             request.stream.keep_alive = False
         status = _STATUS.get(outcome.reason, _UNAVAILABLE)
-        retry_s = outcome.retry_after_s
-        if retry_s is None and outcome.reason not in _FINAL:
-            retry_s = DEFAULT_RETRY_S
+        retry_s = None
+        if outcome.reason not in _FINAL:
+            retry_s = DEFAULT_RETRY_S if outcome.retry_after_s is None else outcome.retry_after_s
         return _problem(
             status,
             outcome.reason,
