End attempts at a server that lost the key; wait for the sender's log position

Cause: repeatable requests in flight at a frozen server waited for its answer up to the deadline, and a coordinator that had read less of the log than the entry refused with 'moved', after which the entry waited up to 1 s. Ruled out: slow fencing (280 ms) and slow takeover (20 ms).

--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -123,6 +123,7 @@
     SILENT = auto()
     CLOCK_JUMP = auto()
     CLOSED = auto()
+    MOVED = auto()
 
 
 @define(eq=False)
@@ -341,6 +342,15 @@
             await self.finish(attempt)
         return outcome
 
+    def end_moved(self, owns: Callable[[str, str], bool]) -> None:
+        """End attempts whose server lost the partition: its lease has lapsed, so has their work."""
+        for attempt in list(self._attempts):
+            request = attempt.request
+            if attempt.sent_at is None or attempt.whole:
+                continue
+            if not owns(request.partition, request.server.name):
+                attempt.end(_End.MOVED)
+
     async def retire_pool(self, server: str) -> None:
         """Open new connections to a server from now on."""
         pool = self._pools.pop(server, None)
@@ -458,6 +468,8 @@
             emit(Event.BAD_ANSWER, server=name, fault=type(error).__name__)
         if attempt.ended is _End.DEADLINE:
             reason, detail = Reason.DEADLINE_EXCEEDED, "the deadline has passed"
+        elif attempt.ended is _End.MOVED:
+            reason, detail = Reason.MOVED, f"{name} lost the key"
         elif attempt.sent_at is None:
             reason, detail = Reason.SERVER_UNREACHABLE, f"can't connect to {name}"
         else:
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -39,6 +39,7 @@
 GRANT_RECORD_INTERVAL_S = 0.02
 GRANT_RECORD_RETRY_S = 0.25
 HAND_OVER_CHECK_S = 0.05
+CATCH_UP_S = 0.1
 
 
 @define(eq=False)
@@ -210,11 +211,21 @@
     # Permits
 
     async def _on_permit_request(self, sender: str, request: PermitRequest) -> PermitReply:
+        await self._catch_up(request.position)
         active = self._active.get(request.server)
         if active is None:
             return refusal(Reason.MOVED, f"{request.server!r:.60} is not coordinated here")
         return await active.desk.request(sender, request)
 
+    async def _catch_up(self, position: int) -> None:
+        """Wait briefly for records that the sender has applied and this instance hasn't."""
+        until = self._parts.timers.now() + CATCH_UP_S
+        while self._parts.state.applied < position:
+            left = until - self._parts.timers.now()
+            if left <= 0:
+                return
+            await self._parts.changed.wait(left)
+
     async def _on_permit_return(self, sender: str, returned: PermitReturn) -> None:
         for name, records in self._records.items():
             permit = records.book.permits.get(returned.permit_id)
--- a/src/hyssopwood/daemon.py
+++ b/src/hyssopwood/daemon.py
@@ -120,7 +120,7 @@
                 self._log,
                 self._durations,
                 self._note_lost,
-                self._routes.note_change,
+                self._note_change,
             )
             member.start()
             self._member = member
@@ -129,6 +129,10 @@
             finally:
                 await member.stop()
 
+    def _note_change(self) -> None:
+        self._routes.note_change()
+        self._backend.end_moved(self._routes.owns)
+
     async def _note_lost(self, _: str) -> None:
         self._lost.set()
 
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -69,6 +69,7 @@
     digest: int
     idempotency_key: str
     customer: str
+    position: int = -1
 
 
 @frozen
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -70,6 +70,7 @@
   digest @6 :UInt64;
   idempotencyKey @7 :Text;
   customer @8 :Text;
+  position @9 :Int64;  # Last log offset that the sender has applied.
 }
 
 struct PermitReply {
--- a/src/hyssopwood/permit_client.py
+++ b/src/hyssopwood/permit_client.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from hyssopwood.errors import PeerUnavailableError
 from hyssopwood.messages import ErrorReply, PermitCancel, PermitReply, PermitRequest, PermitReturn
@@ -36,6 +36,8 @@
         if peers is None:
             raise PeerUnavailableError("this instance is not a member at present")
         timeout_s = permit.deadline_ms / 1000 + REPLY_GRACE_S
+        # The coordinator may have read less of the log than the route that led to it.
+        permit = evolve(permit, position=self._routes.position)
         reply = await peers.request(coordinator, permit, timeout_s)
         if isinstance(reply, ErrorReply):
             raise PeerUnavailableError(reply.reason)
--- a/src/hyssopwood/routes.py
+++ b/src/hyssopwood/routes.py
@@ -35,6 +35,11 @@
         """Return a number that grows with each change of the routes."""
         return self._version
 
+    @property
+    def position(self) -> int:
+        """Return the offset of the last record that the routes reflect."""
+        return self._state().applied
+
     def note_change(self) -> None:
         """Wake every request that waits for another owner or coordinator."""
         self._version += 1
@@ -76,6 +81,14 @@
             return None
         return Route(partition, name, server.address, server.connections, coordination.incarnation)
 
+    def owns(self, partition: str, server: str) -> bool:
+        """Return whether a server owns a partition or has yet to release it."""
+        ownership = self._state().ownerships.get(partition)
+        if ownership is None:
+            # A hot key's partition that was merged into its shard stays at the same server.
+            return True
+        return server == ownership.server or server in ownership.awaiting
+
     def services(self) -> ServiceTable:
         """Return the services in force, built once per ticket."""
         state = self._state()
