--- a/features/standin_report.feature
+++ b/features/standin_report.feature
@@ -18,6 +18,7 @@
       | run outlives its grant                 | 300             | 1             |
       | unfenced grant never released          | 0               | 1             |
       | unfenced run under another's grant     | 200             | 1             |
+      | one partition runs on two servers      | 200             | 0             |
       | key runs in shard and own partition    | 400             | 0             |
       | key's own partition granted elsewhere  | 100             | 0             |
       | same key in two services               | 0               | 0             |
@@ -32,6 +33,7 @@
       | case                                        | measure            | value | named              |
       | one good answer                             | answered           | 1     |                    |
       | one good answer                             | wrong_answers      | 0     |                    |
+      | answered while owned twice                  | double_owner_ms    | 1500  | double_owner_ms    |
       | answer of another request                   | wrong_answers      | 1     | wrong_answers      |
       | answer cut off                              | incomplete_answers | 1     | incomplete_answers |
       | damaged answer told as unknown              | incomplete_answers | 0     |                    |
--- a/features/standin_server.feature
+++ b/features/standin_server.feature
@@ -71,6 +71,10 @@
     Guards against cancelled work that keeps its slot or is recorded as completed.
     Then cancelled stand-in work ends incomplete and frees its slot
 
+  Scenario: Stand-in server stops work when its lease lapses
+    Guards against a record of work that outlives the ownership of its partition.
+    Then stand-in work under a lapsing lease ends incomplete at the lapse
+
   Scenario Outline: Stand-in answer check tells a damaged body
     Guards against an answer that is accepted without proof.
     Then a stand-in body with <damage> is right <right> and whole <whole>
--- a/features/steps/standin_server_steps.py
+++ b/features/steps/standin_server_steps.py
@@ -61,8 +61,9 @@
 class _Fixture:
     """A server that holds partition `p` with token 7, and a client of it."""
 
-    def __init__(self, behaviour="{}"):
+    def __init__(self, behaviour="{}", lease_ms=LEASE_MS):
         self.behaviour = behaviour
+        self.lease_ms = lease_ms
         self.recorder = MemoryRecorder(server="s")
         self.server = Server("s", 2, self.recorder)
 
@@ -89,7 +90,7 @@
     async def _hold_partition(self):
         session = {"epoch": 1, "coordinator": "i1", "lease_until_ms": 0}
         _, _, body = await self.post("/hyssopwood/session", json.dumps(session))
-        session["lease_until_ms"] = json.loads(body)["clock_ms"] + LEASE_MS
+        session["lease_until_ms"] = json.loads(body)["clock_ms"] + self.lease_ms
         await self.post("/hyssopwood/session", json.dumps(session))
         grant = {"epoch": 1, "grant": [{"partition": "p", "token": 7}]}
         await self.post("/hyssopwood/grants", json.dumps(grant))
@@ -223,6 +224,15 @@
     assert server.count(type="run_ended", completed=False, reason="cancelled") == 1
 
 
+@then("stand-in work under a lapsing lease ends incomplete at the lapse")
+def step_lapsing(context):
+    server = _Fixture('{"work_ms": 5000}', lease_ms=200)
+    status, _, _ = context.run(server.run(lambda: server.work("n1")))
+    times = {item["type"]: item["t"] for item in server.recorder.records}
+    assert status == "500" and times["run_ended"] == times["lapsed"], server.recorder.records
+    assert server.count(type="run_ended", completed=False) == 1
+
+
 @then("a stand-in body with {damage} is right {right} and whole {whole}")
 def step_damage(context, damage, right, whole):
     body = b"".join(body_parts("k", "n", 100, "s", 1))
--- a/features/support/standin_records.py
+++ b/features/support/standin_records.py
@@ -87,6 +87,7 @@
     "unfenced run under another's grant": _servers(
         owner("granted", "free", 1.0), runs("free", 1.5, 2.2), OWNED_BY_B, END
     ),
+    "one partition runs on two servers": _servers(runs("a", 1.0, 2.0), runs("b", 1.8, 2.5)),
     "key runs in shard and own partition": _servers(
         runs("a", 1.0, 2.0), runs("b", 1.6, 2.5, partition="portal=k")
     ),
@@ -97,6 +98,9 @@
         runs("a", 1.0, 2.0), runs("b", 1.0, 2.0, partition="catalogue/1")
     ),
     "one good answer": _requests([attempt(1.0, 1.03)], RUN),
+    "answered while owned twice": _requests(
+        [attempt(1.0, 1.03)], RUN, OWNED_BY_A, owner("granted", "b", 1.5), END
+    ),
     "answer of another request": _requests([attempt(1.0, 1.03, right=False)], RUN),
     "answer cut off": _requests([attempt(1.0, 1.03, whole=False)], RUN),
     "damaged answer told as unknown": _requests(
--- a/src/hyssopwood_standins/report.py
+++ b/src/hyssopwood_standins/report.py
@@ -188,8 +188,7 @@
     """Return how long at least two servers, and `partitions` partitions, were active."""
     changes = [(item.start, 1, item) for item in items]
     changes += [(item.end, -1, item) for item in items]
-    # Ends come first, so that intervals that only touch do not overlap.
-    changes.sort(key=lambda change: change[:2])
+    changes.sort(key=lambda change: change[0])
     servers: Counter[str] = Counter()
     names: Counter[str] = Counter()
     total = 0.0
