--- a/features/standin_report.feature
+++ b/features/standin_report.feature
@@ -61,6 +61,8 @@
       | refused because it already ran           | 10    |
       | running on a frozen server               | 900   |
       | running on a killed server               | 400   |
+      | held by a frozen server after it was replaced | 400 |
+      | held while a working server was replaced | 900   |
 
   Scenario: Stand-in report has exactly the keys of the design page
     Guards against a report that its readers can't parse.
--- a/features/steps/standin_caller_steps.py
+++ b/features/steps/standin_caller_steps.py
@@ -12,8 +12,8 @@
 from hyssopwood_standins import caller, launcher
 from hyssopwood_standins.answer_body import body_parts
 from hyssopwood_standins.demand import Demand, Surge, rate_at, requests_of
-from hyssopwood_standins.recorder import MemoryRecorder
 from support.standin_http import running
+from support.standin_recorder import MemoryRecorder
 
 READY = "print('ready', flush=True); import time; time.sleep(60)"
 HABITS = {
--- a/features/steps/standin_server_steps.py
+++ b/features/steps/standin_server_steps.py
@@ -8,10 +8,10 @@
 
 from hyssopwood_standins.answer_body import body_parts, check_body
 from hyssopwood_standins.grants import Grants, RefusedError
-from hyssopwood_standins.recorder import MemoryRecorder
 from hyssopwood_standins.server import Server
 from hyssopwood_standins.shared_work import SharedWork
 from support.standin_http import exchange, running
+from support.standin_recorder import MemoryRecorder
 
 LEASE_MS = 60_000
 SHOWN = {True: "yes", False: "no", None: "-"}
--- a/features/support/standin_records.py
+++ b/features/support/standin_records.py
@@ -167,4 +167,20 @@
         runs("a", 1.0, None),
         events=[event("killed", "a", 1.1)],
     ),
+    "held by a frozen server after it was replaced": _requests(
+        [attempt(2.0, 3.0)],
+        runs("a", 1.0, 1.1),
+        runs("b", 2.95, 2.99, number=2),
+        owner("granted", "a", 0.5),
+        owner("lapsed", "a", 2.3),
+        owner("granted", "b", 2.4),
+        events=[event("frozen", "a", 1.9), event("resumed", "a", 2.9)],
+    ),
+    "held while a working server was replaced": _requests(
+        [attempt(2.0, 3.0)],
+        runs("b", 2.9, 2.99),
+        owner("granted", "a", 0.5),
+        owner("released", "a", 2.3),
+        owner("granted", "b", 2.4),
+    ),
 }
