--- a/src/hyssopwood_standins/demo.py
+++ b/src/hyssopwood_standins/demo.py
@@ -26,7 +26,7 @@
 # Leaves the launcher time to stop everything within 60 s.
 TIME_LIMIT_S = 52
 READY_LIMIT_S = 15
-TRAFFIC_S = 30.0
+TRAFFIC_S = 32.0
 RATE_PER_S = 60.0
 HOT_RATE_PER_S = 60.0
 HOT_KEY = "hot-key"
@@ -50,18 +50,20 @@
     async def run(self) -> None:
         await self._bring_up()
         self._start_traffic()
-        await self._lose_server(8)
-        await self._freeze_server(11)
-        await self._replace_entry(15)
-        await self._interrupt_log(20)
-        await self._change_limits(24)
-        await self._stop_entry(26)
+        await self._lose_server(6)
+        await self._freeze_server(10)
+        await self._return_server(14)
+        await self._replace_entry(17)
+        await self._interrupt_log(21)
+        await self._change_limits(25)
+        await self._stop_entry(27)
         await self.deployment.until_callers_end(TRAFFIC_S)
         await asyncio.sleep(SETTLE_S)
 
     async def _bring_up(self) -> None:
         deployment = self.deployment
         await deployment.start()
+        await deployment.until_joined(READY_LIMIT_S)
         self.tickets_ms.append(await deployment.publish(deployment.first_ticket()))
         await deployment.until_ready(len(deployment.customer.domains), READY_LIMIT_S)
 
@@ -93,6 +95,10 @@
         finally:
             self.deployment.launcher.resume(name)
 
+    async def _return_server(self, second: float) -> None:
+        await self._at(second, "the killed backend server is started again")
+        self.deployment.start_server(1)
+
     async def _replace_entry(self, second: float) -> None:
         name = self.deployment.entry_name(1)
         await self._at(second, "an entry instance is killed and replaced")
@@ -171,6 +177,10 @@
     partition = f"{customer.service}={scenario._hot_key()}"
     owners = report.owners_of(recording, partition)
     logger.info("{}: hot key was owned by {}", customer.name, " then ".join(owners) or "its shard")
+    key, (start, end) = report.longest_unavailable(recording)
+    origin = scenario.started
+    times = f"from {start - origin:.2f} s to {end - origin:.2f} s of its traffic"
+    logger.info("{}: longest without service: {}, {}", customer.name, key, times)
     logger.info("{}: not answered: {}", customer.name, report.failures(recording))
 
 
--- a/src/hyssopwood_standins/deployment.py
+++ b/src/hyssopwood_standins/deployment.py
@@ -143,6 +143,15 @@
         """Set faults of the platform or of a server."""
         await self._send("POST", f"http://{address}/control", faults)
 
+    async def until_joined(self, limit_s: float) -> None:
+        """Wait until every entry instance is a member, so that a ticket finds all of them."""
+
+        async def joined() -> bool:
+            shown = [await self.status(name) for name in self.entries]
+            return all(status.get("members", 0) >= len(shown) for status in shown)
+
+        await self._until(joined, limit_s, "all entry instances to join")
+
     async def until_ready(self, count: int, limit_s: float) -> None:
         """Wait until the balancer lists `count` entry instances."""
 
--- a/src/hyssopwood_standins/report.py
+++ b/src/hyssopwood_standins/report.py
@@ -273,7 +273,7 @@
     return max(0, max(over, default=0))
 
 
-def unavailable_ms(recordings: Recordings) -> dict[str, float]:
+def unavailable_spans(recordings: Recordings) -> dict[str, Span]:
     """Return for each key the longest time that it was in demand but not being served.
 
     A key is in demand from the sending of a request until its end, and after a failed attempt
@@ -291,11 +291,22 @@
         served[run.key] += _subtract((run.start, run.end), failed.get(run.server, []))
     replaced = _replacement_times(recordings, failed)
     return {
-        key: _longest_gap_s(_demand_spans(items, replaced[key]), sorted(served[key])) * 1000
+        key: _longest_gap(_demand_spans(items, replaced[key]), sorted(served[key]))
         for key, items in attempts.items()
     }
 
 
+def longest_unavailable(recordings: Recordings) -> tuple[str, Span]:
+    """Return the key that was unavailable the longest, and when."""
+    spans = unavailable_spans(recordings).items()
+    return max(spans, key=lambda item: _length(item[1]), default=("", (0.0, 0.0)))
+
+
+def max_key_unavailable_ms(recordings: Recordings) -> float:
+    """Return the longest time that a key was in demand but not being served."""
+    return _length(longest_unavailable(recordings)[1]) * 1000
+
+
 def _replacement_times(
     recordings: Recordings, failed: dict[str, list[Span]]
 ) -> dict[str, list[float]]:
@@ -322,11 +333,6 @@
             yield record["t"], record["partition"], previous
 
 
-def max_key_unavailable_ms(recordings: Recordings) -> float:
-    """Return the longest time that a key was in demand but not being served."""
-    return max(unavailable_ms(recordings).values(), default=0.0)
-
-
 def failed_spans(recordings: Recordings) -> dict[str, list[Span]]:
     """Return when each process was frozen, or ended and not started again."""
     found: dict[str, list[Span]] = defaultdict(list)
@@ -380,17 +386,21 @@
     return spans
 
 
-def _longest_gap_s(spans: list[Span], served: list[Span]) -> float:
-    longest = 0.0
+def _longest_gap(spans: list[Span], served: list[Span]) -> Span:
+    gaps: list[Span] = []
     for start, end in spans:
         covered_to = start
         for run_start, run_end in served:
             if run_end <= start or run_start >= end:
                 continue
-            longest = max(longest, run_start - covered_to)
+            gaps.append((covered_to, run_start))
             covered_to = max(covered_to, run_end)
-        longest = max(longest, end - covered_to)
-    return longest
+        gaps.append((covered_to, end))
+    return max(gaps, key=_length)
+
+
+def _length(span: Span) -> float:
+    return span[1] - span[0]
 
 
 def percentile(values: list[float], share: float) -> float:
