Test placement and membership, and fill servers that are below their share

A server that joined twenty others got nothing before, because none of them was above the hysteresis; a server far below its share now attracts moves too. Only moves that even out the load put a partition into its cool-down.

--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -378,3 +378,6 @@
 
     def holder_of(self, incarnation):
         return next((n for n in self.nodes.values() if n.incarnation == incarnation), None)
+
+    def partition_of(self, service, key):
+        return partition_of(self.state, service, key)
--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -203,7 +203,8 @@
             servers = self._usage()
             # Status changes and a new planner can't wait for the next periodic report.
             key = (planner, self._leaving, tuple((s.server, s.status) for s in servers))
-            if key == self._sent and now < self._report_due_s:
+            # Half a check interval absorbs rounding errors, which would delay each report by one.
+            if key == self._sent and now + CHECK_INTERVAL_S / 2 < self._report_due_s:
                 continue
             report = UsageReport(self._settings.instance, servers, self._leaving)
             accepted = await self._send(planner, report)
--- a/src/hyssopwood/placement.py
+++ b/src/hyssopwood/placement.py
@@ -76,15 +76,15 @@
 class RebalanceLimits:
     """Bound rebalancing.
 
-    A server counts as overloaded above `hysteresis` times its fair share. A move must take more
-    slot-seconds of excess off its source within `horizon_s` than it makes unavailable in
+    A server is overloaded above `hysteresis` times its fair share, and underloaded below the
+    inverse. A move must gain more slot-seconds within `horizon_s` than it makes unavailable in
     `move_unavailable_s`, and at least `min_gain_ratio` of a server's mean load.
     """
 
-    hysteresis: float = 1.2
+    hysteresis: float = 1.3
     horizon_s: float = 10.0
     move_unavailable_s: float = 0.1
-    min_gain_ratio: float = 0.05
+    min_gain_ratio: float = 0.03
     # A key is isolated when it is this part of its server's slots and of its shard's load.
     hot_slot_ratio: float = 0.1
     hot_shard_ratio: float = 0.25
@@ -184,17 +184,30 @@
 
     def overloaded(self) -> list[str]:
         """Return the servers above the hysteresis, the most overloaded first."""
+        return [name for name in self.sources() if self.ratio(name) > self.limits.hysteresis]
+
+    def sources(self) -> list[str]:
+        """Return the servers above their fair share, the most loaded first."""
         if self.fair <= 0:
             return []
-        names = [name for name in self.capacities if self.ratio(name) > self.limits.hysteresis]
-        return sorted(names, key=lambda name: (-self.ratio(name), name))
-
-    def gain(self, load: float, excess: float, room: float) -> float:
-        """Return the slot-seconds that a move gains, less those it makes unavailable."""
-        relieved = min(load, excess) - max(0.0, load - room)
-        if relieved < self.min_gain:
+        above = [name for name in self.capacities if self.ratio(name) > 1]
+        return sorted(above, key=lambda name: (-self.ratio(name), name))
+
+    def is_underloaded(self, name: str) -> bool:
+        """Return whether a server is below the inverse of the hysteresis."""
+        return self.ratio(name) * self.limits.hysteresis < 1
+
+    def gain(self, load: float, source: str, target: str) -> float:
+        """Return the slot-seconds that a move gains, less those it makes unavailable.
+
+        The gain in slots follows the sum of the squared differences from the fair shares: it is
+        largest for half of the difference between both servers and 0 for all of it.
+        """
+        difference = self.room(target) - self.room(source)
+        gained = load * (1 - load / difference) if difference > 0 else 0.0
+        if gained < self.min_gain:
             return 0.0
-        return relieved * self.limits.horizon_s - load * self.limits.move_unavailable_s
+        return gained * self.limits.horizon_s - load * self.limits.move_unavailable_s
 
     def move(self, load: float, source: str, target: str) -> None:
         """Account for a move."""
@@ -224,15 +237,17 @@
 def _best_move(
     balance: _Balance, owned: Mapping[str, list[PartitionLoad]]
 ) -> tuple[PartitionLoad, str] | None:
-    """Return the best move off the most overloaded server that has a worthwhile one."""
-    sources = balance.overloaded()
+    """Return the best move off the most loaded server that has a worthwhile one."""
+    sources = balance.sources()
     if not sources:
         return None
     target = max(balance.capacities, key=lambda name: (balance.room(name), name))
-    room = balance.room(target)
+    if not balance.is_underloaded(target):
+        sources = balance.overloaded()
     for source in sources:
-        excess = -balance.room(source)
-        gains = [(balance.gain(part.load, excess, room), part.name, part) for part in owned[source]]
+        gains = [
+            (balance.gain(part.load, source, target), part.name, part) for part in owned[source]
+        ]
         best = max(gains, key=lambda item: item[:2], default=None)
         if best is not None and best[0] > 0:
             return best[2], target
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -78,7 +78,7 @@
     moves: list[Move] = field(factory=list)
     added: list[HotKey] = field(factory=list)
     removed: list[HotKey] = field(factory=list)
-    budgeted: int = 0
+    rebalanced: set[str] = field(factory=set)
 
 
 class PlanBuilder:
@@ -102,6 +102,7 @@
         self._tenures: dict[str, _Tenure] = {}
         self._rebalance_due_s = 0.0
         self._settled: ClusterState | None = None
+        self._rebalanced: frozenset[str] = frozenset()
 
     def begin_epoch(self) -> None:
         """Wait for reports before the first rebalancing of a new epoch."""
@@ -121,15 +122,16 @@
             hot_keys_removed=tuple(draft.removed),
             server_status=status,
         )
-        self._moves.spend(draft.budgeted)
+        self._moves.spend(len(draft.rebalanced))
+        self._rebalanced = frozenset(draft.rebalanced)
         return None if body == PlanRecord(epoch=state.planner_epoch) else body
 
     def written(self, body: PlanRecord) -> None:
         """Remember what a plan in force has changed."""
         for change in body.server_status:
             self._usage.note_status(change.server, change.status)
-        for move in body.moves:
-            self._usage.note_move(move.partition)
+        for partition in self._rebalanced:
+            self._usage.note_move(partition)
         for coordinator in body.coordinators:
             self._usage.forget_report(coordinator.server)
             emit(
@@ -260,7 +262,7 @@
 
     def _rebalance(self, draft: _Draft, service: str, snapshot: Snapshot) -> None:
         waiting = sum(1 for part in snapshot.partitions if part.holder)
-        budget = min(self._moves.available() - draft.budgeted, MAX_MOVES_UNDER_WAY - waiting)
+        budget = min(self._moves.available() - len(draft.rebalanced), MAX_MOVES_UNDER_WAY - waiting)
         if budget < 0:
             return
         hot = hot_key_changes(snapshot, self._limits, budget)
@@ -268,4 +270,4 @@
         draft.removed.extend(HotKey(service=service, key=key) for key in hot.removed)
         moves = hot.moves or rebalancing_moves(snapshot, self._limits, budget)
         draft.moves.extend(moves)
-        draft.budgeted += len(moves)
+        draft.rebalanced.update(move.partition for move in moves)
--- a/src/hyssopwood/usage_reports.py
+++ b/src/hyssopwood/usage_reports.py
@@ -178,7 +178,7 @@
         history.down_since_s = now
 
     def note_move(self, partition: str) -> None:
-        """Remember when a partition was moved."""
+        """Remember when a partition was moved to even out the load."""
         self._moved_s[partition] = self._timers.now()
 
     def follow(self, state: ClusterState) -> None:
