--- a/features/request_records.feature
+++ b/features/request_records.feature
@@ -1,83 +1,54 @@
 Feature: Records of idempotency keys, of suspects and of durations
 
-  Scenario Outline: A repeated key is answered by what is known
-    Guards against a request that runs twice, or is refused although it never ran.
-    Given idempotency records for 60 s
-    When key "k" begins with digest 1 as request "i1.1#0"
-    And its request <ended>
-    And key "k" begins with digest <digest> as request "<request>"
-    Then the key's result is <result>
+  Scenario Outline: Keys guard against <fault>
+    Given a request script for keys
+    Then "begin 1 i1.1#0, <script>" holds
+
+    Examples: begin DIGEST REQUEST
+      | fault                                   | script |
+      | an equal request that runs beside       | begin 1 i2.9#0, is in-progress |
+      | an entry that refuses its own attempt   | begin 1 i1.1#1, is begun |
+      | request ids that look alike             | begin 1 i1.11#0, is in-progress |
+      | an answered request that runs again     | answer 5, begin 1 i2.9#0, is stored |
+      | an answer for another request           | answer 5, begin 2 i2.9#0, is bad-request |
+      | a large answer that runs again          | answer 16385, begin 1 i2.9#0, is already-run |
+      | a lost answer that runs again           | answer 0, begin 1 i2.9#0, is already-run |
+      | an unknown outcome that runs again      | unknown, begin 1 i2.9#0, is record-lost |
+      | a refusal of what never ran             | not-run, begin 1 i2.9#0, is begun |
+      | records that never end                  | answer 5, jump-ms 61000, begin 1 i2.9#0, is begun |
+      | a running request that is forgotten     | jump-ms 61000, begin 1 i2.9#0, is record-lost |
+      | a takeover that reruns what ran         | copy, begin 1 i2.9#0, is record-lost |
+      | a takeover that loses answers           | answer 5, copy, begin 1 i2.9#0, is stored |
+      | a late copy that undoes an answer       | late-copy 5, begin 1 i2.9#0, is stored |
+      | a takeover without copies               | lose, begin 1 i2.9#0, is record-lost |
+      | distrust that never ends                | lose, jump-ms 61000, begin 1 i2.9#0, is begun |
+      | records without bound                   | fill, bounded 100 1000000, begin 1 i2.9#0, is in-progress, begin-key z, is queue-full |
+
+  Scenario Outline: Suspects guard against <fault>
+    Given a request script for suspects
+    Then "<script>" holds
+
+    Examples: each group of digests ran on one server that crashed
+      | fault                                  | script |
+      | a quarantine after one crash           | crash 7, guilty none |
+      | a request that crashes alone           | crash 7 7, guilty 7 |
+      | a request that crashes beside others   | crash 7+1 7+2, guilty 7 |
+      | innocents among many                   | crash 7+1+2 7+3+4, guilty none, crash 7+5+6, guilty 7 |
+      | innocents that succeed later           | crash 7+1 7+1, success 1, guilty 7 |
+      | the guilty cleared by one success      | crash 7 7, success 7, guilty 7 |
+      | a quarantine without end               | crash 7 7, jump-ms 61000, guilty none |
+      | a request repeated through other peers | report 7 7+1, guilty 7, clear 1, kept 1 |
+      | memory that grows with suspects        | others 150, crash 7 7, guilty 7, kept 100 |
+
+  Scenario Outline: Durations guard against <fault>
+    90 requests took 10 ms and 10 took 2000 ms.
+    Given a request script for durations
+    Then "<script>" holds
 
     Examples:
-      | ended                             | digest | request | result         |
-      | is still running                  | 1      | i2.9#0  | in-progress    |
-      | is still running                  | 1      | i1.1#1  | begun          |
-      | is still running                  | 1      | i1.11#0 | in-progress    |
-      | was answered with 5 bytes         | 1      | i2.9#0  | stored 5 bytes |
-      | was answered with 5 bytes         | 2      | i2.9#0  | bad-request    |
-      | was answered with 16385 bytes     | 1      | i2.9#0  | already-run    |
-      | was answered with 0 bytes         | 1      | i2.9#0  | already-run    |
-      | ended unknown                     | 1      | i2.9#0  | record-lost    |
-      | was proved not to have run        | 1      | i2.9#0  | begun          |
-      | was answered long ago             | 1      | i2.9#0  | begun          |
-      | runs for longer than the window   | 1      | i2.9#0  | record-lost    |
-      | was copied and taken over         | 1      | i2.9#0  | record-lost    |
-      | was answered, copied, taken over  | 1      | i2.9#0  | stored 5 bytes |
-      | was answered and copied late      | 1      | i2.9#0  | stored 5 bytes |
-      | was lost in a takeover            | 1      | i2.9#0  | record-lost    |
-      | was lost in a takeover long ago   | 1      | i2.9#0  | begun          |
-
-  Scenario: Records stay bounded without forgetting a key early
-    Guards against memory that grows with callers, and against a dropped key that runs twice.
-    Given idempotency records for 60 s
-    When 100 further keys are answered with 16000 bytes each
-    Then no more than 100 keys and 1000000 bytes are kept
-    And the key "further-0" is answer-lost
-    And a further key is refused as queue-full
-
-  Scenario Outline: Crashes quarantine the guilty request
-    Guards against a request that crashes every server, and against refused innocents.
-    Given suspects with a quarantine of 60 s
-    When servers crash while they run "<crashes>"
-    And <later>
-    Then the quarantined requests are "<guilty>"
-
-    Examples: each group of digests ran on one crashed server
-      | crashes     | later                         | guilty |
-      | 7           | nothing else happens          |        |
-      | 7 7         | nothing else happens          | 7      |
-      | 7,1 7,2     | nothing else happens          | 7      |
-      | 7,1,2 7,3,4 | nothing else happens          |        |
-      | 7,1,2 7,3,4 7,5,6 | nothing else happens    | 7      |
-      | 7,1 7,1     | request 1 succeeds            | 7      |
-      | 7 7         | request 7 succeeds            | 7      |
-      | 7 7         | 61 s pass                     |        |
-      | 7 7         | 2000 other requests crash one | 7      |
-
-  Scenario: Suspects of one instance are refused on the others
-    Guards against a poison request that is repeated through other instances.
-    Given suspects with a quarantine of 60 s
-    When peers report crashes of "7 7,1"
-    Then the quarantined requests are "7"
-    When a peer clears request 1
-    Then 1 suspects are kept
-
-  Scenario Outline: Durations are learned with their tail and forgotten with time
-    Guards against predictions from a class name, from stale values or from the mean alone.
-    Given 90 requests took 10 ms and 10 took 2000 ms, <age> s ago
-    When 40 requests take <latest> ms
-    Then the mean lies between <low> and <high> ms
-    And the 95th percentile lies between <tail_low> and <tail_high> ms
-    And the operation is <class>
-
-    Examples:
-      | age | latest | low | high | tail_low | tail_high | class |
-      | 0   | 10     | 140 | 180  | 1900     | 2400      | short |
-      | 0   | 1000   | 400 | 500  | 900      | 2400      | long  |
-      | 900 | 10     | 9   | 12   | 9        | 13        | short |
-
-  Scenario: Work that overran is expected to go on
-    Guards against a wait predicted from the mean while a straggler holds the slot.
-    Given 90 requests took 10 ms and 10 took 2000 ms, 0 s ago
-    Then after 100 ms the remaining time lies between 1800 and 2400 ms
-    And the learned operations stay below 50 after 500 new ones
+      | fault                              | script |
+      | predictions without the tail       | mean 190 225, high 1900 2400, named short |
+      | a class that is only declared      | record 40 1000, mean 400 500, named long |
+      | predictions from stale values      | jump-ms 900000, record 40 10, mean 9 12, high 9 13, named short |
+      | stragglers expected to end at once | left-after 100 1800 2400 |
+      | memory that grows with names       | names 500, kept 40 |
--- a/features/support/request_fakes.py
+++ b/features/support/request_fakes.py
@@ -3,49 +3,40 @@
 import asyncio
 import re
 
-from hyssopwood.backend import BackendServer, ServerRequest
 from hyssopwood.dispatch import CallerRequest, Route
 from hyssopwood.messages import PermitReply
-
-REAL_LIMIT_S = 3.0
-ANSWER = "HTTP/1.1 {status}\r\nHyssopwood-Request-Id: {id}\r\n{extra}\r\n{body}"
-
-
-async def until(condition, timers=None):
-    """Wait for real sockets, moving manual time in steps shorter than a detected pause."""
-    for _ in range(int(REAL_LIMIT_S / 0.002)):
-        if condition():
-            return
-        await asyncio.sleep(0.002)
-        if timers is not None:
-            await timers.advance(0.02)
-    raise AssertionError("the condition was not met in time")
-
-
-def close_at_end(context, *closers):
-    """Await the closers when the scenario's tasks are cancelled."""
-
-    async def guard():
-        try:
-            await asyncio.get_running_loop().create_future()
-        finally:
-            for close in closers:
-                await close()
-
-    context.request_guard = context.loop.create_task(guard())
-    context.run(asyncio.sleep(0))
+from hyssopwood.outcomes import NotRun, Unknown
+
+KINDS = {"not-run": NotRun, "unknown": Unknown}
+ECHO = "HTTP/1.1 200 OK\r\nHyssopwood-Request-Id: {id}\r\n"
+REFUSAL = "Hyssopwood-Request-Id: {id}\r\nHyssopwood-Run: not-run\r\nContent-Length: 4\r\n\r\nbusy"
+# Behaviour: what is sent for a request, and whether the connection stays open.
+BEHAVIOURS = {
+    "answers": (ECHO + "Content-Length: 5\r\n\r\nwhole", True),
+    "echoes-another-id": (ECHO.format(id="x") + "Content-Length: 5\r\n\r\nwhole", True),
+    "refuses-the-token": ("HTTP/1.1 409 Conflict\r\n" + REFUSAL, True),
+    "sheds": ("HTTP/1.1 503 Busy\r\nRetry-After: 3\r\n" + REFUSAL, True),
+    "fails-after-running": (
+        "HTTP/1.1 503 Busy\r\nHyssopwood-Request-Id: {id}\r\nContent-Length: 3\r\n\r\nran",
+        True,
+    ),
+    "closes": ("", False),
+    "sends-garbage": ("\0\1garbage\r\n\r\n", False),
+    "cuts-a-counted-body": (ECHO + "Content-Length: 100\r\n\r\npart", False),
+    "cuts-a-chunked-body": (ECHO + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", False),
+    "sends-no-length": (ECHO + "\r\npart", False),
+    "stays-silent": ("", True),
+    "stalls-in-the-body": (ECHO + "Content-Length: 100\r\n\r\npart", True),
+}
 
 
 class ScriptedServer:
     """Backend server whose answers follow a script; `running` is its own load report."""
 
-    def __init__(self, behaviour, running=0):
-        self.behaviour = behaviour
-        self.running = running
-        self.seen = []
-        self.cancelled = []
-        self.connections = 0
-        self.writers = []
+    def __init__(self):
+        self.behaviour = "answers"
+        self.running = self.connections = 0
+        self.seen, self.cancelled, self.writers = [], [], []
 
     async def start(self):
         self._server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
@@ -59,117 +50,41 @@
     async def _connection(self, reader, writer):
         self.connections += 1
         self.writers.append(writer)
+        open_ = True
         try:
-            while True:
+            while open_:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = re.search(r"content-length: (\d+)", head, re.IGNORECASE)
                 body = await reader.readexactly(int(length[1]) if length else 0)
-                if not await self._answer(writer, head, body):
-                    writer.close()
-                    return
+                text, open_ = self._answer(head, body.decode())
+                writer.write(text.encode())
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
-    async def _answer(self, writer, head, body):
-        if head.startswith("GET /hyssopwood/load"):
-            return self._send(writer, "200 OK", f'{{"running": {self.running}}}')
-        if head.startswith("POST /hyssopwood/cancel"):
-            self.cancelled.append(body.decode())
-            return self._send(writer, "200 OK", "{}")
+            pass
+        writer.close()
+
+    def _answer(self, head, body):
+        if "/hyssopwood/load" in head:
+            load = f'{{"running": {self.running}}}'
+            return f"HTTP/1.1 200 OK\r\nContent-Length: {len(load)}\r\n\r\n{load}", True
+        if "/hyssopwood/cancel" in head:
+            self.cancelled.append(body)
+            return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", True
         self.seen.append(head)
         found = re.search(r"Hyssopwood-Request-Id: (\S+)", head, re.IGNORECASE)
-        return getattr(self, "_" + self.behaviour.replace(" ", "_"))(writer, found[1])
-
-    def _send(self, writer, status, body, request_id="", extra=""):
-        extra += f"Content-Length: {len(body)}\r\n"
-        text = ANSWER.format(status=status, id=request_id, extra=extra, body=body)
-        writer.write(text.encode())
-        return True
-
-    def _raw(self, writer, request_id, extra, body):
-        text = ANSWER.format(status="200 OK", id=request_id, extra=extra, body=body)
-        writer.write(text.encode())
-        return False
-
-    def _answers(self, writer, request_id):
-        return self._send(writer, "200 OK", "whole", request_id)
-
-    def _answers_once(self, writer, request_id):
-        return len(self.seen) == 1 and self._answers(writer, request_id)
+        text, open_ = BEHAVIOURS[self.behaviour]
+        return text.format(id=found[1]), open_
 
-    def _echoes_another_id(self, writer, request_id):
-        return self._send(writer, "200 OK", "whole", "another")
 
-    def _refuses_the_token(self, writer, request_id):
-        return self._send(writer, "409 Conflict", "", request_id, "Hyssopwood-Run: not-run\r\n")
-
-    def _sheds(self, writer, request_id):
-        extra = "Hyssopwood-Run: not-run\r\nRetry-After: 3\r\n"
-        return self._send(writer, "503 Busy", "busy", request_id, extra)
-
-    def _fails_after_running(self, writer, request_id):
-        return self._send(writer, "503 Busy", "ran", request_id)
-
-    def _closes(self, writer, request_id):
-        return False
-
-    def _sends_garbage(self, writer, request_id):
-        writer.write(b"\x00\x01garbage\r\n\r\n")
-        return False
-
-    def _cuts_a_counted_body(self, writer, request_id):
-        return self._raw(writer, request_id, "Content-Length: 100\r\n", "part")
-
-    def _cuts_a_chunked_body(self, writer, request_id):
-        return self._raw(writer, request_id, "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n")
-
-    def _sends_no_length(self, writer, request_id):
-        return self._raw(writer, request_id, "", "part")
-
-    def _stays_silent(self, writer, request_id):
-        return True
-
-    def _stalls_in_the_body(self, writer, request_id):
-        return not self._raw(writer, request_id, "Content-Length: 100\r\n", "part")
-
-
-def server_request(address, timers, **changes):
-    """Return an attempt with usual values."""
-    now = timers.now()
-    values = {
-        "server": BackendServer("s1", address, 4),
-        "request_id": "i1.1#0",
-        "method": "POST",
-        "path": "/portal/17",
-        "headers": {},
-        "body": b"body",
-        "key": "17",
-        "operation": "read",
-        "partition": "portal/1",
-        "token": 5,
-        "epoch": 7,
-        "repeatable": False,
-        "deadline": now + 2,
-        "first_byte_by": now + 0.2,
-    }
-    return ServerRequest(**{**values, **changes})
+def caller_request(timers, repeatable=False, idempotency_key=""):
+    """Return a caller's request with usual values."""
+    head = ("portal", "beridze", "read", repeatable, "17", "POST", "/portal/17", {}, b"body")
+    return CallerRequest(*head, timers.now() + 2, idempotency_key)
 
 
-def caller_request(timers, **changes):
-    """Return a caller's request with usual values."""
-    values = {
-        "service": "portal",
-        "customer": "beridze",
-        "operation": "read",
-        "repeatable": False,
-        "key": "17",
-        "method": "POST",
-        "path": "/portal/17",
-        "headers": {},
-        "body": b"body",
-        "deadline": timers.now() + 2,
-    }
-    return CallerRequest(**{**values, **changes})
+def describe(outcome):
+    """Return the kind and reason of an outcome without an answer."""
+    kind = next(name for name, kind in KINDS.items() if isinstance(outcome, kind))
+    return f"{kind} {outcome.reason.value}"
 
 
 class FakeRouter:
@@ -189,25 +104,20 @@
         self._changed.set()
 
     async def wait_changed(self, version):
-        while self.version <= version:
-            await self._changed.wait()
-            self._changed.clear()
+        await self._changed.wait()
 
 
 class FakePermits:
-    """Permit client that grants, or follows a list of replies and errors."""
+    """Permit client that first follows one scripted step and then grants."""
 
-    def __init__(self, *script):
-        self.script = list(script)
-        self.asked = []
-        self.returned = []
-        self.cancelled = []
+    def __init__(self, timers, step=None, delay_s=0.0):
+        self._timers, self._step, self._delay_s = timers, step, delay_s
+        self.asked, self.returned, self.cancelled = [], [], []
 
     async def request(self, permit, coordinator):
-        self.asked.append(permit)
-        step = self.script.pop(0) if self.script else None
-        if step == "hangs":
-            await asyncio.get_running_loop().create_future()
+        self.asked.append(permit.request_id)
+        step, self._step = self._step, None
+        await self._timers.sleep(self._delay_s)
         if isinstance(step, Exception):
             raise step
         return step or PermitReply(True, len(self.asked), "portal/1", 5, 7, 200)
@@ -216,4 +126,4 @@
         self.returned.append(permit)
 
     def cancel(self, cancel, coordinator):
-        self.cancelled.append(cancel)
+        self.cancelled.append(cancel.request_id)
