--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -75,8 +75,9 @@
             self.authority,
             self.membership.instance_list,
             timers,
+            self.replication.last_standby,
         )
-        self.membership.report_locally = self.planner.on_usage_report
+        self.membership.note_report = self.planner.note_report
 
     def start(self) -> None:
         """Start every part."""
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, evolve, field
 
@@ -84,8 +84,15 @@
 class PlanBuilder:
     """Build at most one plan record for each round."""
 
-    def __init__(self, settings: Settings, usage: UsageBook, timers: Timers) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        usage: UsageBook,
+        timers: Timers,
+        standby: Callable[[str], str] = lambda server: "",
+    ) -> None:
         self._usage = usage
+        self._standby = standby
         self._timers = timers
         self._lease_s = settings.timing.lease_ms / 1000
         self._limits = RebalanceLimits()
@@ -148,12 +155,26 @@
                 continue
             if reported == state.server_status.get(server, STATUS_UP):
                 continue
+            if reported == STATUS_UP and not self._may_come_up(state, server):
+                continue
             # A coordinator knows nothing about its server at first; a server that only changed
             # hands must not lose its partitions.
             if reported == STATUS_DOWN and self._tenure_s(server) < self._lease_s:
                 continue
             yield ServerStatus(server=server, status=reported)
 
+    def _may_come_up(self, state: ClusterState, server: str) -> bool:
+        """Return whether a server that was down is steady, or no other one of its service is up."""
+        service = state.servers[server].service
+        others = (
+            name
+            for name, other in state.servers.items()
+            if other.service == service
+            and state.server_status.get(name, STATUS_UP) == STATUS_UP
+            and other.state == "active"
+        )
+        return self._usage.is_steady(server) or next(others, None) is None
+
     def _tenure_s(self, server: str) -> float:
         tenure = self._tenures.get(server)
         return -math.inf if tenure is None else self._timers.now() - tenure.since_s
@@ -176,14 +197,14 @@
     def _coordinator_changes(
         self, state: ClusterState, eligible: Mapping[str, Member]
     ) -> tuple[CoordinatorChange, ...]:
-        required = required_coordinators(state, eligible, self._usage.leaving)
+        required = required_coordinators(state, eligible, self._usage.leaving, self._standby)
         if required:
             return required
         turns = tuple(self._turns(state, eligible))
         if turns:
             return turns
         staying = {name: eligible[name] for name in eligible if name not in self._usage.leaving}
-        changes = balancing_coordinators(state, staying, self._handovers.available())
+        changes = balancing_coordinators(state, staying, self._handovers.available(), self._standby)
         self._handovers.spend(len(changes))
         return changes
 
