--- /dev/null
+++ b/features/support/virtual_time.py
@@ -0,0 +1,109 @@
+"""An event loop whose clock jumps to the next timer, and processes that can be paused."""
+
+import asyncio
+
+
+# Each turn of the loop costs a little, so that a wait for less than the clock can show still ends.
+STEP_S = 1e-7
+
+
+class _JumpingSelector:
+    def __init__(self, loop, selector):
+        self._loop = loop
+        self._selector = selector
+
+    def select(self, timeout):
+        if timeout is None:
+            raise RuntimeError("every task waits for something that never comes")
+        self._loop.virtual_time += max(STEP_S, timeout)
+        return self._selector.select(0)
+
+    def __getattr__(self, name):
+        return getattr(self._selector, name)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run timers without waiting: simulated seconds cost only the work done in them."""
+
+    def __init__(self):
+        self.virtual_time = 1000.0
+        super().__init__()
+        self._selector = _JumpingSelector(self, self._selector)
+
+    def time(self):
+        return self.virtual_time
+
+
+class Process:
+    """A process with a clock of its own rate that can be paused, resumed and killed."""
+
+    def __init__(self, name, rng):
+        self.name = name
+        self.rng = rng
+        self.alive = True
+        self._rate = 1 + rng.uniform(-0.004, 0.004)
+        self._offset = rng.uniform(0, 10_000)
+        self._running = asyncio.Event()
+        self._running.set()
+
+    @property
+    def paused(self):
+        return not self._running.is_set()
+
+    def pause(self):
+        self._running.clear()
+
+    def resume(self):
+        self._running.set()
+
+    async def awake(self):
+        while self.paused:
+            await self._running.wait()
+
+    def now(self):
+        return asyncio.get_running_loop().time() * self._rate + self._offset
+
+    def real(self, own_time):
+        """Return the loop's time of an own time."""
+        return (own_time - self._offset) / self._rate
+
+    def wall_ms(self):
+        return int(self.now() * 1000)
+
+    async def sleep(self, seconds):
+        await asyncio.sleep(max(0.0, seconds / self._rate))
+        await self.awake()
+
+    async def subscribe(self, interval_s):
+        due = self.now()
+        while True:
+            yield self.now()
+            due = max(due + interval_s, self.now())
+            await self.sleep(due - self.now())
+
+
+class Network:
+    """Carry messages between named processes, with delays and one-way blocks."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.blocked = set()
+        self.loss = 0.0
+
+    def block(self, one, other):
+        self.blocked |= {(one, other), (other, one)}
+
+    def heal(self):
+        self.blocked.clear()
+        self.loss = 0.0
+
+    def passes(self, source, target):
+        return (source, target) not in self.blocked and self.rng.random() >= self.loss
+
+    async def carry(self, source, target):
+        """Return whether a message arrived, after its delay."""
+        if not self.passes(source, target):
+            return False
+        slow = self.rng.random() < 0.02
+        await asyncio.sleep(self.rng.uniform(0.01, 0.08) if slow else self.rng.uniform(2e-4, 2e-3))
+        return (source, target) not in self.blocked
