--- a/features/support/fake_servers.py
+++ b/features/support/fake_servers.py
@@ -3,13 +3,12 @@
 import asyncio
 import itertools
 
-from support.virtual_time import Process
-
 from hyssopwood.control_channel import ConnectionReplacedError
 from hyssopwood.errors import BackendServerUnavailableError
 from hyssopwood.waiting import WaitTimeoutError, within
 from hyssopwood_standins.grants import Grants, RefusedError
 from hyssopwood_standins.recorder import MemoryRecorder
+from support.virtual_time import Process
 
 MAX_MESSAGE_LIFE_S = 0.1
 # Longer than any schedule.
--- a/features/support/ownership_cluster.py
+++ b/features/support/ownership_cluster.py
@@ -3,10 +3,6 @@
 import asyncio
 import itertools
 
-from support.fake_log import LOG, FakeLog, FakeReplica
-from support.fake_servers import NEVER_S, FakeChannel, FakeServer
-from support.virtual_time import Network, Process
-
 from hyssopwood.admission import Admission
 from hyssopwood.authority import Authority
 from hyssopwood.coordinator import Coordinators
@@ -48,6 +44,9 @@
 from hyssopwood.structure import unstructure
 from hyssopwood.ticket import Operation, Server, Service, Ticket
 from hyssopwood.waiting import TaskGroup, WaitTimeoutError, within
+from support.fake_log import LOG, FakeLog, FakeReplica
+from support.fake_servers import NEVER_S, FakeChannel, FakeServer
+from support.virtual_time import Network, Process
 
 SERVICE = "portal"
 SHARDS = 6
