Bound waits by a timer callback instead of two tasks; bind the entry's socket ourselves

Cause: each peer request created four tasks for its time limits. sanic replaces port 0 by 8000, so two test runs at once collided.

--- a/features/support/manual_timers.py
+++ b/features/support/manual_timers.py
@@ -29,6 +29,13 @@
         heapq.heappush(self._sleepers, (self._now + seconds, next(self._sequence), future))
         await future
 
+    def call_later(self, seconds, callback):
+        future = asyncio.get_running_loop().create_future()
+        due = self._now + max(0.0, seconds)
+        heapq.heappush(self._sleepers, (due, next(self._sequence), future))
+        future.add_done_callback(lambda done: None if done.cancelled() else callback())
+        return future
+
     async def subscribe(self, interval_s):
         due = self._now
         while True:
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -73,6 +73,13 @@
         await asyncio.sleep(max(0.0, seconds / self._rate))
         await self.awake()
 
+    def call_later(self, seconds, callback):
+        async def call():
+            await self.sleep(seconds)
+            callback()
+
+        return asyncio.ensure_future(call())
+
     async def subscribe(self, interval_s):
         due = self.now()
         while True:
--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -6,6 +6,7 @@
 import json
 import math
 import re
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
@@ -263,10 +264,9 @@
 
     async def start(self) -> None:
         """Accept callers."""
-        host, _, port = self._address.rpartition(":")
+        # sanic would replace port 0 by its own default port.
         self._server = await self._app.create_server(
-            host=host.strip("[]"),
-            port=int(port),
+            sock=_listen(self._address),
             protocol=_Protocol,
             backlog=BACKLOG,
             access_log=False,
@@ -484,6 +484,14 @@
         return _problem(status, Reason.BAD_REQUEST, str(error), fault=fault)
 
 
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    listener = socket.create_server((host.strip("[]"), int(port)), family=family, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
 def _fault_of(error: Exception) -> str:
     if isinstance(error, _TruncatedError):
         return "truncated"
--- a/src/hyssopwood/peer_link.py
+++ b/src/hyssopwood/peer_link.py
@@ -111,6 +111,7 @@
         self.incarnation = incarnation
         self._ids = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Body]] = {}
+        self._waiting_since = 0.0
 
     @property
     def closed(self) -> bool:
@@ -126,9 +127,15 @@
         number = next(self._ids)
         self.wire.send(Envelope(number, 0, body))
         future: asyncio.Future[Body] = asyncio.get_running_loop().create_future()
+        if not self._pending:
+            self._waiting_since = self.wire.timers.now()
         self._pending[number] = future
         return number, future
 
+    def waits_since(self, since: float) -> bool:
+        """Return whether requests wait and no byte has arrived since a time."""
+        return bool(self._pending) and max(self._waiting_since, self.wire.received_at) < since
+
     def abandon(self, number: int) -> None:
         """Forget a request whose reply is no longer wanted."""
         self._pending.pop(number, None)
--- a/src/hyssopwood/peers.py
+++ b/src/hyssopwood/peers.py
@@ -97,7 +97,7 @@
         if self._server is None:
             await self.start()
         try:
-            await asyncio.get_running_loop().create_future()
+            await self._watch_silence()
         finally:
             await self.stop()
 
@@ -141,20 +141,17 @@
     async def _request_peer(self, incarnation: str, body: Body) -> Body:
         link = await self._link_to(incarnation)
         number, future = link.send(body)
-        sent_at = self._timers.now()
         try:
-            while not future.done():
-                await self._wait_for_reply(link, future, sent_at)
-            return future.result()
+            return await future
         finally:
             link.abandon(number)
 
-    async def _wait_for_reply(self, link: Link, future: asyncio.Future[Body], sent: float) -> None:
-        try:
-            await within(self._timers, SILENCE_S, asyncio.shield(future))
-        except WaitTimeoutError:
-            if link.wire.received_at < max(sent, self._timers.now() - SILENCE_S):
-                self._tasks.start(("probe", link.incarnation), self._replace_silent(link))
+    async def _watch_silence(self) -> None:
+        """Probe each connection on which requests wait and nothing arrives."""
+        async for now in self._timers.subscribe(SILENCE_S):
+            for link in self._links.values():
+                if link.waits_since(now - SILENCE_S):
+                    self._tasks.start(("probe", link.incarnation), self._replace_silent(link))
 
     async def _replace_silent(self, link: Link) -> None:
         """Probe both the connection and a new one; close the old one if only the new one answers.
--- a/src/hyssopwood/timers.py
+++ b/src/hyssopwood/timers.py
@@ -4,10 +4,18 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 
+class TimerHandle(Protocol):
+    """Hold a callback that is due later."""
+
+    def cancel(self) -> None:
+        """Don't call back any more."""
+        ...
+
+
 class Timers(Protocol):
     """Give parts the time; tests inject a manual implementation."""
 
@@ -23,6 +31,10 @@
         """Suspend the caller for `seconds`."""
         ...
 
+    def call_later(self, seconds: float, callback: Callable[[], None]) -> TimerHandle:
+        """Call back once after `seconds` unless cancelled."""
+        ...
+
     def subscribe(self, interval_s: float) -> AsyncIterator[float]:
         """Yield the time once every `interval_s` seconds; missed ticks are skipped."""
         ...
@@ -40,6 +52,9 @@
     async def sleep(self, seconds: float) -> None:
         await asyncio.sleep(max(0.0, seconds))
 
+    def call_later(self, seconds: float, callback: Callable[[], None]) -> TimerHandle:
+        return asyncio.get_running_loop().call_later(max(0.0, seconds), callback)
+
     async def subscribe(self, interval_s: float) -> AsyncIterator[float]:
         due = self.now()
         while True:
--- a/src/hyssopwood/waiting.py
+++ b/src/hyssopwood/waiting.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Coroutine
+from types import TracebackType
 from typing import Any, TypeVar
 
 from hyssopwood.timers import Timers
@@ -17,17 +18,47 @@
 
 
 async def within(timers: Timers, seconds: float, awaitable: Awaitable[T]) -> T:
-    """Return the awaitable's result; cancel it and raise WaitTimeoutError when it is late."""
-    task = asyncio.ensure_future(awaitable)
-    limit = asyncio.ensure_future(timers.sleep(max(0.0, seconds)))
-    try:
-        await asyncio.wait({task, limit}, return_when=asyncio.FIRST_COMPLETED)
-        if task.done():
-            return task.result()
-        raise WaitTimeoutError
-    finally:
-        limit.cancel()
-        task.cancel()
+    """Return the awaitable's result; cancel it and raise WaitTimeoutError when it is late.
+
+    The awaitable runs in the caller's task, because a task for each wait would cost more than
+    most of the waits themselves.
+    """
+    with _Limit(timers, seconds):
+        return await awaitable
+
+
+class _Limit:
+    """Interrupt the current task after a time, unless the block has ended by then."""
+
+    __slots__ = ("_timers", "_seconds", "_task", "_handle", "_cancelling", "_expired")
+
+    def __init__(self, timers: Timers, seconds: float) -> None:
+        self._timers = timers
+        self._seconds = seconds
+        self._expired = False
+
+    def __enter__(self) -> None:
+        self._task = asyncio.current_task()
+        self._cancelling = 0 if self._task is None else self._task.cancelling()
+        self._handle = self._timers.call_later(self._seconds, self._expire)
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._handle.cancel()
+        if not self._expired or self._task is None:
+            return
+        # A cancellation from elsewhere takes precedence over the limit.
+        if self._task.uncancel() <= self._cancelling and kind is asyncio.CancelledError:
+            raise WaitTimeoutError from error
+
+    def _expire(self) -> None:
+        self._expired = True
+        if self._task is not None:
+            self._task.cancel()
 
 
 class Signal:
