--- a/features/standin_report.feature
+++ b/features/standin_report.feature
@@ -74,6 +74,21 @@
       p50_ms, p99_ms
       """
 
+  Scenario Outline: Stand-in demo fails when a guarantee was violated
+    Guards against a demo that reports a violation and still succeeds.
+    Given the stand-in case "<case>"
+    Then the stand-in demo writes the measures and ends with exit code <code>
+
+    Examples:
+      | case                             | code |
+      | one good answer                  | 0    |
+      | answered while owned twice       | 1    |
+      | non-repeatable request ran twice | 1    |
+      | told not run but ran             | 1    |
+      | answer of another request        | 1    |
+      | answer cut off                   | 1    |
+      | nothing answered                 | 1    |
+
   Scenario: Stand-in report tells that a ticket never came into force
     Guards against a missing measurement that passes for a good one.
     Given the stand-in case "one good answer"
--- a/features/steps/standin_report_steps.py
+++ b/features/steps/standin_report_steps.py
@@ -1,11 +1,14 @@
 """Steps for the report of the stand-ins."""
 
+import io
+import json
 import tempfile
+from contextlib import redirect_stdout
 from pathlib import Path
 
 from behave import given, then, when
 
-from hyssopwood_standins import report
+from hyssopwood_standins import demo, report
 from support.standin_records import CASES
 
 TICKET_MS = 100.0
@@ -17,6 +20,14 @@
     context.measures = report.measures(CASES[case], TICKET_MS)
 
 
+@then("the stand-in demo writes the measures and ends with exit code {code:d}")
+def step_demo(context, code):
+    with tempfile.TemporaryDirectory() as directory, redirect_stdout(io.StringIO()):
+        output = Path(directory) / "out" / "demo.json"
+        assert demo.finish(context.measures, output) == code
+        assert json.loads(output.read_text(encoding="utf-8")) == context.measures
+
+
 @when("the stand-in ticket did not come into force")
 def step_no_ticket(context):
     context.measures["ticket_in_force_ms"] = None
--- a/src/hyssopwood_standins/demo.py
+++ b/src/hyssopwood_standins/demo.py
@@ -184,7 +184,8 @@
     logger.info("{}: not answered: {}", customer.name, report.failures(recording))
 
 
-def _publish(values: dict[str, Any], output: Path) -> int:
+def finish(values: dict[str, Any], output: Path) -> int:
+    """Print and write the measures; return 1 when they contradict a guarantee."""
     output.parent.mkdir(parents=True, exist_ok=True)
     output.write_text(json.dumps(values, indent=2) + "\n", encoding="utf-8")
     print(report.table(values))
@@ -223,6 +224,6 @@
     except (ExceptionGroup, TimeoutError, OSError) as error:
         logger.error("the demo failed: {!r}", error)
         return 2
-    code = _publish(_measure(scenarios, report.read_records(events_file)), output)
+    code = finish(_measure(scenarios, report.read_records(events_file)), output)
     logger.info("the demo took {:.1f} s", time.monotonic() - started)
     return code
