--- a/features/standin_report.feature
+++ b/features/standin_report.feature
@@ -14,6 +14,7 @@
       | never released                         | 1000            | 1             |
       | killed before granted elsewhere        | 0               | 1             |
       | killed after granted elsewhere         | 250             | 1             |
+      | killed after its lease had lapsed      | 0               | 1             |
       | restarted before granted elsewhere     | 0               | 1             |
       | run outlives its grant                 | 300             | 1             |
       | unfenced grant never released          | 0               | 1             |
--- a/features/steps/standin_server_steps.py
+++ b/features/steps/standin_server_steps.py
@@ -54,8 +54,8 @@
     grants.renew(1, "i1", (until + 500) * 1000, 1.0)
     grants.change(1, {"p": 7}, [], 1.0)
     grants.settle(noticed)
-    lapses = [(item["partition"], item["t"]) for item in recorder.records[1:]]
-    assert lapses == [("p", expected)], lapses
+    lapses = [item for item in recorder.records if item["type"] == "lapsed"]
+    assert [(item["partition"], item["t"]) for item in lapses] == [("p", expected)], lapses
 
 
 class _Fixture:
--- a/features/support/standin_records.py
+++ b/features/support/standin_records.py
@@ -55,6 +55,7 @@
 UNKNOWN = attempt(1.0, 1.03, "unknown")
 A, B, FREE = owner("granted", "a", 1.0), owner("granted", "b", 2.0), owner("granted", "free", 1.0)
 END = owner("released", "b", 3.0)
+RENEWED = {"type": "renewed", "server": "a", "t": 1.0, "lease_until": 1.4}
 ONCE = {"repeatable": False}
 
 OWNERSHIP_CASES = {
@@ -64,6 +65,9 @@
     "never released": _case(A, B, END),
     "killed before granted elsewhere": _case(A, B, END, events=[event("killed", "a", 1.5)]),
     "killed after granted elsewhere": _case(A, B, END, events=[event("killed", "a", 2.25)]),
+    "killed after its lease had lapsed": _case(
+        RENEWED, A, B, END, events=[event("frozen", "a", 1.2), event("killed", "a", 2.5)]
+    ),
     "restarted before granted elsewhere": _case(A, started("a", 1.75), B, END),
     "run outlives its grant": _case(A, runs("a", 1.5, 2.3), owner("released", "a", 1.9), B, END),
     "unfenced grant never released": _case(FREE, B, END),
--- a/src/hyssopwood_standins/grants.py
+++ b/src/hyssopwood_standins/grants.py
@@ -76,6 +76,8 @@
         self.coordinator = coordinator
         lease_until = lease_until_ms / 1000 - self._clock_offset_s
         self._lease_until = max(self._lease_until, lease_until)
+        # A process that is killed while it is stopped can't record its lapse.
+        self._recorder.write("renewed", now, lease_until=self._lease_until, epoch=epoch)
 
     def change(self, epoch: int, grant: dict[str, int], release: list[str], now: float) -> None:
         """Release and grant partitions; raise RefusedError for a stale epoch or no lease."""
--- a/src/hyssopwood_standins/report.py
+++ b/src/hyssopwood_standins/report.py
@@ -1,14 +1,15 @@
 """Measures of a run, calculated from the records of servers, callers and the launcher.
 
 Records are JSON objects with `type` and `t` (time.monotonic(), shared by all processes of a
-machine). Callers write `attempt`; servers write `started`, `granted`, `token_changed`, `released`,
-`lapsed`, `run_started`, `run_ended` and `refused`; the launcher writes `killed`, `stopped`,
-`frozen` and `resumed` with the name of a process.
+machine). Callers write `attempt`; servers write `started`, `renewed`, `granted`, `token_changed`,
+`released`, `lapsed`, `run_started`, `run_ended` and `refused`; the launcher writes `launched`,
+`killed`, `stopped`, `frozen` and `resumed` with the name of a process.
 """
 
 from __future__ import annotations
 
 import json
+import math
 from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
@@ -80,19 +81,22 @@
 def grant_intervals(recordings: Recordings) -> list[Interval]:
     """Return when each server held each partition.
 
-    A grant ends when it is released or lapses, when its process ends, or with the records.
+    A grant ends when it is released or lapses, when its process ends, or with the records, but
+    not after the last lease that the server was given.
     """
     found: list[Interval] = []
     for server, records in _by_server(recordings).items():
         open_grants: dict[str, float] = {}
-        for record in records:
+        lease_until = math.inf
+        for record in [*records, {"type": "stopped", "t": recordings.end}]:
             for partition in _ended_grants(record, open_grants):
                 start = open_grants.pop(partition)
-                found.append(Interval(server, partition, start, record["t"]))
+                end = max(start, min(record["t"], lease_until))
+                found.append(Interval(server, partition, start, end))
             if record["type"] == "granted":
                 open_grants[record["partition"]] = record["t"]
-        for partition, start in open_grants.items():
-            found.append(Interval(server, partition, start, recordings.end))
+            elif record["type"] == "renewed":
+                lease_until = record["lease_until"]
     return found
 
 
