--- a/features/support/request_backend.py
+++ b/features/support/request_backend.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from hyssopwood.backend import BackendClient, BackendServer, ServerRequest
+from hyssopwood.backend import BackendClient
+from hyssopwood.connection_pool import BackendServer, ServerRequest
 from hyssopwood.outcomes import Answered, BodyCutError
 from support.request_fakes import ScriptedServer, describe
 from support.request_script import Script, until
--- a/scripts/measure_request_path.py
+++ b/scripts/measure_request_path.py
@@ -18,7 +18,8 @@
 import uvloop
 from loguru import logger
 
-from hyssopwood.backend import BackendClient, BackendServer, ServerRequest
+from hyssopwood.backend import BackendClient
+from hyssopwood.connection_pool import BackendServer, ServerRequest
 from hyssopwood.dispatch import CallerRequest, Dispatcher, Route
 from hyssopwood.entry import Entry, OperationRule, Readiness, ServiceRule, ServiceTable
 from hyssopwood.messages import PermitCancel, PermitReply, PermitRequest, PermitReturn
--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -6,17 +6,20 @@
 import json
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from contextvars import ContextVar
-from enum import Enum, auto
 from typing import Any
 
 import aiohttp
 from aiohttp import hdrs
-from aiohttp.client_reqrep import ClientRequest
-from attrs import define, frozen
 from multidict import CIMultiDict
-from yarl import URL
 
+from hyssopwood.connection_pool import (
+    Attempt,
+    BackendServer,
+    ConnectionPool,
+    End,
+    NotSentError,
+    ServerRequest,
+)
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.events import Event, emit
 from hyssopwood.outcomes import Answered, BodyCutError, NotRun, Outcome, Reason, Unknown
@@ -24,9 +27,6 @@
 from hyssopwood.timers import Timers
 
 WATCH_INTERVAL_S = 0.02
-# Backend servers close idle connections after a few seconds; ours must be gone before.
-KEEPALIVE_S = 4.0
-READ_BUFFER_BYTES = 65_536
 MAX_LOAD_BYTES = 4_096
 # One report of an idle server may be older than the request, two are not.
 IDLE_PROBES = 2
@@ -34,6 +34,7 @@
 MAX_REFUSAL_BYTES = 4_096
 ABANDONED_S = 10.0
 REFUSAL_RETRY_S = 0.1
+MIN_CONNECT_S = 0.001
 
 REQUEST_ID = "Hyssopwood-Request-Id"
 RUN = "Hyssopwood-Run"
@@ -51,7 +52,6 @@
         "upgrade",
     }
 )
-_SKIP_AUTO_HEADERS = frozenset({"User-Agent", "Accept", "Accept-Encoding", "Content-Type"})
 # Set for each attempt, whatever the caller sent.
 _REPLACED = (
     "Host",
@@ -69,181 +69,11 @@
 _BODILESS_STATUS = frozenset({204, 304})
 
 
-@frozen
-class BackendServer:
-    """Name a backend server and bound its connections."""
-
-    name: str
-    address: str
-    connections: int = 100
-
-
-@frozen(kw_only=True)
-class ServerRequest:
-    """Hold one attempt; `deadline` and `first_byte_by` are absolute timer time."""
-
-    server: BackendServer
-    request_id: str
-    method: str
-    path: str
-    headers: Mapping[str, str]
-    body: bytes
-    key: str
-    operation: str
-    partition: str
-    token: int
-    epoch: int
-    repeatable: bool
-    deadline: float
-    first_byte_by: float
-    late_after_s: float = 0.0
-
-
-class NotSentError(HyssopwoodError):
-    """Raised when an attempt ends before a byte of it left."""
-
-    exit_code = 7
-
-    def __init__(self, reason: Reason, detail: str) -> None:
-        super().__init__(detail)
-        self.reason = reason
-        self.detail = detail
-
-
-class ResentError(HyssopwoodError):
-    """Raised when the HTTP client tries to send one attempt twice."""
-
-    exit_code = 7
-
-
-class _End(Enum):
-    """Why the watch ended an attempt."""
-
-    DEADLINE = auto()
-    SILENT = auto()
-    CLOCK_JUMP = auto()
-    CLOSED = auto()
-
-
-@define(eq=False)
-class _Attempt:
-    """State of one attempt, shared by its task, the HTTP client and the watch."""
-
-    request: ServerRequest
-    pool: _Pool
-    timers: Timers
-    is_paused: Callable[[float], bool]
-    late_at: float
-    sent_at: float | None = None
-    connection: Any = None
-    response: aiohttp.ClientResponse | None = None
-    ended: _End | None = None
-    probing: bool = False
-    idle_probes: int = 0
-
-    @property
-    def whole(self) -> bool:
-        """Return whether the last byte of the answer is here."""
-        return self.response is not None and self.response.content.is_eof()
-
-    def note_sending(self, connection: Any) -> None:
-        """Check that a byte may leave now, and remember that it does."""
-        if self.sent_at is not None:
-            # The request would run twice.
-            raise ResentError(f"attempt {self.request.request_id} was to be sent twice")
-        protocol = connection.protocol
-        if protocol is None or protocol.transport is None or protocol.transport.is_closing():
-            raise NotSentError(Reason.SERVER_UNREACHABLE, "the connection closed before sending")
-        now = self.timers.now()
-        if self.is_paused(now):
-            raise NotSentError(Reason.SERVER_UNREACHABLE, "this process was paused")
-        if self.ended is not None or now >= self.request.deadline:
-            raise NotSentError(Reason.DEADLINE_EXCEEDED, "the deadline passed before sending")
-        if now >= self.request.first_byte_by:
-            raise NotSentError(Reason.MOVED, "the permit expired before sending")
-        self.sent_at = now
-        self.connection = connection
-
-    def end(self, why: _End) -> None:
-        """Break the connection; the task that reads from it sees the failure."""
-        if self.ended is None:
-            self.ended = why
-        self.break_connection()
-
-    def break_connection(self) -> None:
-        if self.connection is None or self.connection.protocol is None:
-            return
-        transport = self.connection.protocol.transport
-        if transport is not None:
-            transport.abort()
-
-
-_ATTEMPT: ContextVar[_Attempt | None] = ContextVar("attempt", default=None)
-
-
-class _GatedRequest(ClientRequest):
-    """HTTP request that asks its attempt before the first byte is written."""
-
-    async def send(self, conn: Any) -> Any:
-        attempt = _ATTEMPT.get()
-        if attempt is not None:
-            attempt.note_sending(conn)
-        return await super().send(conn)
-
-
-class _Pool:
-    """Connections to one backend server."""
-
-    def __init__(self, server: BackendServer) -> None:
-        self.server = server
-        self._base = f"http://{server.address}"
-        self.in_use = 0
-        self.retired = False
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=server.connections,
-                keepalive_timeout=KEEPALIVE_S,
-                use_dns_cache=False,
-            ),
-            request_class=_GatedRequest,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=_SKIP_AUTO_HEADERS,
-            read_bufsize=READ_BUFFER_BYTES,
-            trust_env=False,
-        )
-        # Own retries go through routing and permits. _GatedRequest also refuses a resend,
-        # so that a renamed attribute can't bring the client's own retry back.
-        self._session._retry_connection = False
-
-    def url(self, path: str) -> URL:
-        # Joining would let a path such as //host/x leave for another host.
-        return URL(f"{self._base}{path}", encoded=True)
-
-    async def request(self, method: str, path: str, **options: Any) -> aiohttp.ClientResponse:
-        return await self._session.request(method, self.url(path), allow_redirects=False, **options)
-
-    async def release(self) -> None:
-        self.in_use -= 1
-        if self.retired and not self.in_use:
-            await self._session.close()
-
-    async def retire(self) -> None:
-        """Use no idle connection again; attempts in flight keep theirs."""
-        self.retired = True
-        if not self.in_use:
-            await self._session.close()
-
-    async def close(self) -> None:
-        self.retired = True
-        await self._session.close()
-
-
 class _AnswerBody:
     """Iterate over an answer's body; raise BodyCutError unless it is whole."""
 
     def __init__(
-        self, client: BackendClient, attempt: _Attempt, response: aiohttp.ClientResponse
+        self, client: BackendClient, attempt: Attempt, response: aiohttp.ClientResponse
     ) -> None:
         self._client = client
         self._attempt = attempt
@@ -303,10 +133,9 @@
         self._timers = timers
         self._timing = timing or Timing()
         self._connect_s = self._timing.server_timeout_ms / 1000
-        self._timeout = _connect_timeout(self._connect_s)
-        self._pools: dict[str, _Pool] = {}
-        self._old_pools: set[_Pool] = set()
-        self._attempts: set[_Attempt] = set()
+        self._pools: dict[str, ConnectionPool] = {}
+        self._old_pools: set[ConnectionPool] = set()
+        self._attempts: set[Attempt] = set()
         self._control: set[asyncio.Task[None]] = set()
         self._watch_task: asyncio.Task[None] | None = None
         self._last_tick = timers.now()
@@ -351,7 +180,7 @@
 
     async def close_connections(self) -> None:
         """Break every connection, such as after this process was paused."""
-        await self._break_all(_End.CLOCK_JUMP)
+        await self._break_all(End.CLOCK_JUMP)
 
     async def close(self) -> None:
         """Break every connection and stop."""
@@ -361,15 +190,15 @@
         for task in list(self._control):
             task.cancel()
         await asyncio.gather(*self._control, return_exceptions=True)
-        await self._break_all(_End.CLOSED)
+        await self._break_all(End.CLOSED)
 
-    def cancel_at_server(self, attempt: _Attempt) -> None:
+    def cancel_at_server(self, attempt: Attempt) -> None:
         """Tell the server to stop work that nobody waits for."""
         if attempt.sent_at is None or len(self._control) >= MAX_CONTROL_TASKS or self._closed:
             return
         self._spawn(self._post_cancel(attempt.request))
 
-    async def finish(self, attempt: _Attempt) -> None:
+    async def finish(self, attempt: Attempt) -> None:
         """Forget an attempt whose answer has ended."""
         if attempt not in self._attempts:
             return
@@ -379,17 +208,15 @@
         if not pool.in_use:
             self._old_pools.discard(pool)
 
-    def _begin(self, request: ServerRequest) -> _Attempt:
+    def _begin(self, request: ServerRequest) -> Attempt:
         pool = self._pool_of(request.server)
         pool.in_use += 1
         late_s = max(request.late_after_s, self._timing.server_timeout_ms / 1000)
-        attempt = _Attempt(
-            request, pool, self._timers, self._is_paused, self._timers.now() + late_s
-        )
+        attempt = Attempt(request, pool, self._timers, self._is_paused, self._timers.now() + late_s)
         self._attempts.add(attempt)
         return attempt
 
-    def _pool_of(self, server: BackendServer) -> _Pool:
+    def _pool_of(self, server: BackendServer) -> ConnectionPool:
         pool = self._pools.get(server.name)
         if pool is not None and pool.server == server:
             return pool
@@ -397,29 +224,15 @@
             # The server has a new address or limit.
             self._old_pools.add(pool)
             self._spawn(pool.retire())
-        pool = _Pool(server)
+        pool = ConnectionPool(server)
         self._pools[server.name] = pool
         return pool
 
-    async def _exchange(self, attempt: _Attempt) -> aiohttp.ClientResponse:
+    async def _exchange(self, attempt: Attempt) -> aiohttp.ClientResponse:
         request = attempt.request
-        token = _ATTEMPT.set(attempt)
-        try:
-            return await attempt.pool.request(
-                request.method,
-                request.path,
-                headers=self._headers(request),
-                data=request.body or None,
-                timeout=self._connect_timeout(request),
-            )
-        finally:
-            _ATTEMPT.reset(token)
-
-    def _connect_timeout(self, request: ServerRequest) -> aiohttp.ClientTimeout:
         left_s = request.deadline - self._timers.now()
-        if left_s >= self._connect_s:
-            return self._timeout
-        return _connect_timeout(max(0.001, left_s))
+        connect_s = min(self._connect_s, max(MIN_CONNECT_S, left_s))
+        return await attempt.pool.send(attempt, self._headers(request), connect_s)
 
     def _headers(self, request: ServerRequest) -> CIMultiDict[str]:
         headers = end_to_end(request.headers)
@@ -435,7 +248,7 @@
         headers["Hyssopwood-Deadline-Ms"] = str(left_ms)
         return headers
 
-    async def _judge(self, attempt: _Attempt, response: aiohttp.ClientResponse) -> Outcome:
+    async def _judge(self, attempt: Attempt, response: aiohttp.ClientResponse) -> Outcome:
         attempt.response = response
         request = attempt.request
         echoed = response.headers.get(REQUEST_ID)
@@ -452,11 +265,11 @@
         headers = end_to_end(response.headers)
         return Answered(response.status, headers, _AnswerBody(self, attempt, response))
 
-    def _failed(self, attempt: _Attempt, error: Exception) -> NotRun | Unknown:
+    def _failed(self, attempt: Attempt, error: Exception) -> NotRun | Unknown:
         name = attempt.request.server.name
         if isinstance(error, aiohttp.ClientResponseError):
             emit(Event.BAD_ANSWER, server=name, fault=type(error).__name__)
-        if attempt.ended is _End.DEADLINE:
+        if attempt.ended is End.DEADLINE:
             reason, detail = Reason.DEADLINE_EXCEEDED, "the deadline has passed"
         elif attempt.sent_at is None:
             reason, detail = Reason.SERVER_UNREACHABLE, f"can't connect to {name}"
@@ -482,11 +295,11 @@
             self._last_tick = now
             if paused:
                 emit(Event.CLOCK_JUMPED, seconds=round(paused_s, 3))
-                await self._break_all(_End.CLOCK_JUMP)
+                await self._break_all(End.CLOCK_JUMP)
             for attempt in list(self._attempts):
                 self._check(attempt, now)
 
-    def _check(self, attempt: _Attempt, now: float) -> None:
+    def _check(self, attempt: Attempt, now: float) -> None:
         overdue_s = now - attempt.request.deadline
         if overdue_s > ABANDONED_S and attempt.ended is not None:
             # Nobody reads this answer any more.
@@ -498,12 +311,12 @@
             attempt.late_at = now + self._timing.server_timeout_ms / 1000
             self._spawn(self._probe(attempt))
 
-    def _end_overdue(self, attempt: _Attempt) -> None:
+    def _end_overdue(self, attempt: Attempt) -> None:
         if attempt.ended is None and not attempt.whole:
             self.cancel_at_server(attempt)
-            attempt.end(_End.DEADLINE)
+            attempt.end(End.DEADLINE)
 
-    async def _probe(self, attempt: _Attempt) -> None:
+    async def _probe(self, attempt: Attempt) -> None:
         """Ask the server over a new connection whether it runs anything."""
         try:
             running = await self._fetch_running(attempt.request.server)
@@ -518,7 +331,7 @@
         attempt.idle_probes = attempt.idle_probes + 1 if running == 0 else 0
         if attempt.idle_probes >= IDLE_PROBES:
             emit(Event.CONNECTION_SILENT, server=server, request_id=attempt.request.request_id)
-            attempt.end(_End.SILENT)
+            attempt.end(End.SILENT)
 
     async def _fetch_running(self, server: BackendServer) -> int | None:
         """Return the server's own count of running requests, None without an answer."""
@@ -550,7 +363,7 @@
         self._control.add(task)
         task.add_done_callback(self._control.discard)
 
-    async def _break_all(self, why: _End) -> None:
+    async def _break_all(self, why: End) -> None:
         pools = [*self._pools.values(), *self._old_pools]
         self._pools.clear()
         self._old_pools.clear()
@@ -560,11 +373,6 @@
             await pool.close()
 
 
-def _connect_timeout(seconds: float) -> aiohttp.ClientTimeout:
-    # Only the connection; the watch enforces the deadline of the rest.
-    return aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=seconds)
-
-
 def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that are passed on, repeated ones included."""
     kept = CIMultiDict(headers)
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -11,10 +11,7 @@
 import xxhash
 from attrs import define, frozen
 
-from hyssopwood.backend import (
-    BackendServer,
-    ServerRequest,
-)
+from hyssopwood.connection_pool import BackendServer, ServerRequest
 from hyssopwood.durations import Durations
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.events import Event, emit
