--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -170,6 +170,15 @@
             await self.finish(attempt)
         return outcome
 
+    def end_moved(self, owns: Callable[[str, str], bool]) -> None:
+        """End attempts whose server lost the partition: its lease has lapsed, so has their work."""
+        for attempt in list(self._attempts):
+            request = attempt.request
+            if attempt.sent_at is None or attempt.whole:
+                continue
+            if not owns(request.partition, request.server.name):
+                attempt.end(End.MOVED)
+
     async def retire_pool(self, server: str) -> None:
         """Open new connections to a server from now on."""
         pool = self._pools.pop(server, None)
@@ -271,6 +280,8 @@
             emit(Event.BAD_ANSWER, server=name, fault=type(error).__name__)
         if attempt.ended is End.DEADLINE:
             reason, detail = Reason.DEADLINE_EXCEEDED, "the deadline has passed"
+        elif attempt.ended is End.MOVED:
+            reason, detail = Reason.MOVED, f"{name} lost the key"
         elif attempt.sent_at is None:
             reason, detail = Reason.SERVER_UNREACHABLE, f"can't connect to {name}"
         else:
--- a/src/hyssopwood/connection_pool.py
+++ b/src/hyssopwood/connection_pool.py
@@ -77,6 +77,7 @@
     SILENT = auto()
     CLOCK_JUMP = auto()
     CLOSED = auto()
+    MOVED = auto()
 
 
 @define(eq=False)
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+import secrets
 from collections.abc import AsyncIterator, Mapping
 from typing import Protocol
 
@@ -30,6 +31,7 @@
 # First interval after which the same owner is tried again; it doubles each time.
 RECHECK_S = 0.05
 MAX_ATTEMPTS = 20
+ID_BYTES = 5
 STORED_BODY_BYTES = 16_384
 REFUSAL_RETRY_S = 0.1
 LATE_FACTOR = 4.0
@@ -260,7 +262,9 @@
         self._permits = permits
         self._backend = backend
         self._timers = timers
-        self._incarnation = incarnation
+        # Ids of an earlier process of the same instance must never be used again: coordinators
+        # take an equal id for a further attempt of the same request.
+        self._id_prefix = f"{incarnation}.{secrets.token_hex(ID_BYTES)}"
         self._durations = durations or Durations(timers)
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
@@ -276,7 +280,7 @@
     async def handle(self, request: CallerRequest) -> Outcome:
         """Return the final outcome of a request."""
         self._budget.note_request()
-        base = f"{self._incarnation}.{next(self._sequence)}"
+        base = f"{self._id_prefix}.{next(self._sequence)}"
         digest = digest_of(request)
         patience = _Patience(min(request.deadline, self._timers.now() + OWNER_WAIT_S))
         for number in range(MAX_ATTEMPTS):
