--- a/features/request_entry.feature
+++ b/features/request_entry.feature
@@ -29,6 +29,8 @@
       | 400    | unknown-operation  | GET /portal/1 HTTP/1.1~Hyssopwood-Key: 1~Hyssopwood-Operation: x~~ |
       | 400    | bad-deadline       | GET /portal/1 HTTP/1.1~KEY~Hyssopwood-Deadline-Ms: soon~~ |
       | 400    | no-idempotency-key | GET /portal/1 HTTP/1.1~KEY~Idempotency-Key: TAB~~ |
+      | 408    | timeout            | POST /portal/1 HTTP/1.1~KEY~Content-Length: 30~~abc |
+      | 505    | http-version       | GET /portal/1 HTTP/1.0~KEY~~ |
       | 405    | method             | TRACE /portal/1 HTTP/1.1~KEY~~ |
       | 400    | malformed-target   | GET http://x/portal/1 HTTP/1.1~KEY~~ |
       | 400    | malformed          | GET HTTP/1.1~KEY~~ |
@@ -63,6 +65,7 @@
       | stops that interrupt requests           | waiting, open, stop, not-stopped, unreachable, resume, stopped, got-whole |
       | requests in flight without bound        | waiting, bounds max_in_flight 1, open, call, replied 503 not-run 1 |
       | bodies in memory without bound          | waiting, bounds max_buffered_bytes 5, open, call, replied 503 not-run 1 |
+      | connections without bound               | bounds max_connections 1, open, call, dropped |
       | lost headers, bodies and deadlines      | call-all, passed /portal/1?x=%20y abcde 1 k 700 |
       | callers sent to unready instances       | unready, page ready, shows 503 log-is-behind |
       | unready reports of ready instances      | page ready, shows 200 "ready":.true |
--- a/features/support/request_entry.py
+++ b/features/support/request_entry.py
@@ -115,13 +115,16 @@
         self.run(self.entry.stop(0.0))
         self._start(**{name: int(value)})
 
-    async def _exchange(self, text):
+    async def _exchange(self, text, late=False):
         for word, value in WORDS.items():
             text = text.replace(word, value)
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(text.removesuffix(">>").encode())
         if text.endswith(">>"):
             writer.write_eof()
+        if late:
+            await asyncio.sleep(0.05)
+            await self.timers.advance(11.0)
         self.response, self.connection = b"", "closed"
         try:
             while chunk := await asyncio.wait_for(reader.read(65_536), 0.1):
@@ -166,7 +169,7 @@
         self.run(until(self.stopping.done, self.timers))
 
     def refuses(self, request, status, fault):
-        self.run(self._exchange(request))
+        self.run(self._exchange(request, late=fault == "timeout"))
         problem = json.loads(self.response.partition("\r\n\r\n")[2])
         assert (self._status(), problem["fault"]) == (status, fault), self.response
         assert self._header("Hyssopwood-Run") == "not-run"
@@ -190,6 +193,9 @@
         assert self._status() == int(status), self.response
         assert re.search(pattern, self.response), self.response
 
+    def dropped(self):
+        assert self.connection != "open" and not self.response, self.response
+
     def broken(self):
         assert "xxxxx" in self.response and not self.response.endswith("0\r\n\r\n")
         assert self.connection != "open"
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -399,11 +399,10 @@
         )
 
     async def _may_repeat(self, request: CallerRequest, outcome: Unknown) -> bool:
-        if not request.repeatable or outcome.reason in _MAY_HAVE_RUN:
+        repeatable = request.repeatable and outcome.reason not in _MAY_HAVE_RUN
+        if not repeatable or not self._budget.take():
             emit(Event.REQUEST_UNKNOWN, reason=outcome.reason.value, detail=outcome.detail)
             return False
-        if not self._budget.take():
-            return False
         await self._timers.sleep(self._rng.uniform(0.0, RETRY_JITTER_S))
         return self._timers.now() < request.deadline
 
--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -31,6 +31,7 @@
 from hyssopwood.outcomes import Answered, BodyCutError, NotRun, Outcome, Reason, Unknown
 from hyssopwood.settings import Limits
 from hyssopwood.timers import Timers
+from hyssopwood.wait_limits import WaitExpiredError, WaitLimits
 
 _UNUSED_SIGNALS = "http.lifecycle."
 _LINE_END = b"\r\n"
@@ -38,6 +39,7 @@
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 PROBLEM_TYPE = "application/problem+json"
 MAX_KEY_BYTES = 512
+MAX_CONNECTIONS = 8_192
 MAX_IN_FLIGHT = 4_096
 # Bodies are held until the owner has a free slot, so their sum is bounded.
 MAX_BUFFERED_BYTES = 33_554_432
@@ -60,6 +62,7 @@
     Reason.MISMATCHED_ANSWER: 502,
 }
 _UNAVAILABLE = 503
+_REQUEST_TIMEOUT = 408
 # Repeating these unchanged is useless, so they carry no retry time.
 _FINAL = frozenset({Reason.BAD_REQUEST, Reason.NO_SERVICE, Reason.ALREADY_RUN})
 _UNSAFE_TEXT = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
@@ -161,6 +164,8 @@
     def connection_made(self, transport: Any) -> None:
         self._cut = False
         super().connection_made(transport)
+        if len(self.connections) > self.app.ctx.max_connections:
+            transport.abort()
 
     def eof_received(self) -> bool:
         """Keep the connection for a refusal when the request is incomplete."""
@@ -212,6 +217,7 @@
     """Bounds of the caller interface."""
 
     limits: Limits = Factory(Limits)
+    max_connections: int = MAX_CONNECTIONS
     max_in_flight: int = MAX_IN_FLIGHT
     max_buffered_bytes: int = MAX_BUFFERED_BYTES
     request_timeout_s: float = REQUEST_TIMEOUT_S
@@ -245,6 +251,7 @@
         self._status = status
         self._observe = observe
         self._options = options or EntryOptions()
+        self._wait_limits = WaitLimits(timers)
         self._in_flight = 0
         self._buffered = 0
         self._stopping = False
@@ -278,6 +285,8 @@
     async def stop(self, limit_s: float) -> bool:
         """Refuse new requests and wait for those in flight; return whether all ended."""
         self._stopping = True
+        if self._server is None:
+            return True
         self._server.server.close()
         until = self._timers.now() + limit_s
         while self._in_flight and self._timers.now() < until:
@@ -296,6 +305,7 @@
     def _build(self) -> Sanic:
         app = _Application(f"hyssopwood-{next(self._names)}", configure_logging=False)
         app.ctx.serve = self._serve
+        app.ctx.max_connections = self._options.max_connections
         config = app.config
         config.TOUCHUP = False
         config.ACCESS_LOG = False
@@ -334,6 +344,8 @@
             if request.stream.request_body:
                 # The rest of the body is dropped with the connection.
                 request.stream.keep_alive = False
+            if error.status == _REQUEST_TIMEOUT:
+                request.stream.request_body = None
             emit(Event.BAD_REQUEST, fault=error.fault, detail=error.detail)
             return _problem(error.status, Reason.BAD_REQUEST, error.detail, fault=error.fault)
         except _OverloadedError as error:
@@ -380,10 +392,9 @@
             declared = stream.request_bytes or 0
             if declared > limit:
                 raise BadRequestError("oversize-body", f"the body exceeds {limit} bytes", 413)
+            until = self._timers.now() + self._options.request_timeout_s
             while stream.request_body:
-                chunk = await stream.read()
-                if not chunk:
-                    continue
+                chunk = await self._read_chunk(stream, until)
                 size += len(chunk)
                 self._buffered += len(chunk)
                 chunks.append(chunk)
@@ -395,6 +406,13 @@
         finally:
             self._buffered -= size
 
+    async def _read_chunk(self, stream: _Http, until: float) -> bytes:
+        try:
+            with self._wait_limits.limit(until):
+                return await stream.read() or b""
+        except WaitExpiredError as error:
+            raise BadRequestError("timeout", "the body is late", _REQUEST_TIMEOUT) from error
+
     def _read(
         self, request: Request, rule: ServiceRule, target: str, body: bytes, began: float
     ) -> CallerRequest:
@@ -508,6 +526,9 @@
     if _is_ambiguous(request.head, request.headers):
         request.stream.keep_alive = False
         raise BadRequestError("malformed-head", "the header lines are ambiguous")
+    if request.version != "1.1":
+        # An older caller can't tell a cut answer from a whole one.
+        raise BadRequestError("http-version", f"HTTP/{request.version} is not supported", 505)
     if request.method not in METHODS:
         raise BadRequestError("method", f"{request.method} is not supported", 405)
     if not request.raw_url.startswith(b"/"):
