--- a/features/support/request_entry.py
+++ b/features/support/request_entry.py
@@ -14,7 +14,7 @@
 )
 from hyssopwood.outcomes import Answered, BodyCutError, Reason
 from support.request_fakes import KINDS
-from support.request_script import Script, until
+from support.request_script import REAL_LIMIT_S, Script, until
 
 KEY = "Hyssopwood-Key: 1~Hyssopwood-Operation: read"
 GOOD = "POST /portal/1 HTTP/1.1~KEY~Content-Length: 4~~body"
@@ -32,6 +32,12 @@
 )
 
 
+def _is_whole(response):
+    head, _, body = response.partition("\r\n\r\n")
+    length = re.search(r"content-length: (\d+)", head, re.IGNORECASE)
+    return len(body) >= int(length[1]) if length else body.endswith("0\r\n\r\n")
+
+
 class FakeBody:
     """Body of equal chunks that counts what is taken."""
 
@@ -125,15 +131,15 @@
         if late:
             await asyncio.sleep(0.05)
             await self.timers.advance(11.0)
-        self.response, self.connection = b"", "closed"
+        self.response, self.connection = "", "open"
         try:
-            while chunk := await asyncio.wait_for(reader.read(65_536), 0.1):
-                self.response += chunk
-        except TimeoutError:
-            self.connection = "open"
+            while not _is_whole(self.response):
+                chunk = await asyncio.wait_for(reader.read(65_536), REAL_LIMIT_S)
+                self.response += chunk.decode()
+                if not chunk:
+                    raise ConnectionError
         except ConnectionError:
-            self.connection = "reset"
-        self.response = self.response.decode()
+            self.connection = "closed"
         writer.close()
 
     def call(self):
--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -6,6 +6,7 @@
 import json
 import math
 import re
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
@@ -131,6 +132,12 @@
         self.status = status
 
 
+class ListenError(HyssopwoodError):
+    """Raised when the address for callers can't be used."""
+
+    exit_code = 3
+
+
 class _OverloadedError(HyssopwoodError):
     """Raised when this instance holds as many requests or bytes as it may."""
 
@@ -270,10 +277,8 @@
 
     async def start(self) -> None:
         """Accept callers."""
-        host, _, port = self._address.rpartition(":")
         self._server = await self._app.create_server(
-            host=host.strip("[]"),
-            port=int(port),
+            sock=_bind(self._address),
             protocol=_Protocol,
             backlog=BACKLOG,
             access_log=False,
@@ -502,6 +507,21 @@
         return _problem(status, Reason.BAD_REQUEST, str(error), fault=fault)
 
 
+def _bind(address: str) -> socket.socket:
+    # sanic listens on port 8000 when it is asked for any free port.
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError as error:
+        listener.close()
+        raise ListenError(f"can't listen on {address}: {error.strerror}") from error
+    return listener
+
+
 def _fault_of(error: Exception) -> str:
     if isinstance(error, _TruncatedError):
         return "truncated"
