--- a/features/support/request_records.py
+++ b/features/support/request_records.py
@@ -24,11 +24,11 @@
     def answer(self, size, key="k"):
         self.records.finish("portal", key, 200, b"x" * int(size))
 
-    def unknown(self):
-        self.records.mark_unknown("portal", "k")
+    def unknown(self, attempt="i1.1#0"):
+        self.records.mark_unknown("portal", "k", attempt)
 
-    def not_run(self):
-        self.records.abandon("portal", "k")
+    def not_run(self, attempt="i1.1#0"):
+        self.records.abandon("portal", "k", attempt)
 
     def copy(self):
         copies = list(self.records.export("s1"))
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -5,16 +5,14 @@
 import asyncio
 import itertools
 import random
+import secrets
 from collections.abc import AsyncIterator, Mapping
 from typing import Protocol
 
 import xxhash
 from attrs import define, frozen
 
-from hyssopwood.backend import (
-    BackendServer,
-    ServerRequest,
-)
+from hyssopwood.connection_pool import BackendServer, ServerRequest
 from hyssopwood.durations import Durations
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.events import Event, emit
@@ -33,6 +31,7 @@
 # First interval after which the same owner is tried again; it doubles each time.
 RECHECK_S = 0.05
 MAX_ATTEMPTS = 20
+ID_BYTES = 5
 STORED_BODY_BYTES = 16_384
 REFUSAL_RETRY_S = 0.1
 LATE_FACTOR = 4.0
@@ -263,7 +262,9 @@
         self._permits = permits
         self._backend = backend
         self._timers = timers
-        self._incarnation = incarnation
+        # Ids of an earlier process of the same instance must never be used again: coordinators
+        # take an equal id for a further attempt of the same request.
+        self._id_prefix = f"{incarnation}.{secrets.token_hex(ID_BYTES)}"
         self._durations = durations or Durations(timers)
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
@@ -279,7 +280,7 @@
     async def handle(self, request: CallerRequest) -> Outcome:
         """Return the final outcome of a request."""
         self._budget.note_request()
-        base = f"{self._incarnation}.{next(self._sequence)}"
+        base = f"{self._id_prefix}.{next(self._sequence)}"
         digest = digest_of(request)
         patience = _Patience(min(request.deadline, self._timers.now() + OWNER_WAIT_S))
         for number in range(MAX_ATTEMPTS):
@@ -398,11 +399,10 @@
         )
 
     async def _may_repeat(self, request: CallerRequest, outcome: Unknown) -> bool:
-        if not request.repeatable or outcome.reason in _MAY_HAVE_RUN:
+        repeatable = request.repeatable and outcome.reason not in _MAY_HAVE_RUN
+        if not repeatable or not self._budget.take():
             emit(Event.REQUEST_UNKNOWN, reason=outcome.reason.value, detail=outcome.detail)
             return False
-        if not self._budget.take():
-            return False
         await self._timers.sleep(self._rng.uniform(0.0, RETRY_JITTER_S))
         return self._timers.now() < request.deadline
 
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -63,7 +63,7 @@
             case Begun():
                 if await self._replication.store(server, service, key):
                     return None
-                records.abandon(service, key)
+                records.abandon(service, key, request.request_id)
                 detail = "the standby of the coordinator can't store the idempotency key"
                 return _refusal(Reason.COORDINATOR_UNREACHABLE, detail, STANDBY_RETRY_S)
             case Stored(status, body):
@@ -78,7 +78,7 @@
 
     def _abandon(self, server: str, request: PermitRequest) -> None:
         service, key = request.service, request.idempotency_key
-        self._replication.records_of(server).abandon(service, key)
+        self._replication.records_of(server).abandon(service, key, request.request_id)
         self._replication.publish(server, service, key, request.key)
 
     def returned(self, server: str, request: PermitRequest, outcome: PermitReturn) -> None:
@@ -97,7 +97,7 @@
         if outcome.outcome == OUTCOME_ANSWERED:
             records.finish(service, key, outcome.status, outcome.body)
         else:
-            records.mark_unknown(service, key)
+            records.mark_unknown(service, key, request.request_id)
         self._replication.publish(server, service, key, request.key)
 
     def crashed(self, server: str, running: tuple[PermitRequest, ...]) -> None:
