Test replicas, checkpoints, peers as a fallback and append budgets

A wait for the append budget is at least 1 ms, because a rounding rest of a token made the wait too small to move the clock. A checkpoint whose following records have expired is not used.

--- a/features/support/memory_log.py
+++ b/features/support/memory_log.py
@@ -20,19 +20,17 @@
         self.timers = timers
         self.records = []
         self.first = 0
-        self.outage = False
         self.lost_answers = 0
         self.throttled = 0
         self.refused = 0
         self.appends = 0
-        self._appended = asyncio.Event()
+        self.changed = asyncio.Event()
 
     def write(self, text):
         """Store a record without faults."""
         offset = self.first + len(self.records)
         self.records.append(StoredRecord(offset, self.timers.wall_ms(), text))
-        appended, self._appended = self._appended, asyncio.Event()
-        appended.set()
+        self.wake()
         return offset
 
     def write_body(self, record_id, body):
@@ -43,52 +41,74 @@
         self.records = [record for record in self.records if record.offset >= offset]
         self.first = offset
 
-    def set_outage(self, outage):
-        self.outage = outage
-        appended, self._appended = self._appended, asyncio.Event()
-        appended.set()
+    def wake(self):
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def view(self):
+        return LogView(self)
+
+
+class LogView:
+    """One instance's access to the log, with faults of its own."""
+
+    def __init__(self, log):
+        self._log = log
+        self.unreachable = False
+        self.reads_held = False
+
+    def set_faults(self, unreachable=False, reads_held=False):
+        self.unreachable = unreachable
+        self.reads_held = reads_held
+        self._log.wake()
 
     async def append(self, text):
+        log = self._log
         await asyncio.sleep(0)
-        self.appends += 1
-        if self.outage:
-            raise LogUnavailableError("outage")
-        if self.refused > 0:
-            self.refused -= 1
+        log.appends += 1
+        if self.unreachable:
+            raise LogUnavailableError("unreachable")
+        if log.refused > 0:
+            log.refused -= 1
             raise LogUnavailableError("503")
-        if self.throttled > 0:
-            self.throttled -= 1
+        if log.throttled > 0:
+            log.throttled -= 1
             raise LogThrottledError(0.5)
-        offset = self.write(text)
-        if self.lost_answers > 0:
-            self.lost_answers -= 1
+        offset = log.write(text)
+        if log.lost_answers > 0:
+            log.lost_answers -= 1
             raise LogUnavailableError("the answer was lost")
         return offset
 
     async def read(self, start, limit=500, wait_ms=0):
         await asyncio.sleep(0)
+        while self.reads_held:
+            await self._log.changed.wait()
         page = self._page(start, limit)
         if page.records or not wait_ms:
             return page
         waits = [
-            asyncio.ensure_future(self._appended.wait()),
-            asyncio.ensure_future(self.timers.sleep(wait_ms / 1000)),
+            asyncio.ensure_future(self._log.changed.wait()),
+            asyncio.ensure_future(self._log.timers.sleep(wait_ms / 1000)),
         ]
         try:
             await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for wait in waits:
                 wait.cancel()
+        while self.reads_held:
+            await self._log.changed.wait()
         return self._page(start, limit)
 
     def _page(self, start, limit):
-        if self.outage:
-            raise LogUnavailableError("outage")
-        if start < self.first:
-            raise RecordsExpiredError(self.first)
-        index = start - self.first
-        chosen = tuple(self.records[index : index + limit])
-        return LogPage(self.first, start + len(chosen), chosen)
+        log = self._log
+        if self.unreachable:
+            raise LogUnavailableError("unreachable")
+        if start < log.first:
+            raise RecordsExpiredError(log.first)
+        index = start - log.first
+        chosen = tuple(log.records[index : index + limit])
+        return LogPage(log.first, start + len(chosen), chosen)
 
 
 class MemoryPeers:
--- a/src/hyssopwood/append_budget.py
+++ b/src/hyssopwood/append_budget.py
@@ -14,6 +14,7 @@
 _DEFAULT_SHARE = 0.25
 BURST_S = 2.0
 MIN_BURST = 4.0
+MIN_WAIT_S = 0.001
 
 
 @define
@@ -30,7 +31,8 @@
         if self.tokens >= 1:
             self.tokens -= 1
             return 0.0
-        return (1 - self.tokens) / self.rate_per_s
+        # Rounding can leave a missing share of a token that is too small to wait for.
+        return max(MIN_WAIT_S, (1 - self.tokens) / self.rate_per_s)
 
 
 class AppendBudget:
--- a/src/hyssopwood/replica.py
+++ b/src/hyssopwood/replica.py
@@ -238,6 +238,8 @@
         """Start from the newest checkpoint in the log, else from a peer's."""
         collector = await self._scan_checkpoints(first)
         try:
+            if collector.through + 1 < first:
+                raise CheckpointError(f"the records after offset {collector.through} have expired")
             self._replace(collector.state())
         except CheckpointError as error:
             if not await self._start_from_peers():
