--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -69,6 +69,7 @@
     digest: int
     idempotency_key: str
     customer: str
+    position: int = -1
 
 
 @frozen
@@ -218,7 +219,7 @@
 
 @frozen
 class IdempotencyCopy:
-    """Replicate one idempotency record to the standby."""
+    """Hold a copy of one idempotency record."""
 
     server: str
     service: str
@@ -227,6 +228,27 @@
     state: str
     status: int
     body: bytes
+    key: str
+
+
+@frozen
+class IdempotencyCopies:
+    """Copy idempotency records to a standby, a next coordinator or a next owner."""
+
+    copies: tuple[IdempotencyCopy, ...]
+
+
+@frozen
+class IdempotencySynced:
+    """Say that the receiver holds every idempotency record of a server or a partition.
+
+    For `distrust_ms` an unknown key may stand for a record that was lost earlier.
+    """
+
+    server: str
+    epoch: int
+    partition: str
+    distrust_ms: int
 
 
 @frozen
@@ -282,12 +304,13 @@
     | CheckpointRequest
     | CheckpointReply
     | UsageReport
-    | IdempotencyCopy
+    | IdempotencyCopies
     | Ack
     | SuspectReport
     | PositionRequest
     | PositionReply
     | ErrorReply
+    | IdempotencySynced
 )
 
 
@@ -303,6 +326,7 @@
 _BODY_TYPES: tuple[type, ...] = Body.__args__  # type: ignore[attr-defined]
 _LIST_TYPES = {
     (RecordsReply, "records"): Record,
+    (IdempotencyCopies, "copies"): IdempotencyCopy,
     (UsageReport, "servers"): ServerUsage,
     (ServerUsage, "partitions"): PartitionUsage,
     (ServerUsage, "hot_keys"): KeyUsage,
--- a/src/hyssopwood/voters.py
+++ b/src/hyssopwood/voters.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from hyssopwood.records import CoordinatorChange
 from hyssopwood.state import MAX_VOTERS, ClusterState, Member
@@ -12,6 +12,11 @@
 MIN_COORDINATION_DIFFERENCE = 3
 
 
+def instance_of(incarnation: str) -> str:
+    """Return the instance in an incarnation id, `<instance>.<random hex>`."""
+    return incarnation.rpartition(".")[0]
+
+
 def choose_voters(
     eligible: Iterable[Member], current: Collection[str], limit: int = MAX_VOTERS
 ) -> tuple[str, ...]:
@@ -47,9 +52,15 @@
 
 
 def required_coordinators(
-    state: ClusterState, eligible: Mapping[str, Member], leaving: Collection[str]
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    leaving: Collection[str],
+    standby: Callable[[str], str] = lambda server: "",
 ) -> tuple[CoordinatorChange, ...]:
-    """Return changes for servers without a coordinator, or whose coordinator leaves."""
+    """Return changes for servers without a coordinator, or whose coordinator leaves.
+
+    The standby is preferred, because it has copies of the idempotency records.
+    """
     counts = _counts(state, eligible)
     changes = []
     for server in sorted(state.servers):
@@ -57,7 +68,9 @@
         lost = current is None or current.incarnation not in state.members
         if not lost and current.incarnation not in leaving:
             continue
-        chosen = _least_busy(state, server, eligible, counts)
+        chosen: str | None = standby(server)
+        if chosen not in eligible or chosen in leaving:
+            chosen = _least_busy(state, server, eligible, counts)
         if chosen is not None:
             counts[chosen] += 1
             changes.append(CoordinatorChange(server=server, incarnation=chosen))
@@ -93,33 +106,51 @@
 
 
 def balancing_coordinators(
-    state: ClusterState, eligible: Mapping[str, Member], budget: int
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    budget: int,
+    standby: Callable[[str], str] = lambda server: "",
 ) -> tuple[CoordinatorChange, ...]:
-    """Return at most `budget` changes that even out the number of servers of each member."""
+    """Return at most `budget` changes that even out the number of servers of each member.
+
+    A server is handed over only to its standby, which has its idempotency records already, so
+    that its permits stop for milliseconds.
+    """
     counts = _counts(state, eligible)
-    if not counts or max(counts.values()) - min(counts.values()) < MIN_COORDINATION_DIFFERENCE:
-        return ()
-    held: dict[str, list[str]] = {name: [] for name in eligible}
-    for server, coordination in sorted(state.coordinations.items()):
-        if coordination.incarnation in held and not coordination.previous:
-            held[coordination.incarnation].append(server)
+    held = {
+        server: coordination.incarnation
+        for server, coordination in sorted(state.coordinations.items())
+        if coordination.incarnation in counts and not coordination.previous
+    }
     changes: list[CoordinatorChange] = []
     while len(changes) < budget:
-        target = min(counts, key=lambda name: (counts[name], eligible[name].joined))
-        source = max(counts, key=lambda name: (counts[name], eligible[name].joined))
-        if counts[source] - counts[target] < 2 or not held[source]:
+        move = _best_hand_over(state, eligible, counts, held, standby)
+        if move is None:
             break
-        server = _to_hand_over(state, held[source], eligible[source], eligible[target])
-        held[source].remove(server)
-        counts[source] -= 1
-        counts[target] += 1
-        changes.append(CoordinatorChange(server=server, incarnation=target))
+        counts[held.pop(move.server)] -= 1
+        counts[move.incarnation] += 1
+        changes.append(move)
     return tuple(changes)
 
 
-def _to_hand_over(state: ClusterState, servers: list[str], source: Member, target: Member) -> str:
-    def cost(server: str) -> tuple[bool, bool]:
+def _best_hand_over(
+    state: ClusterState,
+    eligible: Mapping[str, Member],
+    counts: Counter[str],
+    held: Mapping[str, str],
+    standby: Callable[[str], str],
+) -> CoordinatorChange | None:
+    """Return the hand-over that evens the counts most, None without one that is worth it."""
+    best: tuple[tuple[int, bool, bool], CoordinatorChange] | None = None
+    for server, source in held.items():
+        target = standby(server) or min(counts, key=lambda n: (counts[n], eligible[n].joined))
+        gain = counts[source] - counts.get(target, counts[source])
+        if gain < MIN_COORDINATION_DIFFERENCE:
+            continue
         domain = state.servers[server].failure_domain
-        return domain == target.failure_domain, domain != source.failure_domain
-
-    return min(servers, key=cost)
+        apart = domain != eligible[target].failure_domain
+        joined_apart = domain == eligible[source].failure_domain
+        rank = (gain, apart, joined_apart)
+        if best is None or rank > best[0]:
+            best = (rank, CoordinatorChange(server=server, incarnation=target))
+    return None if best is None else best[1]
