--- a/features/support/fake_servers.py
+++ b/features/support/fake_servers.py
@@ -3,13 +3,12 @@
 import asyncio
 import itertools
 
-from support.virtual_time import Process
-
 from hyssopwood.control_channel import ConnectionReplacedError
 from hyssopwood.errors import BackendServerUnavailableError
 from hyssopwood.waiting import WaitTimeoutError, within
 from hyssopwood_standins.grants import Grants, RefusedError
 from hyssopwood_standins.recorder import MemoryRecorder
+from support.virtual_time import Process
 
 MAX_MESSAGE_LIFE_S = 0.1
 # Longer than any schedule.
@@ -36,22 +35,17 @@
             run["end"] = min(run["end"] or now, now)
         self.recorder.write("restarted", self.now(), partition="", token=0)
         self.incarnation = f"{self.name}-{next(self._starts)}"
-        self._offset = self.rng.uniform(0, 10_000)
         self.grants = Grants(self.recorder, self.fencing, self.rng.uniform(0, 1000))
-        self.recorder.records = [self._in_loop_time(item) for item in self.recorder.records]
         self.running = []
         self.alive = True
         self.resume()
 
-    def _in_loop_time(self, record):
-        return record if "real" in record else {**record, "real": self.real(record["t"])}
-
     def holdings(self):
         """Return (partition, start, end) for everything held, in loop time."""
         self.grants.settle(self.now())
         open_since, found = {}, []
-        for record in [self._in_loop_time(item) for item in self.recorder.records]:
-            name, at = record["partition"], record["real"]
+        for record in self.recorder.records:
+            name, at = record["partition"], self.real(record["t"])
             if record["type"] == "granted":
                 open_since[name] = at
             elif record["type"] in ("released", "lapsed") and name in open_since:
@@ -67,9 +61,7 @@
         now = self.now()
         try:
             if path.endswith("/session"):
-                self.grants.renew(
-                    body["epoch"], body["coordinator"], body["lease_until_ms"], now
-                )
+                self.grants.renew(body["epoch"], body["coordinator"], body["lease_until_ms"], now)
                 return 200, {
                     "incarnation": self.incarnation,
                     "clock_ms": self.grants.clock_ms(now),
--- a/features/support/ownership_cluster.py
+++ b/features/support/ownership_cluster.py
@@ -3,10 +3,6 @@
 import asyncio
 import itertools
 
-from support.fake_log import LOG, FakeLog, FakeReplica
-from support.fake_servers import NEVER_S, FakeChannel, FakeServer
-from support.virtual_time import Network, Process
-
 from hyssopwood.admission import Admission
 from hyssopwood.authority import Authority
 from hyssopwood.coordinator import Coordinators
@@ -48,12 +44,16 @@
 from hyssopwood.structure import unstructure
 from hyssopwood.ticket import Operation, Server, Service, Ticket
 from hyssopwood.waiting import TaskGroup, WaitTimeoutError, within
+from support.fake_log import LOG, FakeLog, FakeReplica
+from support.fake_servers import NEVER_S, FakeChannel, FakeServer
+from support.virtual_time import Network, Process
 
 SERVICE = "portal"
 SHARDS = 6
 KEYS = [f"animal-{number}" for number in range(12)]
 PLANNER = "planner"
 SILENT_S = 0.3
+LIST_LAG_S = 1.0
 
 
 class FakePeers:
@@ -97,9 +97,8 @@
 
     async def notify(self, incarnation, body):
         target = self._cluster.instance_of(incarnation)
-        if target is None or not await self._travel(self.process, target.process):
-            return
-        await target.peers.handle(self.incarnation, body)
+        if target is not None:
+            await self._deliver(target.peers, body)
 
     async def _exchange(self, incarnation, body):
         target = self._cluster.instance_of(incarnation)
@@ -107,18 +106,23 @@
             return None
         if target.peers is self:
             return await self.handle(self.incarnation, body)
-        if not await self._travel(self.process, target.process):
-            await asyncio.sleep(NEVER_S)
-        reply = await target.peers.handle(self.incarnation, body)
-        if not await self._travel(target.process, self.process):
+        peers = target.peers
+        reply = await self._deliver(peers, body)
+        if reply is None or not await peers.travel_to(self):
             await asyncio.sleep(NEVER_S)
         return reply
 
-    async def _travel(self, source, target):
-        if not await self._cluster.network.carry(source.name, target.name):
+    async def _deliver(self, peers, body):
+        if not await self.travel_to(peers):
+            return None
+        return await peers.handle(self.incarnation, body)
+
+    async def travel_to(self, other):
+        """Return whether a message arrived at a process that still runs."""
+        if not await self._cluster.network.carry(self.process.name, other.process.name):
             return False
-        await target.awake()
-        return True
+        await other.process.awake()
+        return other.process.alive
 
 
 class Instance:
@@ -154,7 +158,7 @@
                 timing.server_timeout_ms / 1000,
             ),
             lambda name, slots, queue: Admission(
-                name, slots, self.process, Durations(self.process), queue
+                name, slots, self.process, Durations(self.process), queue, rng=cluster.rng
             ),
         )
         self.coordinators = Coordinators(parts)
@@ -185,7 +189,7 @@
                 await self.replica.append(JoinRecord(**_member_fields(self.name, own)))
             except LogError:
                 await self.process.sleep(0.05)
-        while own in self.replica.state.members:
+        while own in self.replica.state.members and not self.authority.refused_for_good():
             await self.process.sleep(0.02)
         self.cluster.tasks.start(("restart", own), self._restart())
 
@@ -333,8 +337,9 @@
             server.resume()
 
     def stop_traffic(self):
+        callers, self.callers = self.callers, 0
         for instance in self.instances.values():
-            for number in range(self.callers):
+            for number in range(callers):
                 instance.tasks.stop(("traffic", number))
 
     def break_connections(self, one, others):
@@ -397,12 +402,11 @@
     def __init__(self, cluster):
         super().__init__(cluster, PLANNER)
         self._answered = {}
+        self._missing = {}
 
     def start(self):
         self.incarnation = PLANNER
-        self.replica = FakeReplica(
-            self.process, PLANNER, self.cluster.log, self.cluster.network
-        )
+        self.replica = FakeReplica(self.process, PLANNER, self.cluster.log, self.cluster.network)
         self.peers = FakePeers(self.cluster, self.process, PLANNER)
         self.tasks.start("replica", self.replica.run())
         self.tasks.start("planner", self._plan_forever())
@@ -413,9 +417,7 @@
         text = _json(unstructure(ticket))
         log.append("cli", TicketRecord(publisher="cli", text=text))
         log.append(PLANNER, JoinRecord(**_member_fields(PLANNER, PLANNER)))
-        log.append(
-            PLANNER, PlannerRecord(instance=PLANNER, incarnation=PLANNER, previous_epoch=-1)
-        )
+        log.append(PLANNER, PlannerRecord(instance=PLANNER, incarnation=PLANNER, previous_epoch=-1))
         voters = [item.incarnation for item in self.cluster.instances.values()][:3]
         self.append(VotersProposedRecord, voters=tuple(voters))
         servers = list(self.cluster.servers)
@@ -454,6 +456,7 @@
             if not self.cluster.log.available or not self.replica.state.voters:
                 continue
             await asyncio.gather(*(self._check(name) for name in self._others()))
+            self._fence_absent()
             self._replace_coordinators()
             await self._replace_voters()
             await self._follow_servers()
@@ -472,7 +475,8 @@
 
     async def _fence(self, incarnation):
         state = self.cluster.log.state
-        voters = [v for v in {*state.voters, *state.pending_voters} if v != incarnation]
+        known = dict.fromkeys((*state.voters, *state.pending_voters))
+        voters = [voter for voter in known if voter != incarnation]
         replies = await asyncio.gather(*(self._attest(voter, incarnation) for voter in voters))
         attesters = tuple(voter for voter, yes in zip(voters, replies, strict=True) if yes)
         if has_quorum(state, attesters):
@@ -480,6 +484,18 @@
             record = FenceRecord(instance=name, incarnation=incarnation, attesters=attesters)
             self.cluster.log.append(PLANNER, record)
 
+    def _fence_absent(self):
+        """Fence processes that the platform's list has not shown for its lag."""
+        state, now = self.cluster.log.state, self.process.now()
+        known = dict.fromkeys((*state.members, *state.voters, *state.pending_voters))
+        for name in known:
+            if self.cluster.instance_of(name) is not None or state.fenced.get(name, 0) < 0:
+                self._missing.pop(name, None)
+            elif now - self._missing.setdefault(name, now) > LIST_LAG_S:
+                instance = name.partition(".")[0]
+                record = FenceRecord(instance=instance, incarnation=name, absent=True)
+                self.cluster.log.append(PLANNER, record)
+
     async def _attest(self, voter, incarnation):
         try:
             reply = await self.peers.request(voter, AttestRequest(incarnation), 0.1)
@@ -496,12 +512,15 @@
 
     async def _replace_voters(self):
         state = self.cluster.log.state
-        live = [name for name in state.members if name != PLANNER][:3]
-        if state.pending_voters:
+        kept = [name for name in state.voters if name in state.members]
+        joined = [name for name in state.members if name != PLANNER]
+        live = list(dict.fromkeys((*kept, *joined)))[:3]
+        alive = [effective_voters(state, s) for s in (state.voters, state.pending_voters)]
+        if all(alive):
             acks = await asyncio.gather(*(self._acked(v, state) for v in state.voters))
             acked = tuple(v for v, yes in zip(state.voters, acks, strict=True) if yes)
             self.append(VotersCommittedRecord, acks=acked)
-        elif not set(effective_voters(state, state.voters)) <= set(live) and len(live) == 3:
+        elif set(effective_voters(state, state.voters)) != set(live) and len(live) == 3:
             self.append(VotersProposedRecord, voters=tuple(live))
 
     async def _acked(self, voter, state):
--- a/features/support/ownership_faults.py
+++ b/features/support/ownership_faults.py
@@ -4,11 +4,11 @@
 import random
 
 from attrs import frozen
-from support.fake_log import LOG
-from support.ownership_cluster import KEYS, SHARDS, SERVICE, Cluster
-from support.virtual_time import VirtualLoop
 
 from hyssopwood.state import shard_partition
+from support.fake_log import LOG
+from support.ownership_cluster import KEYS, SERVICE, SHARDS, Cluster
+from support.virtual_time import VirtualLoop
 
 FAULTS_S = 6.0
 REPAIR_S = 8.0
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-
 # Each turn of the loop costs a little, so that a wait for less than the clock can show still ends.
 STEP_S = 1e-7
 
--- a/src/hyssopwood/authority.py
+++ b/src/hyssopwood/authority.py
@@ -42,6 +42,8 @@
         self._asks = TaskGroup()
         self._turns = itertools.count()
         self._was_held = False
+        self._refusing: set[str] = set()
+        self._refused_since: float | None = None
         voter = Voter(peers.incarnation, source, timers, timing)
         peers.on(SupportRequest, voter.on_support)
         peers.on(AttestRequest, voter.on_attest)
@@ -62,6 +64,16 @@
         if not self.held():
             raise AuthorityLostError("the promises of a majority of the voters have expired")
 
+    def refused_for_good(self) -> bool:
+        """Return whether voters that attested a fence leave no majority any more.
+
+        Their attestations stay in force although the fence itself may never have been written,
+        so the instance has to start again as another incarnation. Until it does, the other
+        voters keep promising, and the fence can't be completed either.
+        """
+        since = self._refused_since
+        return since is not None and self._timers.now() - since >= self._promise_s
+
     async def run(self) -> None:
         """Ask every voter for a promise at each interval."""
         try:
@@ -85,7 +97,7 @@
         voters = set(effective_voters(state, (*state.voters, *state.pending_voters)))
         self._promises = {name: end for name, end in self._promises.items() if name in voters}
         turn = next(self._turns) % MAX_ASKS_PER_VOTER
-        for voter in voters:
+        for voter in sorted(voters):
             self._asks.start((voter, turn), self._ask(voter))
 
     async def _ask(self, voter: str) -> None:
@@ -99,11 +111,22 @@
             return
         if not isinstance(reply, SupportReply):
             return
+        self._note_refusal(voter, not reply.granted and reply.membership_offset <= offset)
         if reply.granted:
             self._note_promise(voter, sent_at + self._promise_s * (1 - CLOCK_RATE_MARGIN))
         elif reply.membership_offset > offset:
             self._catch_up(voter)
 
+    def _note_refusal(self, voter: str, refused: bool) -> None:
+        (self._refusing.add if refused else self._refusing.discard)(voter)
+        state = self._source.state
+        voters = effective_voters(state, (*state.voters, *state.pending_voters))
+        willing = [name for name in voters if name not in self._refusing]
+        if self.held() or has_quorum(state, willing):
+            self._refused_since = None
+        elif self._refused_since is None:
+            self._refused_since = self._timers.now()
+
     def _note_promise(self, voter: str, until: float) -> None:
         self._promises[voter] = max(until, self._promises.get(voter, until))
         self._known = None
--- a/src/hyssopwood/departures.py
+++ b/src/hyssopwood/departures.py
@@ -49,7 +49,7 @@
         """Return the partitions to release now; freeze, keep or resume the others."""
         leaving = set(leaving)
         self._forget_all_but(leaving)
-        for partition in leaving - self._frozen_at.keys():
+        for partition in sorted(leaving - self._frozen_at.keys()):
             if for_good or unasked(partition) or self._may_start(partition, now):
                 self._frozen_at[partition] = now
                 emit(Event.PARTITION_FROZEN, server=self.server, partition=partition)
--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -290,13 +290,16 @@
 @_effect.register
 def _(body: VotersProposedRecord, state: ClusterState, context: _Context) -> _Effect:
     _require_epoch(state, context, body.epoch)
-    _require(not state.pending_voters, "voters-pending")
+    old = effective_voters(state, state.voters)
+    pending = effective_voters(state, state.pending_voters)
+    # A set whose voters were all terminated can't acknowledge anything any more.
+    _require(not (old and pending), "voters-pending")
     _require(0 < len(body.voters) <= MAX_VOTERS, "bad-count")
     _require(len(set(body.voters)) == len(body.voters), "repeated-voter")
     _require(all(is_live(state, name) for name in body.voters), "not-a-member")
     entry = context.entry("voters", state.voters, body.voters, "proposed")
-    if not effective_voters(state, state.voters):
-        changed = evolve(state, voters=body.voters)
+    if not old:
+        changed = evolve(state, voters=body.voters, pending_voters=(), pending_offset=-1)
     else:
         changed = evolve(state, pending_voters=body.voters, pending_offset=context.offset)
     return evolve(changed, membership_offset=context.offset), (entry,)
