--- a/features/support/fake_servers.py
+++ b/features/support/fake_servers.py
@@ -35,22 +35,17 @@
             run["end"] = min(run["end"] or now, now)
         self.recorder.write("restarted", self.now(), partition="", token=0)
         self.incarnation = f"{self.name}-{next(self._starts)}"
-        self._offset = self.rng.uniform(0, 10_000)
         self.grants = Grants(self.recorder, self.fencing, self.rng.uniform(0, 1000))
-        self.recorder.records = [self._in_loop_time(item) for item in self.recorder.records]
         self.running = []
         self.alive = True
         self.resume()
 
-    def _in_loop_time(self, record):
-        return record if "real" in record else {**record, "real": self.real(record["t"])}
-
     def holdings(self):
         """Return (partition, start, end) for everything held, in loop time."""
         self.grants.settle(self.now())
         open_since, found = {}, []
-        for record in [self._in_loop_time(item) for item in self.recorder.records]:
-            name, at = record["partition"], record["real"]
+        for record in self.recorder.records:
+            name, at = record["partition"], self.real(record["t"])
             if record["type"] == "granted":
                 open_since[name] = at
             elif record["type"] in ("released", "lapsed") and name in open_since:
