--- a/features/support/fake_servers.py
+++ b/features/support/fake_servers.py
@@ -15,6 +15,17 @@
 NEVER_S = 3600.0
 
 
+_kept = set()
+
+
+def kept_task(work):
+    """Return a task that goes on although nobody waits for it."""
+    task = asyncio.ensure_future(work)
+    _kept.add(task)
+    task.add_done_callback(_kept.discard)
+    return task
+
+
 class FakeServer(Process):
     """Hold grants like the stand-in server and record what it held and ran, in loop time."""
 
@@ -25,14 +36,18 @@
         self.recorder = MemoryRecorder(server=name)
         self.runs = []
         self.overcommits = 0
+        self.grants = None
+        self.running = []
         self._starts = itertools.count()
         self.restart()
 
     def restart(self):
         """Replace the process: its grants and its work are gone."""
         now = asyncio.get_running_loop().time()
-        for run in getattr(self, "running", ()):
-            run["end"] = min(run["end"] or now, now)
+        for run in self.running:
+            self._end(run, now)
+        if self.grants is not None:
+            self.grants.settle(self.now())
         self.recorder.write("restarted", self.now(), partition="", token=0)
         self.incarnation = f"{self.name}-{next(self._starts)}"
         self.grants = Grants(self.recorder, self.fencing, self.rng.uniform(0, 1000))
@@ -89,7 +104,7 @@
             return None
         if late or refused or loop.time() >= deadline:
             return "not-run"
-        run = {"key": key, "start": loop.time(), "end": None}
+        run = {"key": key, "held": (partition, token), "start": loop.time(), "deadline": deadline}
         self.runs.append(run)
         self.running.append(run)
         self.overcommits += len(self.running) > self.slots
@@ -98,14 +113,19 @@
         if run not in self.running:
             return None
         self.running.remove(run)
-        lapsed = self.grants.lapsed_during(partition, token, self._own(run["start"]))
-        ended = min(loop.time(), deadline)
-        run["end"] = ended if lapsed is None else min(ended, self.real(lapsed))
-        return "answered" if lapsed is None else None
+        return "answered" if self._end(run, loop.time()) else None
+
+    def _end(self, run, now):
+        """Record the end of a run; return whether it was the normal one.
 
-    def _own(self, loop_time):
+        A process that was paused stops the work when it wakes up, and nothing was done meanwhile.
+        """
         self.grants.settle(self.now())
-        return loop_time * self._rate + self._offset
+        started = run["start"] * self._rate + self._offset
+        lapsed = self.grants.lapsed_during(*run["held"], started)
+        ends = [now, run["deadline"], *([] if lapsed is None else [self.real(lapsed)])]
+        run["end"] = min(ends)
+        return lapsed is None
 
 
 class FakeChannel:
@@ -130,7 +150,7 @@
         if not server.alive:
             raise BackendServerUnavailableError("connection refused")
         sent_to = server.incarnation
-        delivery = asyncio.ensure_future(self._deliver(path, body, sent_to))
+        delivery = kept_task(self._deliver(path, body, sent_to))
         try:
             answer = await within(self._process, self._timeout_s, asyncio.shield(delivery))
         except WaitTimeoutError as error:
@@ -154,7 +174,8 @@
                 await asyncio.sleep(NEVER_S)
         if server.paused:
             await server.awake()
-            await asyncio.sleep(rng.uniform(0, 0.003))
+            # A server that wakes up reads its connections in any order.
+            await asyncio.sleep(rng.choice((0, rng.uniform(0, 0.02))))
         if server.incarnation != incarnation or not server.alive:
             await asyncio.sleep(NEVER_S)
         answer = server.command(path, body)
--- a/features/support/ownership_cluster.py
+++ b/features/support/ownership_cluster.py
@@ -45,7 +45,7 @@
 from hyssopwood.ticket import Operation, Server, Service, Ticket
 from hyssopwood.waiting import TaskGroup, WaitTimeoutError, within
 from support.fake_log import LOG, FakeLog, FakeReplica
-from support.fake_servers import NEVER_S, FakeChannel, FakeServer
+from support.fake_servers import NEVER_S, FakeChannel, FakeServer, kept_task
 from support.virtual_time import Network, Process
 
 SERVICE = "portal"
@@ -54,6 +54,7 @@
 PLANNER = "planner"
 SILENT_S = 0.3
 LIST_LAG_S = 1.0
+CHECK_S = 0.1
 
 
 class FakePeers:
@@ -202,7 +203,7 @@
     async def _traffic(self):
         rng = self.cluster.rng
         while True:
-            await self.process.sleep(rng.uniform(0.005, 0.06))
+            await self.process.sleep(rng.uniform(0.002, 0.03))
             await self.request(rng.choice(KEYS), rng.choice((0.004, 0.02, 0.02, 0.3)))
 
     async def request(self, key, work_s, deadline_s=1.0):
@@ -256,7 +257,7 @@
             return outcome if back else None
 
         # The server goes on with a request whose entry has given up.
-        running = asyncio.ensure_future(work())
+        running = kept_task(work())
         try:
             left = max(0.01, deadline - loop.time())
             outcome = await within(self.process, left, asyncio.shield(running))
@@ -268,7 +269,7 @@
 class Cluster:
     """Instances, servers, a log and a planner that repairs what fails."""
 
-    def __init__(self, rng, fencing=(True, True, False), instances=4, callers=2):
+    def __init__(self, rng, fencing=(True, True, False), instances=4, callers=3):
         self.rng = rng
         self.timing = Timing()
         self.callers = callers
@@ -354,6 +355,7 @@
 
     def double_owners(self):
         """Return pairs of servers that held one partition, or worked on one key, at once."""
+        now = asyncio.get_running_loop().time()
         held = [
             (name, since, until, server.name)
             for server in self.servers.values()
@@ -361,12 +363,20 @@
             for name, since, until in server.holdings()
         ]
         ran = [
-            (run["key"], run["start"], run["end"] or asyncio.get_running_loop().time(), server.name)
+            (run["key"], run["start"], run.get("end", now), server.name)
             for server in self.servers.values()
             for run in server.runs
         ]
         return [*_overlaps(held), *_overlaps(ran)]
 
+    async def repaired(self, limit_s):
+        """Wait until no assignment is lost; return those that are lost after the limit."""
+        for _ in range(int(limit_s / CHECK_S)):
+            if not self.lost_assignments():
+                break
+            await asyncio.sleep(CHECK_S)
+        return self.lost_assignments()
+
     def lost_assignments(self):
         """Return partitions that no server serves by its coordinator."""
         state = self.log.state
--- a/features/support/ownership_faults.py
+++ b/features/support/ownership_faults.py
@@ -70,11 +70,7 @@
 
 
 async def _judge(cluster, seed, faults):
-    loop = asyncio.get_running_loop()
-    end = loop.time() + REPAIR_S
-    while cluster.lost_assignments() and loop.time() < end:
-        await asyncio.sleep(0.1)
-    lost = cluster.lost_assignments()
+    lost = await cluster.repaired(REPAIR_S)
     cluster.stop_traffic()
     await asyncio.sleep(QUIET_S)
     return Verdict(
@@ -201,6 +197,35 @@
         await asyncio.sleep(rng.choice((0.002, 0.02, 0.2)))
 
 
+async def pause_target(cluster, rng):
+    """Pause a server when a grant may be on its way to it, and move the partition on."""
+    partition = shard_partition(SERVICE, rng.randrange(SHARDS))
+    target, other = rng.sample(list(cluster.servers.values()), 2)
+    cluster.planner.move(partition, target.name)
+    await asyncio.sleep(rng.uniform(0.005, 0.05))
+    target.pause()
+    await asyncio.sleep(rng.choice((0.02, 0.2)))
+    cluster.planner.move(partition, other.name)
+    await asyncio.sleep(rng.choice((0.3, 0.6, 1.0)))
+    target.resume()
+
+
+async def hide_from_planner(cluster, rng):
+    """Have a working coordinator fenced, and move the partitions of its servers at once."""
+    server = _server(cluster, rng)
+    instance = _coordinator_of(cluster, server)
+    if instance is None:
+        return
+    cluster.network.block(instance.name, "planner")
+    owned = [name for name, o in cluster.log.state.ownerships.items() if o.server == server.name]
+    others = [name for name in cluster.servers if name != server.name]
+    await asyncio.sleep(rng.uniform(0.35, 0.7))
+    for partition in owned:
+        cluster.planner.move(partition, rng.choice(others))
+    await asyncio.sleep(0.5)
+    cluster.network.unblock(instance.name, "planner")
+
+
 async def change_hot_key(cluster, rng):
     cluster.planner.hot_key(rng.choice(KEYS), rng.random() < 0.7)
 
@@ -226,6 +251,8 @@
     move_partitions,
     move_partitions,
     move_back_and_forth,
+    pause_target,
+    hide_from_planner,
     change_hot_key,
     change_coordinator,
 )
--- a/features/support/ownership_guards.py
+++ b/features/support/ownership_guards.py
@@ -11,10 +11,13 @@
 from hyssopwood.session import Session
 from hyssopwood.voting import Voter
 
+_LAPSED = ServerCoordinator.lapsed
+
 GUARDS = {
+    "lease-wait": ((ServerCoordinator, "lapsed", lambda self: self._failing or _LAPSED(self)),),
     "lease-margin": (
-        (session, "lease_margin_s", lambda lease_s, age_s: -lease_s),
-        (server_coordinator, "lease_margin_s", lambda lease_s, age_s: -lease_s),
+        (session, "lease_margin_s", lambda lease_s, age_s: 0.0),
+        (server_coordinator, "lease_margin_s", lambda lease_s, age_s: 0.0),
     ),
     "authority": (
         (Authority, "until", lambda self: math.inf),
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -92,6 +92,9 @@
     def block(self, one, other):
         self.blocked |= {(one, other), (other, one)}
 
+    def unblock(self, one, other):
+        self.blocked -= {(one, other), (other, one)}
+
     def heal(self):
         self.blocked.clear()
         self.loss = 0.0
