--- a/src/hyssopwood/session.py
+++ b/src/hyssopwood/session.py
@@ -102,11 +102,12 @@
 
     async def renew(self) -> ServerReport:
         """Extend the lease; raise BackendServerError or ProtocolError when it fails."""
-        if self._doubts and self._timers.now() >= self._lapsed_at:
-            await self._settle_doubts()
         base = self._report
         if base is None or self._timers.now() - base.received_at > self._lease_s:
             base = await self._read_clock()
+        # Checked after the wait: the lease may have lapsed and the partitions have moved on.
+        if self._doubts and self._timers.now() >= self._lapsed_at:
+            base = await self._settle_doubts(base)
         try:
             return await self._extend(base)
         except BackendServerUnavailableError:
@@ -146,12 +147,12 @@
         self._lapsed_at = max(self._lapsed_at, end)
         return await self._exchange(until_ms, same_connection=True)
 
-    async def _settle_doubts(self) -> None:
+    async def _settle_doubts(self, report: ServerReport) -> ServerReport:
         """Without a lease, wait until a grant that is still on its way has been refused."""
         while self._doubts:
-            await self._read_clock()
-            if self._doubts:
-                await self._timers.sleep(self._message_life_s)
+            await self._timers.sleep(self._message_life_s)
+            report = await self._read_clock()
+        return report
 
     async def _exchange(self, lease_until_ms: float, same_connection: bool) -> ServerReport:
         body = {
