--- a/src/hyssopwood/inherited.py
+++ b/src/hyssopwood/inherited.py
@@ -20,6 +20,8 @@
 
     quiet_at: float = math.inf
     longest_s: float = 0.0
+    # Some of the work may run under a token that the server no longer holds.
+    superseded: bool = False
     _count: float = field(default=math.inf)
 
     @property
@@ -38,9 +40,14 @@
             self._count = min(self._count, report.running)
 
     def end(self) -> None:
-        """Note that the server has restarted or dropped everything."""
+        """Note that the server has restarted."""
         self._count = 0
 
+    def lapse(self) -> None:
+        """Note that the server has stopped the work under its grants."""
+        if not self.superseded:
+            self._count = 0
+
     def count(self, now: float) -> float:
         """Return how many inherited requests may run, inf when not known."""
         return 0 if now >= self.ended_at else self._count
--- a/src/hyssopwood/permits.py
+++ b/src/hyssopwood/permits.py
@@ -24,7 +24,9 @@
     """One slot given to one request.
 
     The first byte leaves the entry before `use_by`, and the server ends the work at `run_by`, the
-    request's deadline. `abandoned` says that the entry no longer reports the end of the work.
+    request's deadline. `abandoned` says that the entry no longer reports the end of the work,
+    `superseded` that the server holds the partition under a newer token, so that it may not stop
+    the work when its lease lapses.
     """
 
     id: int
@@ -37,6 +39,7 @@
     run_by: float
     slot: Any
     abandoned: bool = False
+    superseded: bool = False
     slot_held: bool = True
 
 
@@ -104,7 +107,13 @@
 
     def settle_by_lapse(self, now: float) -> list[Permit]:
         """Remove and return permits of a server that has dropped its grants."""
-        return self._remove(lambda permit: now >= self._quiet(permit))
+        return self._remove(lambda permit: now >= self._quiet(permit) and not permit.superseded)
+
+    def supersede(self, partition: str, token: int) -> None:
+        """Note that the server holds a partition under a newer token."""
+        for permit in self.permits.values():
+            if permit.partition == partition and permit.token != token:
+                permit.superseded = True
 
     def surplus_slots(self, report: ServerReport) -> list[Permit]:
         """Return abandoned permits whose slots are free, by the server's own count.
@@ -117,8 +126,8 @@
         holding = [permit for permit in lost if permit.slot_held]
         return holding[: max(0, len(holding) - report.running)]
 
-    def blocks(self, state: ClusterState, partition: str) -> bool:
-        """Return whether work on a partition may be in progress.
+    def blocks(self, state: ClusterState, partition: str, lapsed: bool = False) -> bool:
+        """Return whether work on a partition may be in progress, also after the lease lapsed.
 
         A request counts for the partition that it was admitted for and for the one that its key
         belongs to now, because a key may have got a partition of its own meanwhile.
@@ -126,6 +135,7 @@
         return any(
             partition in (permit.partition, _current_partition(state, permit.request))
             for permit in self.permits.values()
+            if permit.superseded or not lapsed
         )
 
     def _quiet(self, permit: Permit) -> float:
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -310,6 +310,8 @@
         if not grant and not release:
             return
         self._granting = set(grant)
+        if any(partition in self.held for partition in grant):
+            self.inherited.superseded |= self.inherited.count(self.parts.timers.now()) > 0
         try:
             holds = await self.session.change(grant, release)
         finally:
@@ -358,6 +360,7 @@
             self.held.update(grant)
         for partition, token in grant.items():
             if self.held.get(partition) == token:
+                self.book.supersede(partition, token)
                 emit(Event.PARTITION_GRANTED, server=self.name, partition=partition, token=token)
 
     def _start_clearance(self, partition: str, owner: Ownership) -> None:
@@ -411,20 +414,18 @@
         if not self.taken_over or partition in self._granting:
             return False
         self._settle()
-        if self.lapsed() and self._checks_fencing:
-            return True
-        if not self._drained(partition):
+        lapsed = self.lapsed()
+        if not self._drained(partition, lapsed and self._checks_fencing):
             return False
-        if self.lapsed():
+        if lapsed:
             return True
         known = self._report is not None
         return known and partition not in self.held and not self.session.in_doubt(partition)
 
-    def _drained(self, partition: str) -> bool:
-        state = self.parts.state
+    def _drained(self, partition: str, lapsed: bool = False) -> bool:
         if self.inherited.count(self.parts.timers.now()):
             return False
-        return not self.book.blocks(state, partition)
+        return not self.book.blocks(self.parts.state, partition, lapsed)
 
     # Permits that end
 
@@ -437,7 +438,7 @@
 
     def _note_lapse(self, now: float) -> None:
         if self._checks_fencing:
-            self.inherited.end()
+            self.inherited.lapse()
             self.held.clear()
             self._ended(self.book.settle_by_lapse(now))
         if not self._lapse_noted and self._report is not None:
