--- a/features/request_records.feature
+++ b/features/request_records.feature
@@ -14,6 +14,9 @@
       | a large answer that runs again          | answer 16385, begin 1 i2.9#0, is already-run |
       | a lost answer that runs again           | answer 0, begin 1 i2.9#0, is already-run |
       | an unknown outcome that runs again      | unknown, begin 1 i2.9#0, is record-lost |
+      | a repeatable request refused its retry  | unknown, begin 1 i1.1#1, is begun, begin 1 i2.9#0, is in-progress |
+      | a late report that frees a running key  | begin 1 i1.1#1, not-run, begin 1 i2.9#0, is in-progress |
+      | a late report that ends a running key   | begin 1 i1.1#1, unknown, begin 1 i2.9#0, is in-progress |
       | a refusal of what never ran             | not-run, begin 1 i2.9#0, is begun |
       | records that never end                  | answer 5, jump-ms 61000, begin 1 i2.9#0, is begun |
       | a running request that is forgotten     | jump-ms 61000, begin 1 i2.9#0, is record-lost |
