Move a lost server's partitions while the log is down

The coordinator of the lost server decides alone, after a majority of the voters keeps the moves; a fence record carries them into the log, and a change of voters waits until the log has them. Cause of a first failure: the coordinator answered 'server-unreachable' instead of 'moved', and entries asked the lost server's coordinator first.

--- a/src/hyssopwood/authority.py
+++ b/src/hyssopwood/authority.py
@@ -8,7 +8,7 @@
 
 from hyssopwood.errors import AuthorityLostError, PeerUnavailableError
 from hyssopwood.events import Event, emit
-from hyssopwood.messages import AttestRequest, SupportReply, SupportRequest
+from hyssopwood.messages import AttestRequest, OutageMove, SupportReply, SupportRequest
 from hyssopwood.peers import Peers, StateSource
 from hyssopwood.settings import Timing
 from hyssopwood.state import ClusterState, effective_voters, has_quorum, is_live
@@ -30,6 +30,7 @@
         timers: Timers,
         timing: Timing,
         catch_up: Callable[[str], None] = lambda voter: None,
+        moves_of: Callable[[str], tuple[OutageMove, ...]] = lambda incarnation: (),
     ) -> None:
         self._peers = peers
         self._source = source
@@ -44,7 +45,7 @@
         self._was_held = False
         self._refusing: set[str] = set()
         self._refused_since: float | None = None
-        voter = Voter(peers.incarnation, source, timers, timing)
+        voter = Voter(peers.incarnation, source, timers, timing, moves_of)
         peers.on(SupportRequest, voter.on_support)
         peers.on(AttestRequest, voter.on_attest)
 
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -100,6 +100,10 @@
             await self._parts.changed.wait(HAND_OVER_CHECK_S)
         return True
 
+    def refresh(self) -> None:
+        """Follow a change of the state that came without a log record."""
+        self._follow(self._parts.state)
+
     # Following the state
 
     def _follow(self, state: ClusterState) -> None:
@@ -274,6 +278,8 @@
         active = self._active.get(query.server)
         if owner is None or owner.token != query.token or query.server not in owner.awaiting:
             return False
+        if self._parts.unrecorded(query.partition, query.token):
+            return False
         if active is None or self._assigned(state).get(query.server) != active.coordinator.epoch:
             return False
         try:
@@ -291,6 +297,9 @@
         own = current is not None and current.incarnation == self._parts.incarnation
         if own and current.epoch >= query.epoch:
             return ServerReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
+        if self._parts.moved_without_log(query.server):
+            # The next coordinator could not know of these moves.
+            return ServerReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
         known = self._given_up.get(query.server, NO_EPOCH)
         self._given_up[query.server] = max(known, query.epoch)
         if query.server in self._active:
--- a/src/hyssopwood/daemon.py
+++ b/src/hyssopwood/daemon.py
@@ -162,7 +162,7 @@
                 emit(event, reasons="; ".join(readiness.reasons))
 
     def _state(self) -> ClusterState:
-        return ClusterState() if self._member is None else self._member.replica.state
+        return ClusterState() if self._member is None else self._member.outage.state
 
     def _peers(self) -> Peers | None:
         return None if self._member is None else self._member.peers
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -73,6 +73,7 @@
     GRANT_UNCERTAIN = EventSpec(412, "WARNING", "answer to a grant was lost")
     PLAN_WRITTEN = EventSpec(413, "INFO", "plan was written")
     APPEND_BUDGET_SPENT = EventSpec(414, "WARNING", "planner is over its append budget")
+    OUTAGE_MOVED = EventSpec(415, "WARNING", "partitions moved while the log is down")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
     REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
--- a/src/hyssopwood/liveness.py
+++ b/src/hyssopwood/liveness.py
@@ -6,7 +6,13 @@
 from typing import Any, Protocol
 
 from hyssopwood.errors import HyssopwoodError
-from hyssopwood.messages import AttestReply, AttestRequest, PositionReply, PositionRequest
+from hyssopwood.messages import (
+    AttestReply,
+    AttestRequest,
+    OutageMove,
+    PositionReply,
+    PositionRequest,
+)
 from hyssopwood.timers import Timers
 from hyssopwood.waiting import TaskGroup
 
@@ -35,6 +41,7 @@
         self._timeout_s = timeout_s
         self._last_answer_s: dict[str, float] = {}
         self._positions: dict[str, int] = {}
+        self._with_moves: set[str] = set()
         self._probes = TaskGroup()
 
     def probe(self, incarnations: Iterable[str]) -> None:
@@ -51,6 +58,9 @@
         if isinstance(reply, PositionReply):
             self._last_answer_s[incarnation] = self._timers.now()
             self._positions[incarnation] = reply.applied
+            self._with_moves.discard(incarnation)
+            if reply.has_outage_moves:
+                self._with_moves.add(incarnation)
 
     def silent_s(self, incarnation: str) -> float:
         """Return how long an incarnation has not answered; 0 before its first probe."""
@@ -66,6 +76,10 @@
         """Return the last reported log position, or -1."""
         return self._positions.get(incarnation, -1)
 
+    def keeps_moves(self, incarnation: str) -> bool:
+        """Return whether an incarnation keeps moves that the log doesn't have."""
+        return incarnation in self._with_moves
+
     def restart(self) -> None:
         """Count silence from now, after a time in which this process could not listen."""
         now = self._timers.now()
@@ -94,6 +108,7 @@
         self._timeout_s = timeout_s
         self._on_attested = on_attested
         self._attested: dict[str, set[str]] = {}
+        self._moves: dict[str, dict[str, OutageMove]] = {}
         self._wanted: set[tuple[str, str]] = set()
         self._asks = TaskGroup()
 
@@ -117,6 +132,8 @@
             if isinstance(reply, AttestReply):
                 if reply.attested:
                     self._attested.setdefault(suspect, set()).add(voter)
+                    moves = {move.partition: move for move in reply.outage_moves}
+                    self._moves.setdefault(suspect, {}).update(moves)
                     self._on_attested()
                     return
                 wait_s = max(wait_s, reply.wait_ms / 1000)
@@ -126,10 +143,15 @@
         """Return the voters that attested, in a stable order."""
         return tuple(sorted(self._attested.get(suspect, ())))
 
+    def moves(self, suspect: str) -> tuple[OutageMove, ...]:
+        """Return the moves without the log that the attesters keep for a suspect."""
+        return tuple(self._moves.get(suspect, {}).values())
+
     def keep(self, incarnations: Iterable[str]) -> None:
         """Forget every other incarnation. A voter never takes an attestation back."""
         for name in self._attested.keys() - set(incarnations):
             del self._attested[name]
+            self._moves.pop(name, None)
 
     async def stop(self) -> None:
         """Stop asking."""
--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -18,7 +18,8 @@
 from hyssopwood.key_replication import KeyReplication
 from hyssopwood.log_client import LogClient
 from hyssopwood.membership import Membership, new_incarnation
-from hyssopwood.messages import Hello, SuspectReport
+from hyssopwood.messages import Hello, PositionReply, PositionRequest, SuspectReport
+from hyssopwood.outage_moves import OutageMoves
 from hyssopwood.ownership_parts import Parts
 from hyssopwood.peers import Peers
 from hyssopwood.permit_guard import PermitGuard
@@ -43,6 +44,7 @@
     replica: Replica = field(init=False)
     peers: Peers = field(init=False)
     authority: Authority = field(init=False)
+    outage: OutageMoves = field(init=False)
     replication: KeyReplication = field(init=False)
     guard: PermitGuard = field(init=False)
     coordinators: Coordinators = field(init=False)
@@ -60,22 +62,39 @@
         hello = Hello(settings.instance, self.incarnation, settings.stream)
         self.peers = Peers(hello, self.replica, timers, settings.peer_address)
         self.replica.use_peers(self.peers)
-        self.authority = Authority(self.peers, self.replica, timers, settings.timing)
-        self.replication = KeyReplication(self.replica, self.peers, timers, settings.timing)
+        self.authority = Authority(
+            self.peers,
+            self.replica,
+            timers,
+            settings.timing,
+            moves_of=lambda incarnation: self.outage.attested(incarnation),
+        )
+        self.outage = OutageMoves(
+            self.replica,
+            self.peers,
+            self.authority,
+            timers,
+            settings.timing,
+            lambda: self.coordinators.usage(),
+            self._note_change,
+        )
+        self.peers.on(PositionRequest, self._on_position_request)
+        self.replication = KeyReplication(self.outage, self.peers, timers, settings.timing)
         self.guard = PermitGuard(
-            timers, settings.timing, self._share_suspect, self.replica, self.replication
+            timers, settings.timing, self._share_suspect, self.outage, self.replication
         )
         self.peers.on(SuspectReport, self.guard.on_suspect_report)
         self.coordinators = Coordinators(self._coordinator_parts())
         self.membership = self._make_membership()
         self.planner = Planner(
             settings,
-            self.replica,
+            self.outage,
             self.peers,
             self.authority,
             self.membership.instance_list,
             timers,
             self.replication.last_standby,
+            self.outage,
         )
         self.membership.note_report = self.planner.note_report
 
@@ -87,6 +106,7 @@
             Child("peers", self.peers.run),
             Child("routes", self._follow_changes),
             Child("authority", self.authority.run),
+            Child("outage moves", self.outage.run),
             Child("key replication", self.replication.run),
             Child("coordinators", self.coordinators.run),
             Child("join", self._join),
@@ -121,7 +141,7 @@
     def _coordinator_parts(self) -> Parts:
         timing = self.settings.timing
         return Parts(
-            self.replica,
+            self.outage,
             self.peers,
             self.authority,
             self.timers,
@@ -133,6 +153,8 @@
                 name, slots, self.timers, self.durations, limit
             ),
             hooks=self.guard,
+            unrecorded=self.outage.unrecorded,
+            moved_without_log=self.outage.involves,
             make_key_counter=lambda: HotKeys(self.timers),
         )
 
@@ -151,6 +173,14 @@
             self.replication.note_state(applied.state)
             self.on_change()
 
+    def _note_change(self) -> None:
+        """Let routes and coordinators see moves that the log doesn't have."""
+        self.coordinators.refresh()
+        self.on_change()
+
+    async def _on_position_request(self, _: str, __: PositionRequest) -> PositionReply:
+        return PositionReply(self.replica.state.applied, self.outage.has_unrecorded())
+
     def _share_suspect(self, report: SuspectReport) -> None:
         for incarnation in self.replica.state.members:
             if incarnation != self.incarnation:
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -41,6 +41,34 @@
     applied: int
 
 
+@frozen
+class OutageMove:
+    """Move a partition of a lost server while the log is down.
+
+    The move holds while the log's ownership of the partition is `source` with `token`.
+    """
+
+    partition: str
+    source: str
+    target: str
+    token: int
+
+
+@frozen
+class OutageMovesRequest:
+    """Ask a voter to keep moves until the log has them."""
+
+    membership_offset: int
+    moves: tuple[OutageMove, ...]
+
+
+@frozen
+class OutageMovesNotice:
+    """Tell every instance of moves that a majority of the voters keeps."""
+
+    moves: tuple[OutageMove, ...]
+
+
 @frozen
 class AttestRequest:
     """Ask a voter to attest that it no longer supports an incarnation."""
@@ -54,6 +82,7 @@
 
     attested: bool
     wait_ms: int
+    outage_moves: tuple[OutageMove, ...] = ()
 
 
 @frozen
@@ -273,9 +302,10 @@
 
 @frozen
 class PositionReply:
-    """Report the last applied offset."""
+    """Report the last applied offset, and whether the log lacks outage moves known here."""
 
     applied: int
+    has_outage_moves: bool = False
 
 
 @frozen
@@ -311,6 +341,8 @@
     | PositionReply
     | ErrorReply
     | IdempotencySynced
+    | OutageMovesRequest
+    | OutageMovesNotice
 )
 
 
@@ -326,6 +358,9 @@
 _BODY_TYPES: tuple[type, ...] = Body.__args__  # type: ignore[attr-defined]
 _LIST_TYPES = {
     (RecordsReply, "records"): Record,
+    (AttestReply, "outage_moves"): OutageMove,
+    (OutageMovesRequest, "moves"): OutageMove,
+    (OutageMovesNotice, "moves"): OutageMove,
     (IdempotencyCopies, "copies"): IdempotencyCopy,
     (UsageReport, "servers"): ServerUsage,
     (ServerUsage, "partitions"): PartitionUsage,
--- a/src/hyssopwood/ownership_parts.py
+++ b/src/hyssopwood/ownership_parts.py
@@ -186,6 +186,10 @@
     make_admission: Callable[[str, int, int], AdmissionPort]
     hooks: PermitHooks = field(factory=NoHooks)
     make_key_counter: Callable[[], KeyCounter] = NoKeyCounter
+    # Tells whether a partition moved without the log in a way that the asker can't know.
+    unrecorded: Callable[[str, int], bool] = lambda partition, token: False
+    # Tells whether moves from or to a server are not in the log yet.
+    moved_without_log: Callable[[str], bool] = lambda server: False
     changed: Broadcast = field(init=False)
     _index: OwnershipIndex | None = field(default=None, init=False)
 
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -31,6 +31,8 @@
     positionReply @24 :PositionReply;
     errorReply @25 :ErrorReply;
     idempotencySynced @26 :IdempotencySynced;
+    outageMovesRequest @27 :OutageMovesRequest;
+    outageMovesNotice @28 :OutageMovesNotice;
   }
 }
 
@@ -58,6 +60,7 @@
 struct AttestReply {
   attested @0 :Bool;
   waitMs @1 :UInt32;
+  outageMoves @2 :List(OutageMove);
 }
 
 struct PermitRequest {
@@ -208,6 +211,23 @@
 
 struct PositionReply {
   applied @0 :Int64;
+  hasOutageMoves @1 :Bool;
+}
+
+struct OutageMove {
+  partition @0 :Text;
+  source @1 :Text;
+  target @2 :Text;
+  token @3 :Int64;
+}
+
+struct OutageMovesRequest {
+  membershipOffset @0 :Int64;
+  moves @1 :List(OutageMove);
+}
+
+struct OutageMovesNotice {
+  moves @0 :List(OutageMove);
 }
 
 struct ErrorReply {
--- a/src/hyssopwood/permit_desk.py
+++ b/src/hyssopwood/permit_desk.py
@@ -103,7 +103,8 @@
             return refusal(Reason.NO_SERVICE, f"service {request.service!r:.60} is not in force")
         if coordinator.serves(partition):
             return None
-        if coordinator.lapsed():
+        owner = coordinator.parts.state.ownerships.get(partition)
+        if owner is not None and owner.server == coordinator.name and coordinator.lapsed():
             return refusal(Reason.SERVER_UNREACHABLE, f"{coordinator.name} holds no lease")
         return refusal(Reason.MOVED, f"{coordinator.name} doesn't serve {partition}")
 
--- a/src/hyssopwood/planner.py
+++ b/src/hyssopwood/planner.py
@@ -11,9 +11,11 @@
 from hyssopwood.events import Event, emit
 from hyssopwood.liveness import Attestations, Liveness, PeerNetwork
 from hyssopwood.messages import Ack, ErrorReply, UsageReport
+from hyssopwood.messages import OutageMove as KeptMove
 from hyssopwood.plans import PlanBuilder, TokenBucket
 from hyssopwood.records import (
     FenceRecord,
+    OutageMove,
     PlannerRecord,
     VotersCommittedRecord,
     VotersProposedRecord,
@@ -81,6 +83,14 @@
     def absent(self, instance: str) -> bool: ...
 
 
+class OutageView(Protocol):
+    """Tell which moves this instance keeps that the log doesn't have."""
+
+    def has_unrecorded(self) -> bool: ...
+
+    def attested(self, incarnation: str) -> tuple[KeptMove, ...]: ...
+
+
 class Planner:
     """Plan while this incarnation holds the planner epoch; otherwise watch the one that does."""
 
@@ -93,11 +103,13 @@
         absence: AbsenceView,
         timers: Timers,
         standby: Callable[[str], str] = lambda server: "",
+        outage: OutageView | None = None,
     ) -> None:
         self._settings = settings
         self._replica = replica
         self._authority = authority
         self._absence = absence
+        self._outage = outage
         self._timers = timers
         self._own = replica.incarnation
         self._interval_s = settings.timing.planner_interval_ms / 1000
@@ -338,10 +350,21 @@
             incarnation=name,
             attesters=attesters,
             absent=not attesters,
+            outage_moves=self._moves_of(name),
         )
         if await self._append(body):
             emit(Event.FENCED, incarnation=name, cause=cause)
 
+    def _moves_of(self, incarnation: str) -> tuple[OutageMove, ...]:
+        """Return the moves without the log that a fenced incarnation made."""
+        moves = {move.partition: move for move in self._attestations.moves(incarnation)}
+        if self._outage is not None:
+            moves |= {move.partition: move for move in self._outage.attested(incarnation)}
+        return tuple(
+            OutageMove(partition=m.partition, source=m.source, target=m.target, token=m.token)
+            for m in moves.values()
+        )
+
     # Voters
 
     def _eligible(self, state: ClusterState, silent_s: float = math.inf) -> dict[str, Member]:
@@ -399,11 +422,20 @@
         acks = tuple(
             name
             for name in dict.fromkeys((*state.voters, *state.pending_voters))
-            if name == self._own or self._liveness.position(name) >= state.pending_offset
+            if self._has_applied(name, state.pending_offset)
         )
         if has_quorum(state, acks):
             await self._append(VotersCommittedRecord(epoch=state.planner_epoch, acks=acks))
 
+    def _has_applied(self, name: str, offset: int) -> bool:
+        """Return whether a voter knows a proposal and keeps no moves that the log lacks.
+
+        New voters would not know those moves, so a fence could miss them.
+        """
+        if name == self._own:
+            return self._outage is None or not self._outage.has_unrecorded()
+        return self._liveness.position(name) >= offset and not self._liveness.keeps_moves(name)
+
     # Plans
 
     async def _write_plan(self) -> None:
--- a/src/hyssopwood/records.py
+++ b/src/hyssopwood/records.py
@@ -112,6 +112,26 @@
     acks: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class OutageMove:
+    """Name a move of a lost server's partition that was made while the log was down.
+
+    `token` is the token of the source's ownership.
+    """
+
+    partition: str
+    source: str
+    target: str
+    token: int
+
+
+@frozen(kw_only=True)
+class OutageMovesRecord:
+    """Record moves that were made while the log was down."""
+
+    moves: tuple[OutageMove, ...]
+
+
 @frozen(kw_only=True)
 class FenceRecord:
     """Remove an incarnation from every role.
@@ -123,6 +143,7 @@
     incarnation: str
     attesters: tuple[str, ...] = ()
     absent: bool = False
+    outage_moves: tuple[OutageMove, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -168,6 +189,7 @@
     | VotersCommittedRecord
     | FenceRecord
     | GrantedRecord
+    | OutageMovesRecord
     | CheckpointRecord
 )
 
@@ -181,6 +203,7 @@
     "voters_committed": VotersCommittedRecord,
     "fence": FenceRecord,
     "granted": GrantedRecord,
+    "outage_moves": OutageMovesRecord,
     "checkpoint": CheckpointRecord,
 }
 _KINDS = {kind: name for name, kind in _TYPES.items()}
--- a/src/hyssopwood/routes.py
+++ b/src/hyssopwood/routes.py
@@ -9,7 +9,7 @@
 
 from hyssopwood.dispatch import Route
 from hyssopwood.entry import OperationRule, ServiceRule, ServiceTable
-from hyssopwood.state import ClusterState, partition_of
+from hyssopwood.state import STATUS_UP, ClusterState, Ownership, partition_of
 from hyssopwood.ticket import ServiceLimits
 
 MAX_MOVED = 4_096
@@ -73,7 +73,7 @@
         if ownership is None:
             return None
         name = ownership.server
-        if ownership.awaiting and (partition, ownership.token) not in self._moved:
+        if self._may_still_serve(state, partition, ownership):
             name = ownership.awaiting[-1]
         server = state.servers.get(name)
         coordination = state.coordinations.get(name)
@@ -81,6 +81,12 @@
             return None
         return Route(partition, name, server.address, server.connections, coordination.incarnation)
 
+    def _may_still_serve(self, state: ClusterState, partition: str, ownership: Ownership) -> bool:
+        """Return whether the last holder of a moving partition may still serve it."""
+        if not ownership.awaiting or (partition, ownership.token) in self._moved:
+            return False
+        return state.server_status.get(ownership.awaiting[-1], STATUS_UP) == STATUS_UP
+
     def owns(self, partition: str, server: str) -> bool:
         """Return whether a server owns a partition or has yet to release it."""
         ownership = self._state().ownerships.get(partition)
--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -24,6 +24,8 @@
     LeaveRecord,
     LogRecord,
     Move,
+    OutageMove,
+    OutageMovesRecord,
     PlannerRecord,
     PlanRecord,
     ServerStatus,
@@ -294,7 +296,9 @@
     )
     cause = "absent from the platform's list" if body.absent else f"attested by {body.attesters}"
     entry = context.entry(f"instance {body.instance}", body.incarnation, "fenced", cause)
-    return changed, (entry,)
+    # The attesters pass on moves that the fenced coordinator made without the log.
+    moved, entries = _with_outage_moves(changed, body.outage_moves, context)
+    return moved, (entry, *entries)
 
 
 def _without_member(state: ClusterState, incarnation: str) -> ClusterState:
@@ -527,6 +531,52 @@
     return settled and shard.server == own.server
 
 
+@_effect.register
+def _(body: OutageMovesRecord, state: ClusterState, context: _Context) -> _Effect:
+    """Apply moves made without the log; the coordinator of either server may record them."""
+    allowed = tuple(
+        move
+        for move in body.moves
+        if _coordinates(state, context.writer, move.source)
+        or _coordinates(state, context.writer, move.target)
+    )
+    _require(bool(allowed), "not-the-coordinator")
+    return _with_outage_moves(state, allowed, context)
+
+
+def _with_outage_moves(
+    state: ClusterState, moves: Iterable[OutageMove], context: _Context
+) -> _Effect:
+    ownerships = dict(state.ownerships)
+    entries = []
+    for move in moves:
+        current = ownerships.get(move.partition)
+        changed = None if current is None else _after_outage_move(state, current, move, context)
+        if current is None or changed is None:
+            continue
+        ownerships[move.partition] = changed
+        subject = f"partition {move.partition}"
+        entries.append(context.entry(subject, current.server, changed.server, "log outage"))
+    return evolve(state, ownerships=ownerships), tuple(entries)
+
+
+def _after_outage_move(
+    state: ClusterState, current: Ownership, move: OutageMove, context: _Context
+) -> Ownership | None:
+    """Return the ownership after a move, or None when the move is known or void.
+
+    When another move was planned before this one reached the log, the target of this one becomes
+    one more holder that must release the partition, under a new token.
+    """
+    if move.target not in state.servers or move.target in (current.server, *current.awaiting):
+        return None
+    if current == Ownership(move.source, move.token):
+        return Ownership(move.target, move.token, (move.source,))
+    if current.token <= move.token or move.source not in current.awaiting:
+        return None
+    return Ownership(current.server, context.offset, (*current.awaiting, move.target))
+
+
 @_effect.register
 def _(body: GrantedRecord, state: ClusterState, context: _Context) -> _Effect:
     ownerships = dict(state.ownerships)
--- a/src/hyssopwood/voting.py
+++ b/src/hyssopwood/voting.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from hyssopwood.events import Event, emit
-from hyssopwood.messages import AttestReply, AttestRequest, SupportReply, SupportRequest
+from hyssopwood.messages import (
+    AttestReply,
+    AttestRequest,
+    OutageMove,
+    SupportReply,
+    SupportRequest,
+)
 from hyssopwood.peers import StateSource
 from hyssopwood.settings import Timing
 from hyssopwood.state import ClusterState, is_live
@@ -31,11 +39,17 @@
     """
 
     def __init__(
-        self, incarnation: str, source: StateSource, timers: Timers, timing: Timing
+        self,
+        incarnation: str,
+        source: StateSource,
+        timers: Timers,
+        timing: Timing,
+        moves_of: Callable[[str], tuple[OutageMove, ...]] = lambda incarnation: (),
     ) -> None:
         self._incarnation = incarnation
         self._source = source
         self._timers = timers
+        self._moves_of = moves_of
         self._promise_s = timing.promise_ms / 1000
         self._promised: dict[str, float] = {}
         self._attested: set[str] = set()
@@ -61,7 +75,7 @@
             emit(Event.FENCE_ATTESTED, incarnation=request.incarnation, asked_by=sender)
         self._attested.add(request.incarnation)
         self._forget(state)
-        return AttestReply(True, 0)
+        return AttestReply(True, 0, self._moves_of(request.incarnation))
 
     def _may_promise(self, state: ClusterState, request: SupportRequest) -> bool:
         if not is_live(state, self._incarnation):
