--- a/src/hyssopwood_standins/demo.py
+++ b/src/hyssopwood_standins/demo.py
@@ -55,7 +55,7 @@
         await self._return_server(14)
         await self._replace_entry(17)
         await self._interrupt_log(21)
-        await self._change_limits(25)
+        await self._move_hot_key(24)
         await self._stop_entry(27)
         await self.deployment.until_callers_end(TRAFFIC_S)
         await asyncio.sleep(SETTLE_S)
@@ -114,10 +114,15 @@
         await asyncio.sleep(OUTAGE_S)
         await deployment.control(deployment.platform, outage=False)
 
-    async def _change_limits(self, second: float) -> None:
-        await self._at(second, "a second ticket is published")
-        ticket = {"number": 2, **self.deployment.limits(50)}
-        self.tickets_ms.append(await self.deployment.publish(ticket))
+    async def _move_hot_key(self, second: float) -> None:
+        await self._at(second, "a second ticket moves the hot key and changes limits")
+        deployment = self.deployment
+        owner = report.last_server_of(deployment.recordings([]), self._hot_key())
+        others = (deployment.server_name(number) for number in (2, 3))
+        pins = {self._hot_key(): next(name for name in others if name != owner)}
+        ownership = {deployment.customer.service: pins}
+        ticket = {"number": 2, "ownership": ownership, **deployment.limits(50)}
+        self.tickets_ms.append(await deployment.publish(ticket))
 
     async def _stop_entry(self, second: float) -> None:
         name = self.deployment.entry_name(2)
--- a/src/hyssopwood_standins/report.py
+++ b/src/hyssopwood_standins/report.py
@@ -264,6 +264,13 @@
     return owners
 
 
+def last_server_of(recordings: Recordings, key: str) -> str:
+    """Return the server that ran a request of the key last, or nothing."""
+    runs = (run for run in _runs(recordings) if run["key"] == key)
+    last = max(runs, key=lambda run: run["t"], default=None)
+    return last["server"] if last else ""
+
+
 def failures(recordings: Recordings) -> dict[str, int]:
     """Return how many attempts were not answered, by outcome and detail."""
     failed = (item for item in recordings.attempts if item["outcome"] != "answered")
