--- a/features/request_dispatch.feature
+++ b/features/request_dispatch.feature
@@ -37,8 +37,9 @@
     Examples:
       | fault                                | script |
       | coordinators that never reply        | delay-ms 9000, handle single, ends not-run deadline-exceeded, sent 0, withdrawn |
+      | silent coordinators that are replaced | delay-ms 1900, start, move-now s2, ends answered, went s2 |
       | waits for a timer after a move       | attempts not-run:moved, move-to s2, handle-at-once, ends answered, went s1 s2 |
-      | callers held while nobody owns a key | no-owner, handle single, ends not-run no-owner, took 1.0 |
+      | callers held while nobody owns a key | no-owner, handle single, ends not-run no-owner, took 1.5 |
       | retry storms at a lost server        | attempts-always not-run:server-unreachable, handle-together 100, sent-at-most 120 |
       | retries that double a failing load   | attempts-always unknown:connection-lost, handle-in-turn 100, sent-at-most 120 |
       | queue places of callers gone         | delay-ms 9000, start, leave, withdrawn |
--- a/features/support/request_dispatch.py
+++ b/features/support/request_dispatch.py
@@ -54,6 +54,9 @@
     def move_to(self, server):
         self.next_owner = server
 
+    def move_now(self, server):
+        self.router.move_to(server)
+
     def size(self, size):
         self.body_size = int(size)
 
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -19,14 +19,14 @@
 from hyssopwood.messages import PermitCancel, PermitReply, PermitRequest, PermitReturn
 from hyssopwood.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from hyssopwood.timers import Timers
-from hyssopwood.wait_limits import WaitExpiredError, WaitLimits
+from hyssopwood.wait_limits import WaitExpiredError, WaitLimit, WaitLimits
 
 RETRY_RATIO = 0.1
 # Allows the first retries of an idle instance; the ratio bounds them under load.
 RETRY_BURST = 10.0
 RETRY_JITTER_S = 0.02
-# A moved key is served again within 1 s, so waiting longer for an owner is pointless.
-OWNER_WAIT_S = 1.0
+# A moved key is to be served again within 1 s; waiting much longer for an owner is pointless.
+OWNER_WAIT_S = 1.5
 MAX_WAITING = 512
 # First interval after which the same owner is tried again; it doubles each time.
 RECHECK_S = 0.05
@@ -269,6 +269,8 @@
         self._rng = rng or random.Random()
         self._budget = RetryBudget()
         self._wait_limits = WaitLimits(timers)
+        self._asking: dict[WaitLimit, tuple[CallerRequest, Route]] = {}
+        self._follower: asyncio.Task[None] | None = None
         self._sequence = itertools.count(1)
         self._waiting = 0
         self._began: dict[int, float] = {}
@@ -325,10 +327,11 @@
             request.customer,
         )
         try:
-            with self._wait_limits.limit(request.deadline):
-                reply = await self._permits.request(permit, route.coordinator)
+            reply = await self._request_permit(request, route, permit)
         except WaitExpiredError:
             self._permits.cancel(PermitCancel(request_id), route.coordinator)
+            if self._timers.now() < request.deadline:
+                return NotRun(Reason.MOVED, "the key moved while its request was queued")
             return NotRun(Reason.DEADLINE_EXCEEDED, "no slot was free in time", REFUSAL_RETRY_S)
         except HyssopwoodError as error:
             self._permits.cancel(PermitCancel(request_id), route.coordinator)
@@ -341,6 +344,26 @@
         # Counted from sending the request, as the coordinator can't know when it arrived.
         return _Attempt(route, reply, request_id, asked + reply.valid_ms / 1000)
 
+    async def _request_permit(
+        self, request: CallerRequest, route: Route, permit: PermitRequest
+    ) -> PermitReply:
+        if self._follower is None or self._follower.done():
+            self._follower = asyncio.get_running_loop().create_task(self._follow_routes())
+        with self._wait_limits.limit(request.deadline) as limit:
+            self._asking[limit] = (request, route)
+            try:
+                return await self._permits.request(permit, route.coordinator)
+            finally:
+                del self._asking[limit]
+
+    async def _follow_routes(self) -> None:
+        """End waits for coordinators that were replaced; a silent one would hold them."""
+        while True:
+            await self._router.wait_changed(self._router.version)
+            for limit, (request, route) in list(self._asking.items()):
+                if self._router.route(request.service, request.key) != route:
+                    limit.expire()
+
     async def _send(self, request: CallerRequest, attempt: _Attempt) -> Outcome:
         self._began[attempt.permit.permit_id] = self._timers.now()
         try:
--- a/src/hyssopwood/wait_limits.py
+++ b/src/hyssopwood/wait_limits.py
@@ -14,13 +14,13 @@
 
 
 class WaitExpiredError(HyssopwoodError):
-    """Raised when a wait was ended by its deadline."""
+    """Raised when a wait was ended by its limit."""
 
     exit_code = 6
 
 
-class _Limit:
-    """Context that ends the waits of the current task at a deadline."""
+class WaitLimit:
+    """Context that ends the waits of the current task at a deadline or on demand."""
 
     __slots__ = ("_limiter", "_until", "_task", "_expired")
 
@@ -34,9 +34,10 @@
     def until(self) -> float:
         return self._until
 
-    def __enter__(self) -> None:
+    def __enter__(self) -> WaitLimit:
         self._task = asyncio.current_task()
         self._limiter._add(self)
+        return self
 
     def __exit__(
         self,
@@ -49,7 +50,7 @@
             return
         # A cancellation from elsewhere takes precedence over the deadline.
         if self._task.uncancel() == 0 and kind is asyncio.CancelledError:
-            raise WaitExpiredError("the deadline has passed") from error
+            raise WaitExpiredError("the wait has ended") from error
 
     def expire(self) -> None:
         """Interrupt the task once."""
@@ -63,19 +64,19 @@
 
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
-        self._limits: set[_Limit] = set()
+        self._limits: set[WaitLimit] = set()
         self._checker: asyncio.Task[None] | None = None
 
-    def limit(self, until: float) -> _Limit:
+    def limit(self, until: float) -> WaitLimit:
         """Return a context that raises WaitExpiredError at `until`."""
-        return _Limit(self, until)
+        return WaitLimit(self, until)
 
-    def _add(self, limit: _Limit) -> None:
+    def _add(self, limit: WaitLimit) -> None:
         self._limits.add(limit)
         if self._checker is None or self._checker.done():
             self._checker = asyncio.get_running_loop().create_task(self._check())
 
-    def _remove(self, limit: _Limit) -> None:
+    def _remove(self, limit: WaitLimit) -> None:
         self._limits.discard(limit)
 
     async def _check(self) -> None:
