Tell coordinators of servers that shed load; warm restarted servers up

A server that sheds gets one request per slot every 100 ms, and a restarted one gets its slots over 1 s. Both fail a row when switched off, but for the call on a restart, which has no test.

--- a/features/request_admission.feature
+++ b/features/request_admission.feature
@@ -27,5 +27,6 @@
       | slots kept for cancelled callers       | arrive 3 quick 500, lose-slot, counts 1 0 |
       | reports that add slots                 | arrive 2 quick 60000, report 0, arrive 1 quick 5000, counts 2 1 |
       | reports that close a server for long   | shedding 60000, arrive 1 quick 5000, counts 0 1, pass-ms 1100, counts 1 0 |
+      | work given to a server that sheds      | arrive 2 quick 60000, shed-return, arrive 1 quick 5000, counts 1 1, pass-ms 150, counts 2 0 |
       | a crowd on a cold server               | cold 2000, arrive 2 quick 9000, counts 1 1, pass-ms 1500, counts 2 0 |
       | goodput that falls in a peak           | peak 3 2 200 |
--- a/features/request_dispatch.feature
+++ b/features/request_dispatch.feature
@@ -37,6 +37,7 @@
     Examples:
       | fault                                | script |
       | coordinators that never reply        | delay-ms 9000, handle single, ends not-run deadline-exceeded, sent 0, withdrawn |
+      | shedding that the coordinator misses | attempts not-run:server-refused, handle single, status 503 |
       | silent coordinators that are replaced | delay-ms 1900, start, move-now s2, ends answered, went s2 |
       | waits for a timer after a move       | attempts not-run:moved, move-to s2, handle-at-once, ends answered, went s1 s2 |
       | callers held while nobody owns a key | no-owner, handle single, ends not-run no-owner, took 1.5 |
--- a/features/support/request_admission.py
+++ b/features/support/request_admission.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import random
+from unittest.mock import MagicMock
 
 from hyssopwood.admission import Admission, AdmissionRequest, AdmittedSlot, Refused
 from hyssopwood.durations import Durations
+from hyssopwood.messages import PermitReturn
 from hyssopwood.outcomes import Reason
+from hyssopwood.permit_desk import PermitDesk
 from support.request_script import Script
 
 WORK_S = {"quick": 0.02, "slow": 1.0}
@@ -65,6 +68,15 @@
             self.give_back(operation)
             self.run(self.timers.settle())
 
+    def shed_return(self):
+        """Return the oldest slot through the permit desk, refused by a server that sheds."""
+        slot = min(self._running(), key=lambda slot: slot.started)
+        coordinator = MagicMock()
+        coordinator.parts.timers, coordinator.records.admission = self.timers, self.queue
+        coordinator.end_permit = lambda *_, **__: self.queue.release(slot, 0.0, completed=False)
+        returned = PermitReturn(1, "not-run", 0.0, 503)
+        PermitDesk(coordinator).give_back(MagicMock(issued_at=0.0), returned)
+
     def shedding(self, ms):
         self.queue.set_shedding(self.timers.now() + int(ms) / 1000)
 
--- a/features/support/request_dispatch.py
+++ b/features/support/request_dispatch.py
@@ -132,6 +132,9 @@
         found = [permit.outcome for permit in self.permits.returned]
         assert found == list(outcomes), found
 
+    def status(self, status):
+        assert [permit.status for permit in self.permits.returned] == [int(status)]
+
     def withdrawn(self):
         assert self.permits.cancelled == self.permits.asked != []
 
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -32,6 +32,7 @@
 RECHECK_S = 0.05
 MAX_ATTEMPTS = 20
 ID_BYTES = 5
+SHEDDING_STATUS = 503
 STORED_BODY_BYTES = 16_384
 REFUSAL_RETRY_S = 0.1
 LATE_FACTOR = 4.0
@@ -374,7 +375,10 @@
         if isinstance(outcome, Answered):
             body = _ReturningBody(self, attempt, request, outcome)
             return Answered(outcome.status, outcome.headers, body)
-        self._give_back(attempt, "not-run" if isinstance(outcome, NotRun) else "unknown", 0, b"")
+        refused = outcome.reason is Reason.SERVER_REFUSED
+        kind = "not-run" if isinstance(outcome, NotRun) else "unknown"
+        # The coordinator sees from the status that the server sheds load.
+        self._give_back(attempt, kind, SHEDDING_STATUS if refused else 0, b"")
         return outcome
 
     def _server_request(self, request: CallerRequest, attempt: _Attempt) -> ServerRequest:
--- a/src/hyssopwood/ownership_parts.py
+++ b/src/hyssopwood/ownership_parts.py
@@ -92,6 +92,14 @@
         """Change the number of slots."""
         ...
 
+    def set_shedding(self, until: float) -> None:
+        """Start nothing before `until`."""
+        ...
+
+    def set_cold(self, warm_up_s: float) -> None:
+        """Give a server that just started its slots gradually."""
+        ...
+
 
 class PermitHooks(Protocol):
     """Idempotency records and poison suspects, consulted for each permit."""
--- a/src/hyssopwood/permit_desk.py
+++ b/src/hyssopwood/permit_desk.py
@@ -17,6 +17,9 @@
 RETRY_AFTER_MS = 50
 # A permit that is valid for less is no use to the entry.
 MIN_PERMIT_S = 0.005
+# A server that sheds load is asked again after this time, with one request per slot.
+SHEDDING_S = 0.1
+SHEDDING_STATUS = 503
 OUTCOME_UNKNOWN = "unknown"
 OUTCOME_NOT_RUN = "not-run"
 
@@ -60,8 +63,10 @@
         coordinator.records.meter.count_busy(permit.partition, now - permit.issued_at, now)
         if returned.outcome == OUTCOME_UNKNOWN:
             coordinator.book.abandon(permit, now)
-        else:
-            coordinator.end_permit(permit, completed=returned.outcome != OUTCOME_NOT_RUN)
+            return
+        if returned.outcome == OUTCOME_NOT_RUN and returned.status == SHEDDING_STATUS:
+            coordinator.records.admission.set_shedding(now + SHEDDING_S)
+        coordinator.end_permit(permit, completed=returned.outcome != OUTCOME_NOT_RUN)
 
     def withdraw(self, sender: str, request_id: str) -> None:
         """Drop a queued request, or a permit that never reached its entry."""
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -33,6 +33,8 @@
 # Pause of the main loop while it has no authority or no session.
 IDLE_S = 0.02
 MIN_PAUSE_S = 0.002
+# A restarted server gets its slots gradually over this time.
+WARM_UP_S = 1.0
 # How long a release query waits for the release at its receiver.
 RELEASE_POLL_S = 0.2
 
@@ -264,6 +266,7 @@
             emit(Event.SERVER_RESTARTED, server=self.name, incarnation=report.incarnation)
             self.inherited.end()
             self._note_crash()
+            self.records.admission.set_cold(WARM_UP_S)
         else:
             emit(Event.SESSION_OPENED, server=self.name, epoch=self.epoch, holds=len(report.holds))
         self.held.clear()
