Split the replica's history, changes and backoff; cover the remaining mechanisms

A start from a peer's checkpoint happens only in the task that follows peers; the second path from the log's tail was redundant. Records are bounded below the size of a peer message, and the commands measure a ticket as it stands in its record, with every quote escaped.

--- a/features/log_replica.feature
+++ b/features/log_replica.feature
@@ -123,6 +123,31 @@
       | a majority confirms              | r1 r2 r3 | 30      | r3     | recent     |                  |
       | a minority confirms              | r1 r2 r3 | 30      | r2 r3  | not recent | 0 of 3 voters    |
 
+  Scenario: Confirmations of the position grow old
+    Guards against an isolated instance that lives on its last confirmations.
+    Given log replicas r1, r2, r3, of which all are voters
+    When replicas "r1 r2 r3" lose the log for 10 s and "none" answer no peer
+    Then replica "r1" is recent and says ""
+    When replicas "r1 r2 r3" lose the log for 10 s and "r2 r3" answer no peer
+    Then replica "r1" is not recent and says "0 of 3 voters"
+
+  Scenario: Records that come from a peer and then from the log are applied once
+    Guards against a position that moves back when a late page repeats records.
+    Given log replicas r1, r2, r3, of which all are voters
+    When the reads of replica "r1" hang and its changes are watched
+    And a log ticket is published elsewhere
+    And 5 s pass on the log
+    And the reads of replica "r1" go on
+    Then replica "r1" was at offsets 6 in this order
+    And all log replicas hold the same state
+
+  Scenario: A peer's older checkpoint is refused
+    Guards against a lagging peer that reverts a ticket in force.
+    Given log replicas r1, r2, r3, of which all are voters
+    When the peers of replica "r1" offer only a checkpoint of an empty log at offset 2
+    And replicas "r1" lose the log for 10 s and "none" answer no peer
+    Then all log replicas hold the same state
+
   Scenario: A voter that is ahead doesn't confirm an older position
     Guards against a lagging instance that takes answers of newer instances for confirmation.
     Given log replicas r1, r2, r3, of which all are voters
@@ -161,11 +186,12 @@
       | from the checkpoint                    | whole                | 3    | no    | holds the state of the others |
       | from the newest of two                 | whole whole          | 3    | no    | holds the state of the others |
       | from parts                             | split                | 9    | no    | holds the state of the others |
+      | from parts that are repeated           | repeated             | 99   | no    | holds the state of the others |
       | from the older of two                  | whole cut            | 10   | no    | holds the state of the others |
       | from a peer                            | none                 | 1    | yes   | holds the state of the others |
       | from a peer without a usable checkpoint | corrupt             | 2    | yes   | holds the state of the others |
       | not after a gap                        | whole whole          | 2    | no    | has no state                 |
-      | not at all                             | corrupt              | 2    | no    | has no state                 |
+      | not at all                             | corrupt              | 3    | no    | has no state                 |
       | not at all either                      | none                 | 1    | no    | has no state                 |
 
   Scenario Outline: A checkpoint equals a full replay, seed <seed>
--- a/features/steps/log_client_steps.py
+++ b/features/steps/log_client_steps.py
@@ -50,7 +50,9 @@
 
 @given("a log service that answers reads with status {status:d} and body {body}")
 def step_reads(context, status, body):
-    _serve(context, "GET", lambda: web.Response(status=status, body=_body(body)))
+    # Nothing listens at the location, so a client that followed it would fail otherwise.
+    headers = {"Location": "http://127.0.0.1:1/"}
+    _serve(context, "GET", lambda: web.Response(status=status, headers=headers, body=_body(body)))
 
 
 @given('a log service that answers appends with status {status:d} and Retry-After "{after}"')
--- a/features/steps/log_replica_steps.py
+++ b/features/steps/log_replica_steps.py
@@ -6,11 +6,12 @@
 from functools import partial
 from unittest.mock import patch
 
+from attrs import evolve
 from behave import given, step, then, when
 
 from hyssopwood import checkpoint
 from hyssopwood.checkpoint import Checkpointer, decode_state, encode_state
-from hyssopwood.messages import RecordsRequest
+from hyssopwood.messages import CheckpointReply, CheckpointRequest, RecordsReply, RecordsRequest
 from hyssopwood.records import (
     CheckpointRecord,
     GrantedRecord,
@@ -294,6 +295,36 @@
     _run(context, lambda: context.cell.log.write_body("nino:1", body))
 
 
+@when('the reads of replica "{name}" hang and its changes are watched')
+def step_watch(context, name):
+    replica = context.cell.replicas[name]
+    context.changes = replica.changes()
+    _run(context, lambda: context.cell.views[name].set_faults(reads_held=True))
+
+
+@then('replica "{name}" was at offsets {offsets} in this order')
+def step_offsets(context, name, offsets):
+    seen = [applied.state.applied for applied in context.changes._items]
+    assert seen == [int(offset) for offset in offsets.split()], seen
+
+
+@when('the peers of replica "{name}" offer only a checkpoint of an empty log at offset {offset:d}')
+def step_old_checkpoint(context, name, offset):
+    (text,) = encode_state(evolve(_empty(), applied=offset))
+
+    async def records(sender, body):
+        return RecordsReply(1_000, 1_000, ())
+
+    async def old(sender, body):
+        return CheckpointReply(offset, text)
+
+    for other in context.cell.replicas:
+        if other != name:
+            handlers = context.cell.peers.handlers
+            handlers[other, RecordsRequest] = records
+            handlers[other, CheckpointRequest] = old
+
+
 @then('replica "{name}" is recent and says ""')
 def step_recent(context, name):
     recency = context.cell.replicas[name].recent()
@@ -326,6 +357,9 @@
     with patch.object(checkpoint, "MAX_PART_CHARACTERS", 200):
         parts = encode_state(state)
     assert len(parts) > 2
+    if kind == "repeated":
+        # Fills up to the number of parts while the last ones are still missing.
+        return [*parts[:2], *[parts[1]] * (len(parts) - 2), *parts[2:]]
     return parts[:-1] if kind == "cut" else parts
 
 
@@ -338,7 +372,7 @@
         state = cell.replicas["r1"].state
         for number, text in enumerate(_checkpoint_texts(state, kind)):
             body = CheckpointRecord(epoch=4, through=state.applied, state=text)
-            cell.log.write_body(f"r1:{10 + index * 20 + number}", body)
+            cell.log.write_body(f"r1:{10 + index * 100 + number}", body)
 
     for index, kind in enumerate(kinds.split()):
         _run(context, partial(write, index, kind))
--- a/features/steps/ticket_command_steps.py
+++ b/features/steps/ticket_command_steps.py
@@ -90,6 +90,18 @@
     context.stream.trim()
 
 
+@given('"{publisher}" publishes another ticket 2 after the ticket command has checked its own')
+def step_race(context, publisher):
+    def check(state, ticket):
+        text = ticket_text(2, limits={"portal": {"queue": 9}})
+        body = TicketRecord(publisher=publisher, text=text)
+        context.stream.append(encode_record(LogRecord(f"{publisher}:1", publisher, body)))
+
+    patcher = patch("hyssopwood.cli._require_acceptable", check)
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+
+
 @when('the ticket command "{command}" is run')
 def step_run(context, command):
     words = {"FILE": str(context.file), "URL": context.url}
--- a/features/ticket_commands.feature
+++ b/features/ticket_commands.feature
@@ -67,6 +67,13 @@
     When the ticket command "ticket publish FILE --log-url URL" is run
     Then the ticket command exits with 4 and prints "has the same content"
 
+  Scenario: A publisher that loses the race learns who won
+    Guards against a success that is reported for a ticket which came second.
+    Given the ticket file {"number": 2, "limits": {"portal": {"queue": 3}}}
+    And "nino" publishes another ticket 2 after the ticket command has checked its own
+    When the ticket command "ticket publish FILE --log-url URL" is run
+    Then the ticket command exits with 4 and prints "ticket 2 by nino at offset 1 came first"
+
   Scenario: Nothing is published while the log is down
     Guards against a command that reports success without the log.
     Given the ticket file {"number": 2, "limits": {"portal": {"queue": 3}}}
--- a/src/hyssopwood/cli.py
+++ b/src/hyssopwood/cli.py
@@ -264,7 +264,8 @@
 
 def _ticket_from(path: Path, data: Any) -> Ticket:
     ticket = structure(str(path), data, Ticket)
-    size = len(_compact(data))
+    # The record carries the text as a JSON string, which escapes every quote.
+    size = len(json.dumps(_compact(data)))
     if size > MAX_TICKET_BYTES:
         fault = Fault("$", f"{size} bytes", f"at most {MAX_TICKET_BYTES}")
         raise InputError(str(path), (fault,))
--- a/src/hyssopwood/replica.py
+++ b/src/hyssopwood/replica.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import random
-from collections import deque
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any, Protocol
 from weakref import WeakSet
@@ -13,6 +12,8 @@
 from attrs import frozen
 
 from hyssopwood.append_budget import AppendBudget
+from hyssopwood.backoff import Backoff
+from hyssopwood.changes import Changes
 from hyssopwood.checkpoint import CheckpointCollector, CheckpointError, decode_state, encode_state
 from hyssopwood.errors import (
     AppendBudgetError,
@@ -26,14 +27,14 @@
     RecordTooLargeError,
 )
 from hyssopwood.events import Event, emit
-from hyssopwood.log_client import MAX_RECORD_BYTES, Log, LogPage, StoredRecord
+from hyssopwood.history import MAX_REPLY_RECORDS, History
+from hyssopwood.log_client import Log, LogPage, StoredRecord
 from hyssopwood.messages import Body as PeerBody
 from hyssopwood.messages import (
     CheckpointReply,
     CheckpointRequest,
     PositionReply,
     PositionRequest,
-    Record,
     RecordsReply,
     RecordsRequest,
 )
@@ -45,21 +46,16 @@
 
 POLL_WAIT_MS = 1_000
 PAGE_RECORDS = 500
+# A record must also fit a peer message, which is as large as the log's record limit of 1 MiB.
+MAX_APPEND_BYTES = 1_040_000
 # Records applied before other tasks run; a record takes well under 1 ms.
 APPLY_SLICE = 20
 APPEND_LIMIT_S = 10.0
 RECENT_S = 5.0
-MIN_BACKOFF_S = 0.02
-MAX_BACKOFF_S = 1.0
 PEER_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 0.5
 # Peers are asked when the log wasn't read for longer than one long poll and its round trip.
 PEER_AFTER_S = POLL_WAIT_MS / 1000 + 0.5
-MAX_HISTORY_RECORDS = 4_096
-MAX_HISTORY_CHARACTERS = 8 * 1_048_576
-# Leaves room in a peer message of 1 MiB for framing.
-MAX_REPLY_CHARACTERS = 900_000
-MAX_QUEUED_CHANGES = 10_000
 MAX_REJECTION_CHARACTERS = 200
 APPLY_FAILED = "apply-failed"
 UNDECODABLE = "undecodable"
@@ -90,32 +86,6 @@
         return self.recent
 
 
-class Changes:
-    """Iterate over applied records; an item without a record means that changes were skipped."""
-
-    def __init__(self) -> None:
-        self._items: deque[Applied] = deque()
-        self._ready = asyncio.Event()
-
-    def __aiter__(self) -> Changes:
-        return self
-
-    async def __anext__(self) -> Applied:
-        while not self._items:
-            self._ready.clear()
-            await self._ready.wait()
-        return self._items.popleft()
-
-    def put(self, applied: Applied) -> None:
-        """Add an item; a reader that fell too far behind gets only the newest state."""
-        if len(self._items) >= MAX_QUEUED_CHANGES:
-            emit(Event.SUBSCRIBER_BEHIND, queued=len(self._items))
-            self._items.clear()
-            applied = Applied(applied.state)
-        self._items.append(applied)
-        self._ready.set()
-
-
 class Replica:
     """Hold the cluster state that the log's records produce."""
 
@@ -140,7 +110,7 @@
         self._state = ClusterState()
         self._changed = asyncio.Event()
         self._subscribers: WeakSet[Changes] = WeakSet()
-        self._history = _History()
+        self._history = History()
         self._page_records = PAGE_RECORDS
         self._log_reachable = False
         self._read_at = -math.inf
@@ -151,6 +121,8 @@
         self._peer_names: Callable[[], Sequence[str]] = self._members
         self._peer_turn = 0
         self._positions: dict[str, tuple[float, int]] = {}
+        # Many instances may start at once and ask for the same state.
+        self._encoded: tuple[ClusterState, tuple[str, ...]] | None = None
 
     @property
     def state(self) -> ClusterState:
@@ -199,7 +171,7 @@
             pass
 
     async def _follow_log(self) -> None:
-        backoff = _Backoff(self._chance)
+        backoff = Backoff(self._chance)
         while True:
             try:
                 await self._read_once(POLL_WAIT_MS)
@@ -235,15 +207,14 @@
         return at_end
 
     async def _load_checkpoint(self, first: int) -> None:
-        """Start from the newest checkpoint in the log, else from a peer's."""
+        """Start from the newest checkpoint in the log; peers may have one when it has none."""
         collector = await self._scan_checkpoints(first)
         try:
             if collector.through + 1 < first:
                 raise CheckpointError(f"the records after offset {collector.through} have expired")
             self._replace(collector.state())
         except CheckpointError as error:
-            if not await self._start_from_peers():
-                raise RecordsExpiredError(first) from error
+            raise RecordsExpiredError(first) from error
 
     async def _scan_checkpoints(self, first: int) -> CheckpointCollector:
         collector = CheckpointCollector()
@@ -376,9 +347,9 @@
             self._sequence += 1
             record = LogRecord(f"{self._incarnation}:{self._sequence}", self._incarnation, body)
             text = encode_record(record)
-            if len(text) > MAX_RECORD_BYTES:
+            if len(text) > MAX_APPEND_BYTES:
                 raise RecordTooLargeError(
-                    f"record has {len(text)} bytes, at most {MAX_RECORD_BYTES}"
+                    f"record has {len(text)} bytes, at most {MAX_APPEND_BYTES}"
                 )
             waiter: asyncio.Future[Applied] = asyncio.get_running_loop().create_future()
             self._awaited[record.id] = waiter
@@ -399,7 +370,7 @@
     async def _append_until_read(
         self, record_id: str, text: str, waiter: asyncio.Future[Applied], deadline: float
     ) -> None:
-        backoff = _Backoff(self._chance)
+        backoff = Backoff(self._chance)
         failure = "the log accepted it"
         while not waiter.done():
             remaining = deadline - self._timers.now()
@@ -445,10 +416,12 @@
 
     async def _on_checkpoint_request(self, sender: str, body: CheckpointRequest) -> CheckpointReply:
         state = self._state
-        parts = await asyncio.to_thread(encode_state, state)
-        if state.applied < 0 or len(parts) > 1:
+        if self._encoded is None or self._encoded[0] is not state:
+            self._encoded = (state, await asyncio.to_thread(encode_state, state))
+        encoded, parts = self._encoded
+        if encoded.applied < 0 or len(parts) > 1:
             return CheckpointReply(-1, "")
-        return CheckpointReply(state.applied, parts[0])
+        return CheckpointReply(encoded.applied, parts[0])
 
     async def _follow_peers(self) -> None:
         async for _ in self._timers.subscribe(PEER_INTERVAL_S):
@@ -461,7 +434,7 @@
         if name is None:
             return
         start = self._state.applied + 1
-        reply = await self._ask(name, RecordsRequest(start, PAGE_RECORDS))
+        reply = await self._ask(name, RecordsRequest(start, MAX_REPLY_RECORDS))
         if not isinstance(reply, RecordsReply):
             return
         if reply.first > start:
@@ -479,24 +452,14 @@
         self._peer_turn += 1
         return names[self._peer_turn % len(names)]
 
-    async def _start_from_peers(self) -> bool:
-        if self._peers is None:
-            return False
-        for name in self._peer_names():
-            if await self._start_from(name):
-                return True
-        return False
-
-    async def _start_from(self, name: str) -> bool:
+    async def _start_from(self, name: str) -> None:
         reply = await self._ask(name, CheckpointRequest())
-        if not isinstance(reply, CheckpointReply) or reply.through <= self._state.applied:
-            return False
+        if not isinstance(reply, CheckpointReply) or reply.through < 0:
+            return
         try:
             self._replace(decode_state([reply.data]))
         except CheckpointError as error:
             emit(Event.PEER_REJECTED, peer=name, error=error)
-            return False
-        return True
 
     async def _confirm_position(self) -> None:
         asked_at = self._timers.now()
@@ -516,57 +479,6 @@
             return None
 
 
-class _Backoff:
-    """Double a pause up to a limit, with jitter."""
-
-    def __init__(self, chance: random.Random) -> None:
-        self._chance = chance
-        self._pause_s = MIN_BACKOFF_S
-
-    def next_s(self) -> float:
-        pause_s = self._pause_s * self._chance.uniform(0.5, 1.0)
-        self._pause_s = min(MAX_BACKOFF_S, self._pause_s * 2)
-        return pause_s
-
-    def reset(self) -> None:
-        self._pause_s = MIN_BACKOFF_S
-
-
-class _History:
-    """Keep the newest records for peers, bounded by count and size."""
-
-    def __init__(self) -> None:
-        self._records: deque[StoredRecord] = deque()
-        self._first = 0
-        self._characters = 0
-
-    def clear(self, first: int) -> None:
-        self._records.clear()
-        self._first = first
-        self._characters = 0
-
-    def add(self, record: StoredRecord) -> None:
-        self._records.append(record)
-        self._characters += len(record.data)
-        while len(self._records) > MAX_HISTORY_RECORDS or self._characters > MAX_HISTORY_CHARACTERS:
-            dropped = self._records.popleft()
-            self._first = dropped.offset + 1
-            self._characters -= len(dropped.data)
-
-    def since(self, offset: int, limit: int, end: int) -> RecordsReply:
-        chosen: list[Record] = []
-        room = MAX_REPLY_CHARACTERS
-        for stored in self._records:
-            if stored.offset < offset:
-                continue
-            room -= len(stored.data)
-            if len(chosen) == min(limit, PAGE_RECORDS) or (room < 0 and chosen):
-                break
-            chosen.append(Record(stored.offset, stored.time_ms, stored.data))
-        following = chosen[-1].offset + 1 if chosen else max(offset, end)
-        return RecordsReply(self._first, following, tuple(chosen))
-
-
 def _collect(collector: CheckpointCollector, stored: StoredRecord) -> None:
     try:
         collector.add(decode_record(stored.data))
