--- a/features/support/ownership_faults.py
+++ b/features/support/ownership_faults.py
@@ -39,9 +39,14 @@
     try:
         return loop.run_until_complete(_run(seed, faults_s))
     finally:
-        loop.run_until_complete(_cancel_rest())
         asyncio.set_event_loop(None)
-        loop.close()
+        end_loop(loop)
+
+
+def end_loop(loop):
+    """Cancel what still runs and close the loop."""
+    loop.run_until_complete(_cancel_rest())
+    loop.close()
 
 
 async def _run(seed, faults_s):
--- a/features/support/virtual_time.py
+++ b/features/support/virtual_time.py
@@ -88,6 +88,7 @@
         self.rng = rng
         self.blocked = set()
         self.loss = 0.0
+        self.slow_share = 0.02
 
     def block(self, one, other):
         self.blocked |= {(one, other), (other, one)}
@@ -106,6 +107,6 @@
         """Return whether a message arrived, after its delay."""
         if not self.passes(source, target):
             return False
-        slow = self.rng.random() < 0.02
+        slow = self.rng.random() < self.slow_share
         await asyncio.sleep(self.rng.uniform(0.01, 0.08) if slow else self.rng.uniform(2e-4, 2e-3))
         return (source, target) not in self.blocked
