--- a/src/hyssopwood/peers.py
+++ b/src/hyssopwood/peers.py
@@ -65,6 +65,7 @@
         self._incoming: dict[Wire, str] = {}
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
+        self._forever: asyncio.Future[None] | None = None
 
     @property
     def incarnation(self) -> str:
@@ -95,8 +96,10 @@
         """Listen until cancelled, then close every connection."""
         if self._server is None:
             await self.start()
+        # Held by the object: a future that nothing refers to is collected with its waiting task.
+        self._forever = asyncio.get_running_loop().create_future()
         try:
-            await asyncio.get_running_loop().create_future()
+            await self._forever
         finally:
             await self.stop()
 
