--- a/features/steps/standin_report_steps.py
+++ b/features/steps/standin_report_steps.py
@@ -1,11 +1,14 @@
 """Steps for the report of the stand-ins."""
 
+import io
+import json
 import tempfile
+from contextlib import redirect_stdout
 from pathlib import Path
 
 from behave import given, then, when
 
-from hyssopwood_standins import report
+from hyssopwood_standins import demo, report
 from support.standin_records import CASES
 
 TICKET_MS = 100.0
@@ -17,6 +20,14 @@
     context.measures = report.measures(CASES[case], TICKET_MS)
 
 
+@then("the stand-in demo writes the measures and ends with exit code {code:d}")
+def step_demo(context, code):
+    with tempfile.TemporaryDirectory() as directory, redirect_stdout(io.StringIO()):
+        output = Path(directory) / "out" / "demo.json"
+        assert demo.finish(context.measures, output) == code
+        assert json.loads(output.read_text(encoding="utf-8")) == context.measures
+
+
 @when("the stand-in ticket did not come into force")
 def step_no_ticket(context):
     context.measures["ticket_in_force_ms"] = None
@@ -28,16 +39,11 @@
     assert abs(measured - value) < TOLERANCE, f"{name} is {measured}, expected {value}"
 
 
-@then('the stand-in violations name "{text}"')
+@then("the stand-in violations name {text}")
 def step_violations(context, text):
     found = report.violations(context.measures)
-    assert len(found) == 1 and text in found[0], f"violations: {found}"
-
-
-@then('the stand-in violations name ""')
-def step_no_violations(context):
-    found = report.violations(context.measures)
-    assert not found, f"violations: {found}"
+    expected = 0 if text == "nothing" else 1
+    assert len(found) == expected and all(text in line for line in found), f"violations: {found}"
 
 
 @then("the stand-in measures have the keys")
--- a/src/hyssopwood/entry.py
+++ b/src/hyssopwood/entry.py
@@ -6,6 +6,7 @@
 import json
 import math
 import re
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
@@ -13,7 +14,13 @@
 from attrs import Factory, frozen
 from multidict import CIMultiDict
 from sanic import Sanic
-from sanic.exceptions import BadRequest, PayloadTooLarge, RequestCancelled, SanicException
+from sanic.exceptions import (
+    BadRequest,
+    PayloadTooLarge,
+    RequestCancelled,
+    RequestTimeout,
+    SanicException,
+)
 from sanic.http import Http, Stage
 from sanic.request import Request
 from sanic.response import HTTPResponse
@@ -25,12 +32,15 @@
 from hyssopwood.outcomes import Answered, BodyCutError, NotRun, Outcome, Reason, Unknown
 from hyssopwood.settings import Limits
 from hyssopwood.timers import Timers
+from hyssopwood.wait_limits import WaitExpiredError, WaitLimits
 
+_UNUSED_SIGNALS = "http.lifecycle."
 _LINE_END = b"\r\n"
 OWN_PREFIX = b"/hyssopwood/"
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"})
 PROBLEM_TYPE = "application/problem+json"
 MAX_KEY_BYTES = 512
+MAX_CONNECTIONS = 8_192
 MAX_IN_FLIGHT = 4_096
 # Bodies are held until the owner has a free slot, so their sum is bounded.
 MAX_BUFFERED_BYTES = 33_554_432
@@ -53,10 +63,9 @@
     Reason.MISMATCHED_ANSWER: 502,
 }
 _UNAVAILABLE = 503
+_REQUEST_TIMEOUT = 408
 # Repeating these unchanged is useless, so they carry no retry time.
 _FINAL = frozenset({Reason.BAD_REQUEST, Reason.NO_SERVICE, Reason.ALREADY_RUN})
-# Forms that parsers read differently: space before a colon, folded lines, bare CR, LF or NUL.
-_AMBIGUOUS_HEAD = re.compile(rb"\r\n[^\r\n:]*[ \t]:|\r\n[ \t]|(?<!\r)\n|\r(?!\n)|\0")
 _UNSAFE_TEXT = re.compile(r"[\x00-\x1f\x7f\ud800-\udfff]")
 
 
@@ -123,6 +132,12 @@
         self.status = status
 
 
+class ListenError(HyssopwoodError):
+    """Raised when the address for callers can't be used."""
+
+    exit_code = 3
+
+
 class _OverloadedError(HyssopwoodError):
     """Raised when this instance holds as many requests or bytes as it may."""
 
@@ -156,6 +171,8 @@
     def connection_made(self, transport: Any) -> None:
         self._cut = False
         super().connection_made(transport)
+        if len(self.connections) > self.app.ctx.max_connections:
+            transport.abort()
 
     def eof_received(self) -> bool:
         """Keep the connection for a refusal when the request is incomplete."""
@@ -183,11 +200,16 @@
 
 
 class _Application(Sanic):
-    """Application that passes callers' requests on without sanic's router and middleware.
+    """Application that passes callers' requests on without router, middleware and signals.
 
-    The router, its signals and middleware cost more CPU per request than the rest of sanic.
+    Five lifecycle signals a request cost a third of the entry's CPU time; none has a handler.
     """
 
+    async def dispatch(self, event: str, **options: Any) -> Any:
+        if event.startswith(_UNUSED_SIGNALS):
+            return None
+        return await super().dispatch(event, **options)
+
     async def handle_request(self, request: Request) -> None:
         if request.raw_url.startswith(OWN_PREFIX):
             await super().handle_request(request)
@@ -202,6 +224,7 @@
     """Bounds of the caller interface."""
 
     limits: Limits = Factory(Limits)
+    max_connections: int = MAX_CONNECTIONS
     max_in_flight: int = MAX_IN_FLIGHT
     max_buffered_bytes: int = MAX_BUFFERED_BYTES
     request_timeout_s: float = REQUEST_TIMEOUT_S
@@ -235,6 +258,7 @@
         self._status = status
         self._observe = observe
         self._options = options or EntryOptions()
+        self._wait_limits = WaitLimits(timers)
         self._in_flight = 0
         self._buffered = 0
         self._stopping = False
@@ -253,10 +277,8 @@
 
     async def start(self) -> None:
         """Accept callers."""
-        host, _, port = self._address.rpartition(":")
         self._server = await self._app.create_server(
-            host=host.strip("[]"),
-            port=int(port),
+            sock=_bind(self._address),
             protocol=_Protocol,
             backlog=BACKLOG,
             access_log=False,
@@ -268,6 +290,8 @@
     async def stop(self, limit_s: float) -> bool:
         """Refuse new requests and wait for those in flight; return whether all ended."""
         self._stopping = True
+        if self._server is None:
+            return True
         self._server.server.close()
         until = self._timers.now() + limit_s
         while self._in_flight and self._timers.now() < until:
@@ -286,6 +310,7 @@
     def _build(self) -> Sanic:
         app = _Application(f"hyssopwood-{next(self._names)}", configure_logging=False)
         app.ctx.serve = self._serve
+        app.ctx.max_connections = self._options.max_connections
         config = app.config
         config.TOUCHUP = False
         config.ACCESS_LOG = False
@@ -324,6 +349,8 @@
             if request.stream.request_body:
                 # The rest of the body is dropped with the connection.
                 request.stream.keep_alive = False
+            if error.status == _REQUEST_TIMEOUT:
+                request.stream.request_body = None
             emit(Event.BAD_REQUEST, fault=error.fault, detail=error.detail)
             return _problem(error.status, Reason.BAD_REQUEST, error.detail, fault=error.fault)
         except _OverloadedError as error:
@@ -370,10 +397,9 @@
             declared = stream.request_bytes or 0
             if declared > limit:
                 raise BadRequestError("oversize-body", f"the body exceeds {limit} bytes", 413)
+            until = self._timers.now() + self._options.request_timeout_s
             while stream.request_body:
-                chunk = await stream.read()
-                if not chunk:
-                    continue
+                chunk = await self._read_chunk(stream, until)
                 size += len(chunk)
                 self._buffered += len(chunk)
                 chunks.append(chunk)
@@ -385,10 +411,18 @@
         finally:
             self._buffered -= size
 
+    async def _read_chunk(self, stream: _Http, until: float) -> bytes:
+        try:
+            with self._wait_limits.limit(until):
+                return await stream.read() or b""
+        except WaitExpiredError as error:
+            raise BadRequestError("timeout", "the body is late", _REQUEST_TIMEOUT) from error
+
     def _read(
         self, request: Request, rule: ServiceRule, target: str, body: bytes, began: float
     ) -> CallerRequest:
         headers = request.headers
+        key = _text(headers, rule.key_header, "no-key")
         operation = _text(headers, "Hyssopwood-Operation", "no-operation")
         known = rule.operations.get(operation)
         if known is None:
@@ -398,7 +432,7 @@
             customer=rule.customer,
             operation=operation,
             repeatable=known.repeatable,
-            key=_text(headers, rule.key_header, "no-key"),
+            key=key,
             method=request.method,
             path=target,
             headers=headers,
@@ -418,9 +452,13 @@
             request.stream.keep_alive = False
         try:
             response = await request.respond(status=answer.status, headers=headers)
+            left = int(headers.get("Content-Length", "-1"))
             async for chunk in answer.body:
-                await response.send(chunk)
-            await response.eof()
+                left -= len(chunk)
+                # Ending with the last chunk saves a write.
+                await response.send(chunk, end_stream=not left)
+            if left:
+                await response.eof()
         except BodyCutError:
             # A clean end would make an incomplete answer look whole.
             request.stream.protocol.abort()
@@ -436,9 +474,9 @@
         if close or self._stopping:
             request.stream.keep_alive = False
         status = _STATUS.get(outcome.reason, _UNAVAILABLE)
-        retry_s = outcome.retry_after_s
-        if retry_s is None and outcome.reason not in _FINAL:
-            retry_s = DEFAULT_RETRY_S
+        retry_s = None
+        if outcome.reason not in _FINAL:
+            retry_s = DEFAULT_RETRY_S if outcome.retry_after_s is None else outcome.retry_after_s
         return _problem(
             status,
             outcome.reason,
@@ -464,26 +502,53 @@
             emit(Event.TASK_FAILED, task="entry", error=repr(error))
             return _problem(status, Reason.CONNECTION_LOST, "internal failure", run="unknown")
         fault = _fault_of(error)
+        status = 431 if fault == "oversize-head" else status
         emit(Event.BAD_REQUEST, fault=fault, detail=str(error))
         return _problem(status, Reason.BAD_REQUEST, str(error), fault=fault)
 
 
+def _bind(address: str) -> socket.socket:
+    # sanic listens on port 8000 when it is asked for any free port.
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, int(port)))
+    except OSError as error:
+        listener.close()
+        raise ListenError(f"can't listen on {address}: {error.strerror}") from error
+    return listener
+
+
 def _fault_of(error: Exception) -> str:
     if isinstance(error, _TruncatedError):
         return "truncated"
     if isinstance(error, PayloadTooLarge):
         return "oversize-head" if "header" in str(error) else "oversize-body"
-    return "malformed"
+    return "timeout" if isinstance(error, RequestTimeout) else "malformed"
 
 
 def _unknown_run(outcome: Unknown) -> str:
     return "run" if outcome.reason is Reason.ALREADY_RUN else "unknown"
 
 
+def _is_ambiguous(head: bytes, headers: Mapping[str, str]) -> bool:
+    """Find forms that parsers read differently: bare CR, LF or NUL, folds, space before a colon."""
+    ends = head.count(b"\r\n")
+    if head.count(b"\n") != ends or head.count(b"\r") != ends or b"\0" in head:
+        return True
+    return any(not name or name[0] in " \t" or name[-1] in " \t" for name in headers)
+
+
 def _check_head(request: Request) -> None:
-    if _AMBIGUOUS_HEAD.search(request.head):
+    if _is_ambiguous(request.head, request.headers):
         request.stream.keep_alive = False
         raise BadRequestError("malformed-head", "the header lines are ambiguous")
+    if request.version != "1.1":
+        # An older caller can't tell a cut answer from a whole one.
+        raise BadRequestError("http-version", f"HTTP/{request.version} is not supported", 505)
     if request.method not in METHODS:
         raise BadRequestError("method", f"{request.method} is not supported", 405)
     if not request.raw_url.startswith(b"/"):
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -42,6 +42,8 @@
     CHECKPOINT_WRITTEN = EventSpec(205, "INFO", "checkpoint was written")
     CHECKPOINT_LOADED = EventSpec(206, "INFO", "started from a checkpoint")
     APPEND_RETRIED = EventSpec(207, "WARNING", "append is repeated with the same id")
+    CHECKPOINT_FAILED = EventSpec(208, "WARNING", "checkpoint was not written")
+    SUBSCRIBER_BEHIND = EventSpec(209, "WARNING", "a subscriber to changes fell behind")
 
     JOINED = EventSpec(300, "INFO", "instance joined")
     LEFT = EventSpec(301, "INFO", "instance left")
@@ -50,7 +52,11 @@
     AUTHORITY_GAINED = EventSpec(304, "INFO", "authority was gained")
     PLANNER_CLAIMED = EventSpec(305, "INFO", "planner epoch was claimed")
     VOTERS_CHANGED = EventSpec(306, "INFO", "voters changed")
-    FENCE_ATTESTED = EventSpec(307, "INFO", "fence of an instance was attested")
+    FENCE_ATTESTED = EventSpec(311, "INFO", "fence of an instance was attested")
+    PLANNER_PAUSED = EventSpec(307, "WARNING", "planner waits for the log")
+    MEMBER_SUSPECTED = EventSpec(308, "WARNING", "instance does not answer")
+    INSTANCE_LIST_IGNORED = EventSpec(309, "WARNING", "platform's instance list is not usable")
+    INCARNATION_LOST = EventSpec(310, "WARNING", "own incarnation is no longer a member")
 
     SESSION_OPENED = EventSpec(400, "INFO", "session with backend server was opened")
     SESSION_LOST = EventSpec(401, "WARNING", "backend server does not renew its lease")
@@ -65,6 +71,8 @@
     SERVER_HANDED_OVER = EventSpec(410, "INFO", "backend server was handed over")
     PARTITION_FROZEN = EventSpec(411, "DEBUG", "permits for a partition are stopped")
     GRANT_UNCERTAIN = EventSpec(412, "WARNING", "answer to a grant was lost")
+    PLAN_WRITTEN = EventSpec(413, "INFO", "plan was written")
+    APPEND_BUDGET_SPENT = EventSpec(414, "WARNING", "planner is over its append budget")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
     REQUEST_UNKNOWN = EventSpec(501, "WARNING", "outcome of request is unknown")
--- a/src/hyssopwood/messages.py
+++ b/src/hyssopwood/messages.py
@@ -69,6 +69,7 @@
     digest: int
     idempotency_key: str
     customer: str
+    position: int = -1
 
 
 @frozen
@@ -218,7 +219,7 @@
 
 @frozen
 class IdempotencyCopy:
-    """Replicate one idempotency record to the standby."""
+    """Hold a copy of one idempotency record."""
 
     server: str
     service: str
@@ -227,6 +228,27 @@
     state: str
     status: int
     body: bytes
+    key: str
+
+
+@frozen
+class IdempotencyCopies:
+    """Copy idempotency records to a standby, a next coordinator or a next owner."""
+
+    copies: tuple[IdempotencyCopy, ...]
+
+
+@frozen
+class IdempotencySynced:
+    """Say that the receiver holds every idempotency record of a server or a partition.
+
+    For `distrust_ms` an unknown key may stand for a record that was lost earlier.
+    """
+
+    server: str
+    epoch: int
+    partition: str
+    distrust_ms: int
 
 
 @frozen
@@ -282,12 +304,13 @@
     | CheckpointRequest
     | CheckpointReply
     | UsageReport
-    | IdempotencyCopy
+    | IdempotencyCopies
     | Ack
     | SuspectReport
     | PositionRequest
     | PositionReply
     | ErrorReply
+    | IdempotencySynced
 )
 
 
@@ -303,6 +326,7 @@
 _BODY_TYPES: tuple[type, ...] = Body.__args__  # type: ignore[attr-defined]
 _LIST_TYPES = {
     (RecordsReply, "records"): Record,
+    (IdempotencyCopies, "copies"): IdempotencyCopy,
     (UsageReport, "servers"): ServerUsage,
     (ServerUsage, "partitions"): PartitionUsage,
     (ServerUsage, "hot_keys"): KeyUsage,
@@ -335,16 +359,15 @@
 
 
 def _fill(builder: Any, value: Any) -> None:
-    """Set each field by itself; building from a dict takes about eight times as long."""
-    kind = type(value)
-    for name, wire in _WIRE_NAMES[kind]:
-        content = getattr(value, name)
-        if (kind, name) in _LIST_TYPES:
-            items = builder.init(wire, len(content))
-            for index, item in enumerate(content):
-                _fill(items[index], item)
-        else:
-            setattr(builder, wire, content)
+    """Set each field by itself, ten times as fast as building from a dict."""
+    for name, wire in _WIRE_NAMES[type(value)]:
+        item = getattr(value, name)
+        if type(item) is not tuple:
+            setattr(builder, wire, item)
+            continue
+        elements = builder.init(wire, len(item))
+        for index, element in enumerate(item):
+            _fill(elements[index], element)
 
 
 def _from_wire(kind: type, reader: Any) -> Any:
--- a/src/hyssopwood/peer.capnp
+++ b/src/hyssopwood/peer.capnp
@@ -24,12 +24,13 @@
     checkpointRequest @17 :CheckpointRequest;
     checkpointReply @18 :CheckpointReply;
     usageReport @19 :UsageReport;
-    idempotencyCopy @20 :IdempotencyCopy;
+    idempotencyCopies @20 :IdempotencyCopies;
     ack @21 :Ack;
     suspectReport @22 :SuspectReport;
     positionRequest @23 :PositionRequest;
     positionReply @24 :PositionReply;
     errorReply @25 :ErrorReply;
+    idempotencySynced @26 :IdempotencySynced;
   }
 }
 
@@ -69,6 +70,7 @@
   digest @6 :UInt64;
   idempotencyKey @7 :Text;
   customer @8 :Text;
+  position @9 :Int64;  # Last log offset that the sender has applied.
 }
 
 struct PermitReply {
@@ -177,6 +179,18 @@
   state @4 :Text;
   status @5 :UInt16;
   body @6 :Data;
+  key @7 :Text;
+}
+
+struct IdempotencyCopies {
+  copies @0 :List(IdempotencyCopy);
+}
+
+struct IdempotencySynced {
+  server @0 :Text;
+  epoch @1 :Int64;
+  partition @2 :Text;  # Empty for all partitions of the server.
+  distrustMs @3 :UInt32;
 }
 
 struct Ack {
--- a/src/hyssopwood/peers.py
+++ b/src/hyssopwood/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -10,7 +11,7 @@
 
 from hyssopwood.errors import HyssopwoodError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
-from hyssopwood.messages import Body, Envelope, ErrorReply, Hello
+from hyssopwood.messages import Body, Envelope, ErrorReply, Hello, PositionRequest
 from hyssopwood.peer_link import Link, Wire
 from hyssopwood.state import ClusterState
 from hyssopwood.timers import Timers
@@ -65,7 +66,6 @@
         self._incoming: dict[Wire, str] = {}
         self._tasks = TaskGroup()
         self._server: asyncio.Server | None = None
-        self._forever: asyncio.Future[None] | None = None
 
     @property
     def incarnation(self) -> str:
@@ -96,10 +96,8 @@
         """Listen until cancelled, then close every connection."""
         if self._server is None:
             await self.start()
-        # Held by the object: a future that nothing refers to is collected with its waiting task.
-        self._forever = asyncio.get_running_loop().create_future()
         try:
-            await self._forever
+            await self._watch_silence()
         finally:
             await self.stop()
 
@@ -143,28 +141,34 @@
     async def _request_peer(self, incarnation: str, body: Body) -> Body:
         link = await self._link_to(incarnation)
         number, future = link.send(body)
-        sent_at = self._timers.now()
         try:
-            while not future.done():
-                await self._wait_for_reply(link, future, sent_at)
-            return future.result()
+            return await future
         finally:
             link.abandon(number)
 
-    async def _wait_for_reply(self, link: Link, future: asyncio.Future[Body], sent: float) -> None:
-        try:
-            await within(self._timers, SILENCE_S, asyncio.shield(future))
-        except WaitTimeoutError:
-            if link.wire.received_at < max(sent, self._timers.now() - SILENCE_S):
-                self._tasks.start(("probe", link.incarnation), self._replace_silent(link))
+    async def _watch_silence(self) -> None:
+        """Probe each connection on which requests wait and nothing arrives."""
+        async for now in self._timers.subscribe(SILENCE_S):
+            for link in self._links.values():
+                if link.waits_since(now - SILENCE_S):
+                    self._tasks.start(("probe", link.incarnation), self._replace_silent(link))
 
     async def _replace_silent(self, link: Link) -> None:
-        """Open a new connection; when the peer answers there, close the silent one."""
+        """Probe both the connection and a new one; close the old one if only the new one answers.
+
+        A connection without bytes may be idle because every outstanding request waits in a queue,
+        so the probe that is answered at once decides.
+        """
+        probed_at = self._timers.now()
         try:
+            number, answer = link.send(PositionRequest())
             fresh = await self._dial(link.incarnation)
         except (PeerUnavailableError, ProtocolError):
             return
-        if link.wire.received_at > fresh.wire.received_at - SILENCE_S:
+        with contextlib.suppress(WaitTimeoutError, PeerUnavailableError):
+            await within(self._timers, SILENCE_S, asyncio.shield(answer))
+        link.abandon(number)
+        if link.wire.received_at >= probed_at:
             fresh.close("the older connection works")
             return
         emit(Event.PEER_SILENT, incarnation=link.incarnation)
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -23,7 +23,7 @@
 from hyssopwood.state import STATUS_DOWN, STATUS_UP, ClusterState, Ownership
 from hyssopwood.takeover import Takeover
 from hyssopwood.ticket import Server, ServiceLimits
-from hyssopwood.usage import UsageMeter
+from hyssopwood.usage_meter import UsageMeter
 from hyssopwood.waiting import Signal, TaskGroup
 
 LEAVING = "leaving"
@@ -199,6 +199,7 @@
         now = self.parts.timers.now()
         self._taken_over_at = now
         self.inherited.begin(quiet_at, self._longest_s())
+        self.parts.hooks.taken_over(self.name, self.epoch)
         emit(Event.SERVER_TAKEN_OVER, server=self.name, epoch=self.epoch)
         self._clearances.start("quiet", self._await_quiet(takeover))
         await self.parts.timers.sleep(self.records.address_settled_at - now)
