--- a/features/support/ownership_faults.py
+++ b/features/support/ownership_faults.py
@@ -13,6 +13,7 @@
 FAULTS_S = 6.0
 REPAIR_S = 8.0
 QUIET_S = 2.5
+FENCING = ((True, True, False), (True, True, True), (False, False, False))
 
 
 @frozen
@@ -51,7 +52,7 @@
 
 async def _run(seed, faults_s):
     rng = random.Random(seed)
-    cluster = Cluster(rng)
+    cluster = Cluster(rng, fencing=rng.choice(FENCING))
     await cluster.start()
     done = []
     end = asyncio.get_running_loop().time() + faults_s
@@ -221,14 +222,17 @@
     instance = _coordinator_of(cluster, server)
     if instance is None:
         return
-    cluster.network.block(instance.name, "planner")
+    hidden_from = rng.choice((["planner"], ["planner", LOG]))
+    for other in hidden_from:
+        cluster.network.block(instance.name, other)
     owned = [name for name, o in cluster.log.state.ownerships.items() if o.server == server.name]
     others = [name for name in cluster.servers if name != server.name]
     await asyncio.sleep(rng.uniform(0.35, 0.7))
     for partition in owned:
         cluster.planner.move(partition, rng.choice(others))
     await asyncio.sleep(0.5)
-    cluster.network.unblock(instance.name, "planner")
+    for other in hidden_from:
+        cluster.network.unblock(instance.name, other)
 
 
 async def change_hot_key(cluster, rng):
--- a/features/support/ownership_guards.py
+++ b/features/support/ownership_guards.py
@@ -31,7 +31,7 @@
         (ServerCoordinator, "release_if_certain", lambda self, partition: True),
     ),
     "promise-wait": ((Voter, "_promised_until", lambda self, incarnation: -math.inf),),
-    "drain": ((ServerCoordinator, "_drained", lambda self, partition: True),),
+    "drain": ((ServerCoordinator, "_drained", lambda *_: True),),
     "grant-doubt": ((Session, "_doubt", lambda self, grant: None),),
 }
 
