--- a/features/session.feature
+++ b/features/session.feature
@@ -72,6 +72,17 @@
       | does nothing         | succeeds                     |
       | closes connections   | fails without being sent     |
 
+  Scenario Outline: The HTTP channel checks the authority again before it sends
+    Guards against a command by an instance that was fenced while it waited for a connection.
+    Given a control server over HTTP
+    When the authority of the control channel ends while it gets <connection>
+    Then the control server gets no further command
+
+    Examples:
+      | connection            |
+      | a new connection      |
+      | the former connection |
+
   Scenario Outline: The HTTP channel survives bad answers
     Guards against an answer that fills the memory or blocks the coordinator.
     Given a control server over HTTP
--- a/features/steps/session_steps.py
+++ b/features/steps/session_steps.py
@@ -231,7 +231,13 @@
         return site._server.sockets[0].getsockname()[1]
 
     port = context.run(start())
-    context.http = HttpControlChannel(f"127.0.0.1:{port}", SystemTimers(), 0.25)
+    context.authority_held = True
+
+    def require():
+        if not context.authority_held:
+            raise AuthorityLostError("lost")
+
+    context.http = HttpControlChannel(f"127.0.0.1:{port}", SystemTimers(), 0.25, require)
     context.run(_command(context, same=False))
 
 
@@ -273,6 +279,29 @@
     context.run(end())
 
 
+@when("the authority of the control channel ends while it gets {connection}")
+def step_authority_ends(context, connection):
+    async def run():
+        if connection == "a new connection":
+            await context.http.close()
+        context.authority_held = False
+        await _command(context, same=False)
+
+    context.seen_before = context.seen
+    try:
+        context.run(run())
+        raise AssertionError("no error was raised")
+    except AuthorityLostError:
+        context.run(asyncio.sleep(0.05))
+
+
+@then("the control server gets no further command")
+def step_no_command(context):
+    assert context.seen == context.seen_before
+    context.authority_held = True
+    step_any_connection(context)
+
+
 @when('the control server answers with "{answer}"')
 def step_http_answer(context, answer):
     context.mode = answer
--- a/src/hyssopwood/control_channel.py
+++ b/src/hyssopwood/control_channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any, Protocol
 
@@ -36,9 +37,15 @@
         ...
 
 
-def _trace() -> aiohttp.TraceConfig:
+def _trace(require: Callable[[], None]) -> aiohttp.TraceConfig:
+    async def recheck(*_: Any) -> None:
+        require()
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(_refuse_other_connection)
+    # Getting a connection may take long; nothing is sent if the authority ended meanwhile.
+    trace.on_connection_create_end.append(recheck)
+    trace.on_connection_reuseconn.append(recheck)
     return trace
 
 
@@ -54,10 +61,17 @@
     another one.
     """
 
-    def __init__(self, address: str, timers: Timers, timeout_s: float) -> None:
+    def __init__(
+        self,
+        address: str,
+        timers: Timers,
+        timeout_s: float,
+        require: Callable[[], None] = lambda: None,
+    ) -> None:
         self._url = f"http://{address}"
         self._timers = timers
         self._timeout_s = timeout_s
+        self._require = require
         self._client: aiohttp.ClientSession | None = None
 
     async def post(self, path: str, body: Any, same_connection: bool) -> tuple[int, Any]:
@@ -100,7 +114,7 @@
         connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=KEEPALIVE_S)
         return aiohttp.ClientSession(
             connector=connector,
-            trace_configs=[_trace()],
+            trace_configs=[_trace(self._require)],
             timeout=aiohttp.ClientTimeout(total=None),
             raise_for_status=False,
         )
--- a/src/hyssopwood/member.py
+++ b/src/hyssopwood/member.py
@@ -106,6 +106,7 @@
             Child("peers", self.peers.run),
             Child("routes", self._follow_changes),
             Child("authority", self.authority.run),
+            Child("refusals", self._watch_refusals),
             Child("outage moves", self.outage.run),
             Child("key replication", self.replication.run),
             Child("coordinators", self.coordinators.run),
@@ -147,7 +148,7 @@
             self.timers,
             timing,
             make_channel=lambda address: HttpControlChannel(
-                address, self.timers, timing.server_timeout_ms / 1000
+                address, self.timers, timing.server_timeout_ms / 1000, self.authority.require
             ),
             make_admission=lambda name, slots, limit: Admission(
                 name, slots, self.timers, self.durations, limit
@@ -168,6 +169,12 @@
                 await self.timers.sleep(self.settings.timing.planner_interval_ms / 1000)
         await self.membership.join()
 
+    async def _watch_refusals(self) -> None:
+        """Give the incarnation up when an unfinished fence leaves it without authority."""
+        async for _ in self.timers.subscribe(self.settings.timing.promise_ms / 1000):
+            if self.authority.refused_for_good():
+                await self.on_lost("refused")
+
     async def _follow_changes(self) -> None:
         async for applied in self.replica.changes():
             self.replication.note_state(applied.state)
