--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -62,6 +62,7 @@
     Given an ownership cluster whose servers "check" fencing
     When the ownership coordinator of a server hands it over
     Then another coordinator serves its partitions within 150 ms
+    And the log no longer awaits the old coordinator
     And the servers' records show one owner at a time
 
   Scenario: A leaving server gets no permit after its grace
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -159,10 +159,17 @@
         await asyncio.sleep(0.15)
         context.served = not cluster.lost_assignments()
         context.handed_over = await waiting
+        await asyncio.sleep(0.5)
 
     _run(context, scenario())
 
 
+@then("the log no longer awaits the old coordinator")
+def step_not_awaited(context):
+    for server, current in context.cluster.log.state.coordinations.items():
+        assert not current.previous, f"{server} awaits {current.previous}"
+
+
 @then("another coordinator serves its partitions within 150 ms")
 def step_handed_over(context):
     assert context.handed_over, "the old coordinator still has servers"
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -21,7 +21,7 @@
 from hyssopwood.ownership_parts import Parts
 from hyssopwood.permit_desk import OUTCOME_UNKNOWN, PermitDesk, refusal
 from hyssopwood.permits import Permit, PermitBook
-from hyssopwood.records import Grant, GrantedRecord
+from hyssopwood.records import Grant, GrantedRecord, Takeover
 from hyssopwood.server_coordinator import (
     CLEARANCE_RETRY_S,
     LEAVING,
@@ -193,14 +193,15 @@
     # Granted records
 
     async def _record_grants(self) -> None:
-        """Record completed moves, all servers of the instance in one record."""
+        """Record completed moves and takeovers, all servers of the instance in one record."""
         while True:
-            grants = self._unrecorded()
-            if not grants or not self._parts.authority.held():
+            record = GrantedRecord(grants=self._unrecorded(), takeovers=self._takeovers())
+            nothing = not (record.grants or record.takeovers)
+            if nothing or not self._parts.authority.held():
                 await self._parts.timers.sleep(GRANT_RECORD_INTERVAL_S)
                 continue
             try:
-                await self._parts.replica.append(GrantedRecord(grants=grants))
+                await self._parts.replica.append(record)
             except LogError:
                 await self._parts.timers.sleep(GRANT_RECORD_RETRY_S)
 
@@ -212,6 +213,13 @@
         ]
         return tuple(done[:MAX_GRANTS_PER_RECORD])
 
+    def _takeovers(self) -> tuple[Takeover, ...]:
+        return tuple(
+            Takeover(server=name, epoch=active.coordinator.epoch)
+            for name, active in self._active.items()
+            if active.coordinator.unrecorded_takeover()
+        )
+
     # Permits
 
     async def _on_permit_request(self, sender: str, request: PermitRequest) -> PermitReply:
@@ -322,5 +330,6 @@
         records = self._records.get(server)
         if records is None:
             return 0
-        wait_s = records.book.quiet_at() - self._parts.timers.now()
+        quiet_at = max(records.book.quiet_at(), records.earlier_quiet_at)
+        wait_s = quiet_at - self._parts.timers.now()
         return int(wait_s * 1000) + 1 if wait_s > 0 else 0
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -51,6 +51,8 @@
     address_settled_at: float
     leaving_since: float | None = None
     doubts: dict[str, Doubt] = field(factory=dict)
+    # Until then permits of earlier coordinators may start work.
+    earlier_quiet_at: float = -math.inf
 
     def end(self, permit: Permit, now: float, completed: bool = False) -> None:
         """Forget a permit and free its slot."""
@@ -167,6 +169,13 @@
                 done[name] = owner.token
         return done
 
+    def unrecorded_takeover(self) -> bool:
+        """Return whether the takeover is complete and the log still awaits predecessors."""
+        current = self.parts.state.coordinations.get(self.name)
+        if current is None or current.epoch != self.epoch or not current.previous:
+            return False
+        return self.taken_over and self.parts.timers.now() >= self.inherited.quiet_at
+
     # Main loop
 
     def stop_permits(self) -> None:
@@ -201,6 +210,7 @@
         now = self.parts.timers.now()
         self._taken_over_at = now
         self.inherited.begin(quiet_at, self._longest_s())
+        self.records.earlier_quiet_at = quiet_at
         self.parts.hooks.taken_over(self.name, self.epoch)
         emit(Event.SERVER_TAKEN_OVER, server=self.name, epoch=self.epoch)
         self._clearances.start("quiet", self._await_quiet(takeover))
@@ -210,6 +220,7 @@
         """Renew as soon as no earlier permit can start work, to learn what still runs."""
         async for quiet_at in takeover.shorter_waits():
             self.inherited.quiet_at = min(self.inherited.quiet_at, quiet_at)
+            self.records.earlier_quiet_at = self.inherited.quiet_at
         await self.parts.timers.sleep(self.inherited.quiet_at - self.parts.timers.now())
         self._renew_at = -math.inf
         self.wake()
