--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from hyssopwood.errors import AuthorityLostError, LogError
+from hyssopwood.errors import AuthorityLostError, HyssopwoodError
 from hyssopwood.events import Event, emit
 from hyssopwood.messages import (
     PermitCancel,
@@ -40,6 +40,7 @@
 GRANT_RECORD_RETRY_S = 0.25
 HAND_OVER_CHECK_S = 0.05
 CATCH_UP_S = 0.1
+RESTART_S = 0.5
 
 
 @define(eq=False)
@@ -149,12 +150,15 @@
     def _new_records(self, state: ClusterState, name: str, server: Server) -> ServerRecords:
         parts = self._parts
         limits = state.limits.get(server.service, ServiceLimits())
+        # A server with a coordinator may have had another address before this instance looked.
+        fresh = name not in state.coordinations
+        settled_at = parts.timers.now() + (0.0 if fresh else self._longest_lease_s())
         return ServerRecords(
             PermitBook(parts.timing.max_message_life_ms / 1000),
             UsageMeter(parts.make_key_counter()),
             parts.make_admission(name, 0, limits.queue),
             server.address,
-            parts.timers.now(),
+            settled_at,
         )
 
     def _longest_lease_s(self) -> float:
@@ -189,6 +193,11 @@
             emit(Event.TASK_FAILED, task=f"coordinator of {coordinator.name}", error=repr(error))
             self._active.pop(coordinator.name, None)
             self._parts.changed.set()
+            self._tasks.start(("restart", coordinator.name), self._restart_failed())
+
+    async def _restart_failed(self) -> None:
+        await self._parts.timers.sleep(RESTART_S)
+        self._follow(self._parts.state)
 
     # Granted records
 
@@ -202,7 +211,7 @@
                 continue
             try:
                 await self._parts.replica.append(record)
-            except LogError:
+            except HyssopwoodError:
                 await self._parts.timers.sleep(GRANT_RECORD_RETRY_S)
 
     def _unrecorded(self) -> tuple[Grant, ...]:
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -90,12 +90,14 @@
     _failing: bool = field(default=False, init=False)
     _lapse_noted: bool = field(default=False, init=False)
     _checks_fencing: bool = field(default=True, init=False)
+    _last_entry: Server = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         parts = self.parts
         self._signal = Signal(parts.timers)
         self.departures = Departures(self.name, parts.timing.move_freeze_ms / 1000)
-        self._checks_fencing = self._server.checks_fencing
+        self._last_entry = parts.state.servers[self.name]
+        self._checks_fencing = self._last_entry.checks_fencing
         self.session = Session(
             parts.make_channel(self.records.address),
             parts.incarnation,
@@ -474,7 +476,9 @@
 
     @property
     def _server(self) -> Server:
-        return self.parts.state.servers[self.name]
+        """Return the server's entry, the last one when a ticket has just removed it."""
+        self._last_entry = self.parts.state.servers.get(self.name, self._last_entry)
+        return self._last_entry
 
     def _server_gone(self) -> bool:
         return self.name not in self.parts.state.servers
--- a/src/hyssopwood/waiting.py
+++ b/src/hyssopwood/waiting.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 from typing import Any, TypeVar
 
+from hyssopwood.events import Event, emit
 from hyssopwood.timers import Timers
 
 T = TypeVar("T")
@@ -117,5 +118,6 @@
     def _forget(self, name: object, task: asyncio.Task[Any]) -> None:
         if self._tasks.get(name) is task:
             del self._tasks[name]
-        if not task.cancelled():
-            task.exception()
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            emit(Event.TASK_FAILED, task=name, error=repr(error))
