--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -65,6 +65,12 @@
     And the log no longer awaits the old coordinator
     And the servers' records show one owner at a time
 
+  Scenario: A lost server's keys are served although their grants can't be recorded
+    Guards against entries that keep asking for a lost server while the log refuses appends.
+    Given an ownership cluster whose servers "check" fencing
+    When a server is killed and the log refuses the appends of all coordinators
+    Then requests for its keys are answered by other servers
+
   Scenario: A leaving server gets no permit after its grace
     Guards against new work on a server that is about to be stopped.
     Given an ownership cluster whose servers "check" fencing
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -177,6 +177,35 @@
     assert context.served, "partitions were not served in time"
 
 
+@when("a server is killed and the log refuses the appends of all coordinators")
+def step_kill_read_only(context):
+    cluster = context.cluster
+    cluster.log.read_only = True
+
+    async def scenario():
+        state = cluster.log.state
+        context.keys = [
+            key
+            for key in KEYS
+            if state.ownerships[partition_of(state, SERVICE, key)].server == "s0"
+        ]
+        cluster.servers["s0"].restart()
+        cluster.servers["s0"].alive = False
+        await asyncio.sleep(1.5)
+
+    _run(context, scenario())
+
+
+@then("requests for its keys are answered by other servers")
+def step_answered_elsewhere(context):
+    assert context.keys
+    instance = next(iter(context.cluster.instances.values()))
+    outcomes = {key: _run(context, instance.request(key, 0.01)) for key in context.keys}
+    assert set(outcomes.values()) == {"answered"}, outcomes
+    state = context.cluster.log.state
+    assert any(owner.awaiting for owner in state.ownerships.values()), "a grant was recorded"
+
+
 def _publish(cluster, **changes):
     import json
 
--- a/features/support/fake_log.py
+++ b/features/support/fake_log.py
@@ -17,6 +17,7 @@
         self.states = [ClusterState()]
         self.rejected = []
         self.available = True
+        self.read_only = False
         self._sequence = 0
         self._grown = asyncio.Event()
 
@@ -82,7 +83,7 @@
 
     async def append(self, body):
         await self.process.sleep(0.004)
-        if not self.reachable:
+        if not self.reachable or self._log.read_only:
             raise LogUnavailableError("the log can't be reached")
         count = self._log.append(self.incarnation, body)
         await self.process.sleep(0.004)
