--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -51,6 +51,8 @@
     address_settled_at: float
     leaving_since: float | None = None
     doubts: dict[str, Doubt] = field(factory=dict)
+    # Until then permits of earlier coordinators may start work.
+    earlier_quiet_at: float = -math.inf
 
     def end(self, permit: Permit, now: float, completed: bool = False) -> None:
         """Forget a permit and free its slot."""
@@ -88,12 +90,14 @@
     _failing: bool = field(default=False, init=False)
     _lapse_noted: bool = field(default=False, init=False)
     _checks_fencing: bool = field(default=True, init=False)
+    _last_entry: Server = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         parts = self.parts
         self._signal = Signal(parts.timers)
         self.departures = Departures(self.name, parts.timing.move_freeze_ms / 1000)
-        self._checks_fencing = self._server.checks_fencing
+        self._last_entry = parts.state.servers[self.name]
+        self._checks_fencing = self._last_entry.checks_fencing
         self.session = Session(
             parts.make_channel(self.records.address),
             parts.incarnation,
@@ -167,6 +171,13 @@
                 done[name] = owner.token
         return done
 
+    def unrecorded_takeover(self) -> bool:
+        """Return whether the takeover is complete and the log still awaits predecessors."""
+        current = self.parts.state.coordinations.get(self.name)
+        if current is None or current.epoch != self.epoch or not current.previous:
+            return False
+        return self.taken_over and self.parts.timers.now() >= self.inherited.quiet_at
+
     # Main loop
 
     def stop_permits(self) -> None:
@@ -201,6 +212,7 @@
         now = self.parts.timers.now()
         self._taken_over_at = now
         self.inherited.begin(quiet_at, self._longest_s())
+        self.records.earlier_quiet_at = quiet_at
         self.parts.hooks.taken_over(self.name, self.epoch)
         emit(Event.SERVER_TAKEN_OVER, server=self.name, epoch=self.epoch)
         self._clearances.start("quiet", self._await_quiet(takeover))
@@ -210,6 +222,7 @@
         """Renew as soon as no earlier permit can start work, to learn what still runs."""
         async for quiet_at in takeover.shorter_waits():
             self.inherited.quiet_at = min(self.inherited.quiet_at, quiet_at)
+            self.records.earlier_quiet_at = self.inherited.quiet_at
         await self.parts.timers.sleep(self.inherited.quiet_at - self.parts.timers.now())
         self._renew_at = -math.inf
         self.wake()
@@ -463,7 +476,9 @@
 
     @property
     def _server(self) -> Server:
-        return self.parts.state.servers[self.name]
+        """Return the server's entry, the last one when a ticket has just removed it."""
+        self._last_entry = self.parts.state.servers.get(self.name, self._last_entry)
+        return self._last_entry
 
     def _server_gone(self) -> bool:
         return self.name not in self.parts.state.servers
