Name the server in a release record and check entitlement with a model

A coordinator now serves only a partition that its server owns or that is awaited from it, and releases others unasked.

--- a/features/log_transitions.feature
+++ b/features/log_transitions.feature
@@ -158,21 +158,39 @@
       | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":"<m1>"}]}                             |        |
       | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":"<m2>"}]}                             |        |
       | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":"<m3>"}]}                             |        |
-      | <by>   | granted | {"grants":[{"partition":"portal/0","token":<token>}]}                                   |        |
+      | <by>   | granted | {"grants":[{"partition":"portal/0","token":<token>,"server":"<of>"}]}                   |        |
     Then log partition "portal/0" belongs to "<owner>" after "<awaiting>" with token <final>
 
     Examples:
-      | why                              | m1 | m2 | m3 | by | token | owner  | awaiting | final |
-      | moved on before the release      | a  | b  | c  | i4 | 12    | c      | a b      | 12    |
-      | returned to a holder             | a  | b  | a  | i5 | 12    | a      | b        | 12    |
-      | released by all                  | a  | b  | c  | i6 | 12    | c      | nobody   | 12    |
-      | grant of an older move           | a  | b  | c  | i6 | 11    | c      | a b      | 12    |
-      | grant by the former owner        | a  | b  | a  | i5 | 11    | a      | b        | 12    |
-      | moved to itself                  | a  | a  | a  | i4 | 10    | a      | nobody   | 10    |
-      | moved to a server of no service  | a  | d  | x  | i4 | 10    | a      | nobody   | 10    |
-      | left without an owner            | a  | b  |    | i6 | 12    | nobody | a b      | 12    |
-      | one holder of two has released   | a  | b  |    | i5 | 12    | nobody | a        | 12    |
-      | given back after the last holder | a  |    | b  | i5 | 12    | b      | nobody   | 12    |
+      | why | m1 | m2 | m3 | by | of | token | owner | awaiting | final |
+      | moved on before the release | a | b | c | i4 | a | 12 | c | a b | 12 |
+      | returned to a holder | a | b | a | i5 | b | 12 | a | b | 12 |
+      | released by all | a | b | c | i6 | c | 12 | c | nobody | 12 |
+      | grant of an older move | a | b | c | i6 | c | 11 | c | a b | 12 |
+      | grant by the former owner | a | b | a | i5 | b | 11 | a | b | 12 |
+      | moved to itself | a | a | a | i4 | a | 10 | a | nobody | 10 |
+      | moved to a server of no service | a | d | x | i4 | a | 10 | a | nobody | 10 |
+      | left without an owner | a | b |  | i6 | c | 12 | nobody | a b | 12 |
+      | one holder of two has released | a | b |  | i5 | b | 12 | nobody | a | 12 |
+      | given back after the last holder | a |  | b | i5 | b | 12 | b | nobody | 12 |
+
+  Scenario Outline: A holder's release counts for <of> alone although one instance coordinates all
+    Guards against a partition that gets a new owner while another former holder still has it.
+    When the log records are applied
+      | writer | kind | fields                                                                                     | result |
+      | i1     | plan | {"epoch":7,"coordinators":[{"server":"a","incarnation":"i4"},{"server":"b","incarnation":"i4"}]} |  |
+      | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":"a"}]}                                |        |
+      | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":"b"}]}                                |        |
+      | i1     | plan | {"epoch":7,"moves":[{"partition":"portal/0","target":""}]}                                 |        |
+      | i4     | granted | {"grants":[{"partition":"portal/0","token":12,"server":"<server>"}]}                    |        |
+    Then log partition "portal/0" belongs to "nobody" after "<awaiting>" with token 12
+
+    Examples:
+      | of     | server | awaiting |
+      | a      | a      | b        |
+      | b      | b      | a        |
+      | none   |        | a b      |
+      | others | c      | a b      |
 
   Scenario Outline: No partition is created under the name <partition>
     Guards against one shard that has two names and so two owners.
--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -350,8 +350,9 @@
         """Confirm every release, as the coordinators do."""
         for name, owner in self.state.ownerships.items():
             if owner.awaiting:
-                writer = self.state.coordinations[owner.server or owner.awaiting[0]].incarnation
-                grant = Grant(partition=name, token=owner.token)
+                server = owner.server or owner.awaiting[0]
+                writer = self.state.coordinations[server].incarnation
+                grant = Grant(partition=name, token=owner.token, server=server)
                 self.log.write(writer, GrantedRecord(grants=(grant,)))
 
     def add(self, instance, domain, generation=1):
--- a/features/support/random_records.py
+++ b/features/support/random_records.py
@@ -29,8 +29,9 @@
 class RandomRecords:
     """Choose records that fit the state often enough to change it."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, server_changes=True):
         self.random = random.Random(seed)
+        self.server_changes = server_changes
         self.sequence = 0
 
     def next(self, state):
@@ -90,7 +91,7 @@
         name = owner.server if owner and owner.server else self.random.choice(SERVERS)
         current = state.coordinations.get(name)
         body = GrantedRecord(
-            grants=(Grant(partition=partition, token=owner.token if owner else 0),),
+            grants=(Grant(partition=partition, token=owner.token if owner else 0, server=name),),
             takeovers=(Takeover(server=name, epoch=current.epoch if current else 0),),
         )
         return current.incarnation if current else self._writer(), body
@@ -134,14 +135,14 @@
     def _ticket(self, state):
         number = state.ticket_number + self.random.choice((1, 1, 1, 0, 2))
         name = self.random.choice((*SERVERS, "e"))
-        tables = self.random.choice(
-            (
-                {"limits": {"portal": {"queue": self.random.randint(-1, 50)}}},
-                {"ownership": {"portal": {self.random.choice(KEYS): name}}},
-                {"servers": {name: None}},
-                {"servers": {name: server(9_000 + self.random.randrange(4))}},
-            )
-        )
+        choices = [
+            {"limits": {"portal": {"queue": self.random.randint(-1, 50)}}},
+            {"ownership": {"portal": {self.random.choice(KEYS): name}}},
+        ]
+        if self.server_changes:
+            choices.append({"servers": {name: None}})
+            choices.append({"servers": {name: server(9_000 + self.random.randrange(4))}})
+        tables = self.random.choice(choices)
         return f"cli{self.sequence}", TicketRecord(
             publisher="ana", text=ticket_text(number, **tables)
         )
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -202,7 +202,7 @@
 
     def _unrecorded(self) -> tuple[Grant, ...]:
         done = [
-            Grant(partition=partition, token=token)
+            Grant(partition=partition, token=token, server=active.coordinator.name)
             for active in self._active.values()
             for partition, token in active.coordinator.unrecorded_moves().items()
         ]
--- a/src/hyssopwood/records.py
+++ b/src/hyssopwood/records.py
@@ -127,10 +127,16 @@
 
 @frozen(kw_only=True)
 class Grant:
-    """Name a partition and its fencing token."""
+    """Name a partition and its fencing token.
+
+    `server` is the one whose coordinator writes the record. It matters when the partition is left
+    without an owner: the writer may coordinate several of the awaited servers and have released
+    the partition at only one of them.
+    """
 
     partition: str
     token: int
+    server: str = ""
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -128,11 +128,19 @@
             self.taken_over
             and self.reachable()
             and partition in self.held
-            and partition in self.parts.state.ownerships
+            and self._entitled(partition)
             and not self.departures.frozen(partition)
             and not self._leaves_for_good()
         )
 
+    def _entitled(self, partition: str) -> bool:
+        """Return whether the server owns the partition or its release is still awaited.
+
+        A grant may be left over from an earlier life of a hot key, which others don't wait for.
+        """
+        owner = self.parts.state.ownerships.get(partition)
+        return owner is not None and self.name in (owner.server, *owner.awaiting)
+
     def will_serve(self, partition: str) -> bool:
         """Return whether permits for a partition may be issued soon."""
         owner = self.parts.state.ownerships.get(partition)
@@ -334,7 +342,7 @@
 
     def _leaves_unasked(self, partition: str) -> bool:
         owner = self.parts.state.ownerships.get(partition)
-        return owner is None or not owner.server
+        return owner is None or not owner.server or self.name not in owner.awaiting
 
     def _arriving(self) -> dict[str, int]:
         grant: dict[str, int] = {}
--- a/src/hyssopwood/transitions.py
+++ b/src/hyssopwood/transitions.py
@@ -560,8 +560,9 @@
             return None
         return evolve(current, awaiting=())
     # Without a new owner, each holder's coordinator reports its own release.
-    left = tuple(name for name in current.awaiting if not _coordinates(state, writer, name))
-    return evolve(current, awaiting=left) if left != current.awaiting else None
+    if grant.server not in current.awaiting or not _coordinates(state, writer, grant.server):
+        return None
+    return evolve(current, awaiting=tuple(n for n in current.awaiting if n != grant.server))
 
 
 def _coordinates(state: ClusterState, incarnation: str, server: str) -> bool:
