Record completed takeovers in the log

Without the record a predecessor stays in the coordination's chain for as long as it lives: it could not leave before its drain limit, and each later coordinator waited for it.

--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -21,7 +21,7 @@
 from hyssopwood.ownership_parts import Parts
 from hyssopwood.permit_desk import OUTCOME_UNKNOWN, PermitDesk, refusal
 from hyssopwood.permits import Permit, PermitBook
-from hyssopwood.records import Grant, GrantedRecord
+from hyssopwood.records import Grant, GrantedRecord, Takeover
 from hyssopwood.server_coordinator import (
     CLEARANCE_RETRY_S,
     LEAVING,
@@ -191,12 +191,12 @@
     async def _record_grants(self) -> None:
         """Record completed moves, all servers of the instance in one record."""
         while True:
-            grants = self._unrecorded()
-            if not grants or not self._parts.authority.held():
+            grants, takeovers = self._unrecorded(), self._unrecorded_takeovers()
+            if not (grants or takeovers) or not self._parts.authority.held():
                 await self._parts.timers.sleep(GRANT_RECORD_INTERVAL_S)
                 continue
             try:
-                await self._parts.replica.append(GrantedRecord(grants=grants))
+                await self._parts.replica.append(GrantedRecord(grants=grants, takeovers=takeovers))
             except LogError:
                 await self._parts.timers.sleep(GRANT_RECORD_RETRY_S)
 
@@ -208,6 +208,21 @@
         ]
         return tuple(done[:MAX_GRANTS_PER_RECORD])
 
+    def _unrecorded_takeovers(self) -> tuple[Takeover, ...]:
+        """Return servers whose predecessors can't act any more and are still awaited in the log.
+
+        Without the record a predecessor could not leave while its successor coordinates.
+        """
+        coordinations = self._parts.state.coordinations
+        return tuple(
+            Takeover(server=name, epoch=active.coordinator.epoch)
+            for name, active in self._active.items()
+            if active.coordinator.predecessors_quiet
+            and name in coordinations
+            and coordinations[name].epoch == active.coordinator.epoch
+            and coordinations[name].previous
+        )
+
     # Permits
 
     async def _on_permit_request(self, sender: str, request: PermitRequest) -> PermitReply:
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -114,6 +114,11 @@
         """Return whether no earlier coordinator can act on the server."""
         return self.parts.timers.now() >= self._taken_over_at
 
+    @property
+    def predecessors_quiet(self) -> bool:
+        """Return whether no permit of an earlier coordinator can start work any more."""
+        return self.taken_over and self.parts.timers.now() >= self.inherited.quiet_at
+
     def reachable(self) -> bool:
         """Return whether the server holds a lease by our clock."""
         return self._report is not None and not self.lapsed()
