--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -62,6 +62,7 @@
     Given an ownership cluster whose servers "check" fencing
     When the ownership coordinator of a server hands it over
     Then another coordinator serves its partitions within 150 ms
+    And no earlier ownership coordinator is awaited in the log after 1000 ms
     And the servers' records show one owner at a time
 
   Scenario: A leaving server gets no permit after its grace
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -170,6 +170,13 @@
     assert context.served, "partitions were not served in time"
 
 
+@then("no earlier ownership coordinator is awaited in the log after {milliseconds:d} ms")
+def step_not_awaited(context, milliseconds):
+    _run(context, asyncio.sleep(milliseconds / 1000))
+    awaited = {n: c.previous for n, c in context.cluster.log.state.coordinations.items()}
+    assert not any(awaited.values()), awaited
+
+
 def _publish(cluster, **changes):
     import json
 
--- a/features/support/fake_servers.py
+++ b/features/support/fake_servers.py
@@ -60,7 +60,7 @@
         self.grants.settle(self.now())
         open_since, found = {}, []
         for record in self.recorder.records:
-            name, at = record["partition"], self.real(record["t"])
+            name, at = record.get("partition"), self.real(record["t"])
             if record["type"] == "granted":
                 open_since[name] = at
             elif record["type"] in ("released", "lapsed") and name in open_since:
