--- a/src/hyssopwood/outage_moves.py
+++ b/src/hyssopwood/outage_moves.py
@@ -27,6 +27,7 @@
 )
 from hyssopwood.records import OutageMove as RecordedMove
 from hyssopwood.records import OutageMovesRecord
+from hyssopwood.session import lease_margin_s
 from hyssopwood.settings import Timing
 from hyssopwood.state import (
     STATUS_DOWN,
@@ -146,6 +147,7 @@
     _on_change: Callable[[], None]
     _in_force: dict[str, OutageMove] = field(factory=dict, init=False)
     _kept: dict[str, dict[str, OutageMove]] = field(factory=dict, init=False)
+    _gone: dict[str, float] = field(factory=dict, init=False)
     _refused: set[str] = field(factory=set, init=False)
     _overlaid: tuple[ClusterState, ClusterState] | None = field(default=None, init=False)
     _down_since: float | None = field(default=None, init=False)
@@ -198,10 +200,19 @@
     def unrecorded(self, partition: str, asking_token: int) -> bool:
         """Return whether a partition went elsewhere in a way that the asker can't know yet."""
         move = self._in_force.get(partition)
-        if move is None or is_recorded(self._replica.state, move):
+        state = self._replica.state
+        if move is None or is_recorded(state, move):
             return False
+        if move.target not in state.servers:
+            return self._timers.now() < self._gone_until(move.target)
         return asking_token != move.token
 
+    def _gone_until(self, server: str) -> float:
+        """Return when the last lease of a server that a ticket removed has certainly lapsed."""
+        lease_s = self._timing.lease_ms / 1000
+        lapsed = self._timers.now() + lease_s + lease_margin_s(lease_s, lease_s)
+        return self._gone.setdefault(server, lapsed)
+
     def involves(self, server: str) -> bool:
         """Return whether moves from or to a server are not in the log yet."""
         state = self._replica.state
