--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -196,11 +196,21 @@
     _run(context, scenario())
 
 
+async def _until_admitted(instance, key):
+    """Repeat what the remaining servers refuse for their load; that is not about owners."""
+    for _ in range(20):
+        outcome = await instance.request(key, 0.01)
+        if outcome not in ("would-miss-deadline", "queue-full"):
+            return outcome
+        await asyncio.sleep(0.1)
+    return outcome
+
+
 @then("requests for its keys are answered by other servers")
 def step_answered_elsewhere(context):
     assert context.keys
     instance = next(iter(context.cluster.instances.values()))
-    outcomes = {key: _run(context, instance.request(key, 0.01)) for key in context.keys}
+    outcomes = {key: _run(context, _until_admitted(instance, key)) for key in context.keys}
     assert set(outcomes.values()) == {"answered"}, outcomes
     state = context.cluster.log.state
     assert any(owner.awaiting for owner in state.ownerships.values()), "a grant was recorded"
--- a/src/hyssopwood/permit_desk.py
+++ b/src/hyssopwood/permit_desk.py
@@ -200,6 +200,7 @@
         None,
         deadline,
         service.weight,
+        contract_s=service.contract_ms / 1000,
     )
     if operation is None:
         return plain
