Report a request as unknown when an earlier attempt may have run

Cause: Dispatcher.handle returned the outcome of its last attempt. When a repeatable request lost its connection to a killed server and the repeat was then refused (the key moved, no owner in time), the caller was told "not run" although the first attempt had run (guarantee 4).

The server recorded run_started 19 ms before its SIGKILL, and the caller got 503 not-run urn:hyssopwood:moved 1.1 s later. Ruled out: a repeat by the caller (the request had one attempt) and a run on a second server (the key was granted again after the refusal).

Before: the new row of request_dispatch.feature fails with "not-run". After: it ends "unknown connection-lost".

--- a/features/request_dispatch.feature
+++ b/features/request_dispatch.feature
@@ -12,6 +12,7 @@
       | retries at a server that sheds          | not-run:server-refused     | repeatable | not-run server-refused  | 1    | not-run 503      |
       | refusals while a server is replaced     | not-run:server-unreachable | single     | answered                | 2    | not-run answered |
       | refusals while a key moves              | not-run:moved              | single     | answered                | 2    | not-run answered |
+      | refused repeats that hide a run         | unknown:connection-lost not-run:server-refused | repeatable | unknown connection-lost | 2    | unknown not-run 503 |
       | incomplete answers that look whole      | cut                        | single     | cut                     | 1    | unknown          |
 
   Scenario Outline: A reply of <reply> has one outcome
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -282,6 +282,15 @@
 
     async def handle(self, request: CallerRequest) -> Outcome:
         """Return the final outcome of a request."""
+        doubts: list[Unknown] = []
+        outcome = await self._attempts(request, doubts)
+        if isinstance(outcome, NotRun) and doubts:
+            # A refused repeat proves nothing about the attempt before it.
+            return Unknown(doubts[0].reason, outcome.detail, outcome.retry_after_s)
+        return outcome
+
+    async def _attempts(self, request: CallerRequest, doubts: list[Unknown]) -> Outcome:
+        """Return the last attempt's outcome; add each attempt that may have run to `doubts`."""
         self._budget.note_request()
         base = f"{self._id_prefix}.{next(self._sequence)}"
         digest = digest_of(request)
@@ -292,6 +301,7 @@
             if isinstance(outcome, Answered) or self._timers.now() >= request.deadline:
                 return outcome
             if isinstance(outcome, Unknown):
+                doubts.append(outcome)
                 again = await self._may_repeat(request, outcome)
             else:
                 again = outcome.reason in _MOVING and await self._moved(request, route, patience)
