--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: demo test bench docs-check lint format clean
+.PHONY: demo test bench fault-runs docs-check lint format clean
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
@@ -29,5 +29,11 @@
 demo: $(STAMP)
 	$(PY) -m hyssopwood_standins demo
 
+bench: $(STAMP)
+	$(PY) -m hyssopwood_standins bench
+
+fault-runs: $(STAMP)
+	$(PY) -m hyssopwood_standins fault-runs
+
 clean:
 	rm -rf $(VENV) out build
--- a/src/hyssopwood_standins/__main__.py
+++ b/src/hyssopwood_standins/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import importlib
 import sys
+from types import ModuleType
 
 from hyssopwood_standins import web_process
 
@@ -13,15 +14,22 @@
     "server": "backend server",
     "caller": "open-loop load with checked answers",
     "demo": "both deployments in small, with failures",
+    "baseline-router": "router of the benchmark's baseline",
+    "fault-runs": "single and double faults, each judged by the guarantees",
+    "bench": "ownership and requests against baselines",
 }
 
 
+def _module(command: str) -> ModuleType:
+    return importlib.import_module(f"hyssopwood_standins.{command.replace('-', '_')}")
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the named stand-in."""
     parser = argparse.ArgumentParser(prog="hyssopwood_standins")
     parser.add_argument("--log-level", default="INFO")
     commands = parser.add_subparsers(dest="command", required=True)
-    modules = {name: importlib.import_module(f"hyssopwood_standins.{name}") for name in COMMANDS}
+    modules = {name: _module(name) for name in COMMANDS}
     for name, module in modules.items():
         module.add_arguments(commands.add_parser(name, help=COMMANDS[name]))
     arguments = parser.parse_args(argv)
--- /dev/null
+++ b/src/hyssopwood_standins/bench_ownership.py
@@ -0,0 +1,219 @@
+"""Measure ownership: balance, moves, and how long keys are unavailable after losses."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+
+from attrs import evolve
+
+from hyssopwood_standins import report
+from hyssopwood_standins.bench_run import Run, Window, running, unavailable_ms
+from hyssopwood_standins.deployment import BERIDZE
+from hyssopwood_standins.report import Recordings
+
+CUSTOMER = evolve(BERIDZE, servers=9, unfenced=(), instances_per_domain=2)
+SWING_S = 24.0
+HOT_PERIOD_S = 8.0
+HOT_SHARE = 0.25
+SWING_RATE_PER_S = 150.0
+SWING_WORK_MS = 30
+SLICE_S = 4.0
+PROBES = 8
+PROBE_RATE_PER_S = 200.0
+ZIPF_RATE_PER_S = 60.0
+TICKETS = 5
+KEYS_PER_TICKET = 4
+MOVE_WINDOW_S = 1.2
+LOSS_WINDOW_S = 3.0
+RECOVERY_S = 2.5
+OUTAGE_LEAD_S = 0.5
+SETTLE_S = 0.5
+SECONDS_PER_MINUTE = 60
+
+LOSSES = ("server_loss", "instance_loss", "domain_loss", "outage")
+
+
+async def measure(directory: Path) -> tuple[dict[str, float], list[str]]:
+    """Run the product and the baseline at the same time; return measures and violations."""
+    async with (
+        running(CUSTOMER, directory, baseline=False) as product,
+        running(CUSTOMER, directory, baseline=True) as baseline,
+        asyncio.TaskGroup() as group,
+    ):
+        group.create_task(_scenario(product))
+        group.create_task(_scenario(baseline))
+    values = {**_values(product), **_values(baseline)}
+    return values, product.violations()
+
+
+async def _scenario(run: Run) -> None:
+    callers = _start_background(run)
+    await _swing(run)
+    await _planned_moves(run)
+    await _lose_instance(run, planner=False)
+    await _lose_instance(run, planner=True)
+    for number in (1, 2):
+        await _lose_server(run, "server_loss", number)
+    await _lose_server_in_outage(run, 3)
+    await _lose_domain(run)
+    for name in callers:
+        run.deployment.launcher.terminate(name)
+    await asyncio.sleep(SETTLE_S)
+
+
+def _start_background(run: Run) -> list[str]:
+    """Start the callers whose keys are watched; they run until they are ended."""
+    probes = ("--keys", str(PROBES), "--zipf", "0", "--key-prefix", "probe")
+    longest_s = 200
+    return [
+        run.deployment.start_caller(longest_s, PROBE_RATE_PER_S, *probes, "--seed", "2"),
+        run.deployment.start_caller(longest_s, ZIPF_RATE_PER_S, "--keys", "200", "--seed", "3"),
+    ]
+
+
+async def _swing(run: Run) -> None:
+    """Send a Zipf load whose hottest key changes every `HOT_PERIOD_S`."""
+    options = ["--keys", "200", "--work-ms", str(SWING_WORK_MS), "--seed", "4"]
+    for index in range(int(SWING_S / HOT_PERIOD_S)):
+        start = index * HOT_PERIOD_S
+        options += ["--hot-key", f"hot-{index}:{HOT_SHARE}:{start}:{start + HOT_PERIOD_S}"]
+    run.deployment.start_caller(SWING_S, SWING_RATE_PER_S, *options)
+    start = time.monotonic()
+    await asyncio.sleep(SWING_S)
+    run.add_window("swing", start)
+
+
+async def _planned_moves(run: Run) -> None:
+    """Pin keys to other servers, several times."""
+    pins: dict[str, str] = {}
+    for number in range(2, TICKETS + 2):
+        moved = [f"probe-{(number + step) % PROBES}" for step in range(KEYS_PER_TICKET)]
+        recordings = run.recordings
+        for key in moved:
+            pins[key] = _other_server(run, report.last_server_of(recordings, key))
+        ticket = {"number": number, "ownership": {run.deployment.customer.service: dict(pins)}}
+        start = time.monotonic()
+        run.tickets_ms.append(await run.deployment.publish(ticket))
+        await asyncio.sleep(MOVE_WINDOW_S)
+        run.add_window("planned_move", start, *moved)
+
+
+def _other_server(run: Run, owner: str) -> str:
+    names = sorted(run.deployment.servers)
+    following = names.index(owner) + 1 if owner in names else 0
+    return names[following % len(names)]
+
+
+async def _lose_instance(run: Run, planner: bool) -> None:
+    name = await _instance(run, planner)
+    start = time.monotonic()
+    run.deployment.launcher.kill(name)
+    await asyncio.sleep(LOSS_WINDOW_S)
+    run.add_window("instance_loss", start)
+    await run.deployment.replace_entry(_number(name))
+    await asyncio.sleep(RECOVERY_S)
+
+
+async def _instance(run: Run, planner: bool) -> str:
+    """Return an entry instance that is the planner, or one that isn't."""
+    names = list(run.deployment.entries)
+    if run.is_baseline:
+        return names[0] if planner else names[-1]
+    for name in names:
+        if bool((await run.deployment.status(name)).get("planner")) == planner:
+            return name
+    return names[0]
+
+
+async def _lose_server(run: Run, phase: str, number: int) -> None:
+    start = time.monotonic()
+    run.deployment.launcher.kill(run.deployment.server_name(number))
+    await asyncio.sleep(LOSS_WINDOW_S)
+    run.add_window(phase, start)
+    run.deployment.start_server(number)
+    await asyncio.sleep(RECOVERY_S)
+
+
+async def _lose_server_in_outage(run: Run, number: int) -> None:
+    deployment = run.deployment
+    await deployment.control(deployment.platform, outage=True)
+    await asyncio.sleep(OUTAGE_LEAD_S)
+    try:
+        await _lose_server(run, "outage", number)
+    finally:
+        await deployment.control(deployment.platform, outage=False)
+    await asyncio.sleep(RECOVERY_S)
+
+
+async def _lose_domain(run: Run) -> None:
+    """Kill every instance and every server of the last failure domain."""
+    customer = run.deployment.customer
+    lost = customer.domains[-1]
+    entries = [n for n in run.deployment.entries if customer.domain_of_entry(_number(n)) == lost]
+    servers = [n for n in run.deployment.servers if customer.domain_of_server(_number(n)) == lost]
+    start = time.monotonic()
+    for name in [*entries, *servers]:
+        run.deployment.launcher.kill(name)
+    await asyncio.sleep(LOSS_WINDOW_S)
+    run.add_window("domain_loss", start)
+
+
+def _number(name: str) -> int:
+    return int(name.rpartition("-")[2])
+
+
+def _values(run: Run) -> dict[str, float]:
+    recordings = run.recordings
+    swing = run.windows["swing"][0]
+    moves = unavailable_ms(recordings, run.windows["planned_move"])
+    values = {
+        "imbalance_max_over_mean": round(_imbalance(recordings, swing, run), 2),
+        "moves_per_minute": round(_moves_per_minute(recordings, swing), 1),
+        "planned_move_unavailable_ms_p99": round(report.percentile(moves, 0.99), 1),
+    }
+    for phase in LOSSES:
+        longest = max(unavailable_ms(recordings, run.windows[phase]))
+        values[f"{phase}_unavailable_ms_max"] = round(longest, 1)
+    return {run.prefix + name: value for name, value in values.items()}
+
+
+def _imbalance(recordings: Recordings, window: Window, run: Run) -> float:
+    """Return the busiest server's busy time over the mean, averaged over slices of time."""
+    runs = report.run_intervals(recordings)
+    ratios = []
+    start = window.start
+    while start + SLICE_S <= window.end:
+        busy: Counter[str] = Counter()
+        for item in runs:
+            overlap = min(item.end, start + SLICE_S) - max(item.start, start)
+            busy[item.server] += max(0.0, overlap)  # type: ignore[assignment]
+        mean = sum(busy.values()) / len(run.deployment.servers)
+        ratios.append(max(busy.values()) / mean)
+        start += SLICE_S
+    return sum(ratios) / len(ratios)
+
+
+def _moves_per_minute(recordings: Recordings, window: Window) -> float:
+    in_window = [at for at in _changes_of_server(recordings) if window.start <= at < window.end]
+    return len(in_window) * SECONDS_PER_MINUTE / (window.end - window.start)
+
+
+def _changes_of_server(recordings: Recordings) -> Iterator[float]:
+    """Yield when a partition ran on another server than before.
+
+    The first run of a key's own partition is compared with the key's run before it. Runs rather
+    than grants are compared because the baseline has no grants.
+    """
+    runs = [item for item in recordings.servers if item["type"] == "run_started"]
+    by_partition: dict[str, str] = {}
+    by_key: dict[str, str] = {}
+    for item in sorted(runs, key=lambda run: run["t"]):
+        server = item["server"]
+        previous = by_partition.get(item["partition"]) or by_key.get(item["key"], server)
+        by_partition[item["partition"]] = by_key[item["key"]] = server
+        if previous != server:
+            yield item["t"]
--- /dev/null
+++ b/src/hyssopwood_standins/bench_requests.py
@@ -0,0 +1,228 @@
+"""Measure requests: the crest, short work beside stragglers, and the cost of the router."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+from attrs import evolve
+
+from hyssopwood_standins import report
+from hyssopwood_standins.bench_run import MS_PER_S, Run, Window, latencies_ms, running
+from hyssopwood_standins.deployment import BELLTONE, STANDINS
+from hyssopwood_standins.launcher import free_ports
+
+CUSTOMER = evolve(BELLTONE, servers=4, unfenced=(), work_ms=40.0)
+CALLERS = 3
+# No key is hot, so that the whole capacity can be used.
+UNIFORM = ("--zipf", "0")
+
+BASE_SHARE = 0.6
+CREST_SHARE = 3.0
+CREST_LEAD_S = 4.0
+RAMP_STEPS = 4
+RAMP_S = 2.0
+HOLD_S = 4.0
+AFTER_S = 7.0
+# An answer after the contract is of no use to the caller, so it states the contract's time.
+CREST_DEADLINE_MS = CUSTOMER.contract_ms
+RECOVERY_SLICE_S = 0.25
+RECOVERED_SHARE = 0.99
+
+STRAGGLER_S = 7.0
+STRAGGLER_SHARE = 0.01
+STRAGGLER_WORK_MS = 1_000.0
+STRAGGLER_LOAD_SHARE = 0.5
+
+LATENCY_S = 5.0
+LATENCY_RATE_PER_S = 100.0
+LATENCY_WORK_MS = 5.0
+IDLE_S = 2.0
+SETTLE_S = 0.5
+MICROSECONDS = 1_000_000
+CALLERS_LIMIT_S = 40
+
+
+async def measure(directory: Path) -> tuple[dict[str, float], list[str]]:
+    """Run the baseline and the product one after the other; return measures and violations."""
+    values: dict[str, float] = {}
+    violations: list[str] = []
+    for baseline in (False, True):
+        async with running(CUSTOMER, directory, baseline) as run:
+            part = _Part(run)
+            await part.scenario()
+        values |= part.values()
+        if not baseline:
+            violations = run.violations()
+    return values, violations
+
+
+class _Part:
+    """The phases of one deployment; callers are grouped by phase."""
+
+    def __init__(self, run: Run) -> None:
+        self._run = run
+        self._callers: dict[str, list[str]] = defaultdict(list)
+        self._cpu_s: dict[str, float] = {}
+        self._spans: dict[str, tuple[float, float]] = {}
+        self._seed = 10
+
+    async def scenario(self) -> None:
+        await self._latency()
+        await self._stragglers("without", 0.0)
+        await self._stragglers("with", STRAGGLER_SHARE)
+        await self._crest()
+        await asyncio.sleep(SETTLE_S)
+
+    def _capacity_per_s(self) -> float:
+        """Return the requests a second that all slots can run, from the customer's shape."""
+        customer = self._run.deployment.customer
+        return customer.servers * customer.slots * MS_PER_S / customer.work_ms
+
+    def _start(self, phase: str, duration_s: float, rate: float, *options: str) -> None:
+        self._seed += 1
+        seed = ("--seed", str(self._seed))
+        name = self._run.deployment.start_caller(duration_s, rate, *UNIFORM, *seed, *options)
+        self._callers[phase].append(name)
+
+    async def _until_callers_end(self) -> None:
+        await self._run.deployment.until_callers_end(CALLERS_LIMIT_S)
+
+    async def _latency(self) -> None:
+        """Send the same light load through the router and directly to a server of its own."""
+        target = await self._start_direct_server()
+        work = ("--work-ms", str(LATENCY_WORK_MS))
+        await self._measured_cpu("idle", asyncio.sleep(IDLE_S))
+        self._start("routed", LATENCY_S, LATENCY_RATE_PER_S, *work)
+        self._start("direct", LATENCY_S, LATENCY_RATE_PER_S, *work, "--target", target)
+        await self._measured_cpu("routed", self._until_callers_end())
+
+    async def _start_direct_server(self) -> str:
+        deployment = self._run.deployment
+        address = f"127.0.0.1:{free_ports(1)[0]}"
+        options = ("--address", address, "--name", "direct", "--no-fencing-check")
+        slots = ("--slots", str(deployment.customer.slots))
+        deployment.launcher.start("direct", STANDINS, "server", *options, *slots)
+        return address
+
+    async def _measured_cpu(self, phase: str, work: Any) -> None:
+        before, started = self._entries_cpu_s(), time.monotonic()
+        await work
+        self._cpu_s[phase] = self._entries_cpu_s() - before
+        self._spans[phase] = (started, time.monotonic())
+
+    def _entries_cpu_s(self) -> float:
+        pids = self._run.deployment.launcher.pids
+        return sum(cpu_s(pids[name]) for name in self._run.deployment.entries)
+
+    async def _stragglers(self, phase: str, share: float) -> None:
+        rate = STRAGGLER_LOAD_SHARE * self._capacity_per_s() / CALLERS
+        options = ("--straggler-share", str(share), "--straggler-ms", str(STRAGGLER_WORK_MS))
+        for _ in range(CALLERS):
+            self._start(phase, STRAGGLER_S, rate, *options)
+        await self._until_callers_end()
+
+    async def _crest(self) -> None:
+        """Raise the demand to three times the capacity within 2 s, hold it, and lower it again."""
+        duration_s = CREST_LEAD_S + 2 * RAMP_S + HOLD_S + AFTER_S
+        rate = BASE_SHARE * self._capacity_per_s() / CALLERS
+        options = ["--deadline-ms", str(CREST_DEADLINE_MS)]
+        for start, end, factor in _surges():
+            options += ["--surge", f"{start}:{end}:{factor}"]
+        for _ in range(CALLERS):
+            self._start("crest", duration_s, rate, *options)
+        await self._until_callers_end()
+
+    def _records(self, phase: str) -> list[dict[str, Any]]:
+        names = set(self._callers[phase])
+        return [item for item in self._run.recordings.attempts if item["caller"] in names]
+
+    def values(self) -> dict[str, float]:
+        """Return the measures, calculated from the records."""
+        crest = self._records("crest")
+        start = min(item["due"] for item in crest)
+        held_from = start + CREST_LEAD_S + RAMP_S
+        hold = Window(held_from, held_from + HOLD_S)
+        held = [item for item in crest if hold.start <= item["due"] < hold.end]
+        refusals = [1000 * (i["done"] - i["t"]) for i in held if i["outcome"] == "not_run"]
+        admitted = latencies_ms(held)
+        contract_ms = self._run.deployment.customer.contract_ms
+        good = sum(latency <= contract_ms for latency in admitted)
+        values = {
+            "crest_goodput_ratio": good / HOLD_S / self._recorded_capacity_per_s(held),
+            "crest_admitted_p99_over_contract": report.percentile(admitted, 0.99) / contract_ms,
+            "short_p99_with_stragglers_over_without": self._short_p99("with")
+            / self._short_p99("without"),
+            "slot_overcommit_max": report.max_overcommit(self._run.recordings),
+            "refusal_ms_p99": report.percentile(refusals, 0.99),
+            "recovery_s": recovery_s(crest, hold.end + RAMP_S, contract_ms),
+            "router_cpu_us_per_request": self._router_cpu_us(),
+            **self._added_latency(),
+        }
+        return {self._run.prefix + name: round(value, 3) for name, value in values.items()}
+
+    def _recorded_capacity_per_s(self, attempts: list[dict[str, Any]]) -> float:
+        """Return the slots that the servers recorded over the mean work that was asked for."""
+        started = [i for i in self._run.recordings.servers if i["type"] == "started"]
+        work_ms = sum(item["work_ms"] for item in attempts) / len(attempts)
+        return sum(item["slots"] for item in started) * MS_PER_S / work_ms
+
+    def _short_p99(self, phase: str) -> float:
+        short = [i for i in self._records(phase) if i["work_ms"] < STRAGGLER_WORK_MS]
+        return report.percentile(latencies_ms(short), 0.99)
+
+    def _router_cpu_us(self) -> float:
+        """Return the entries' CPU time per request above that of an idle time of equal length."""
+        start, end = self._spans["routed"]
+        idle_start, idle_end = self._spans["idle"]
+        idle_s = self._cpu_s["idle"] * (end - start) / (idle_end - idle_start)
+        requests = len(self._records("routed"))
+        return (self._cpu_s["routed"] - idle_s) * MICROSECONDS / requests
+
+    def _added_latency(self) -> dict[str, float]:
+        routed, direct = (latencies_ms(self._records(name)) for name in ("routed", "direct"))
+        return {
+            f"added_latency_ms_{name}": report.percentile(routed, share)
+            - report.percentile(direct, share)
+            for name, share in (("p50", 0.5), ("p99", 0.99))
+        }
+
+
+def _surges() -> list[tuple[float, float, float]]:
+    """Return the steps of the crest as start, end and factor of the base rate."""
+    top = CREST_SHARE / BASE_SHARE
+    step_s = RAMP_S / RAMP_STEPS
+    factors = [1 + (top - 1) * (index + 0.5) / RAMP_STEPS for index in range(RAMP_STEPS)]
+    held = CREST_LEAD_S + RAMP_S
+    steps = [
+        (CREST_LEAD_S + index * step_s, CREST_LEAD_S + (index + 1) * step_s, factor)
+        for index, factor in enumerate(factors)
+    ]
+    steps.append((held, held + HOLD_S, top))
+    for index, factor in enumerate(reversed(factors)):
+        start = held + HOLD_S + index * step_s
+        steps.append((start, start + step_s, factor))
+    return steps
+
+
+def recovery_s(attempts: list[dict[str, Any]], crest_end: float, contract_ms: float) -> float:
+    """Return how long after the crest too few requests were answered within the contract."""
+    slices: dict[int, list[bool]] = defaultdict(list)
+    for item in attempts:
+        if item["due"] >= crest_end:
+            kept = item["outcome"] == "answered" and item["latency_ms"] <= contract_ms
+            slices[int((item["due"] - crest_end) / RECOVERY_SLICE_S)].append(kept)
+    late = [index for index, kept in slices.items() if sum(kept) < RECOVERED_SHARE * len(kept)]
+    return (max(late) + 1) * RECOVERY_SLICE_S if late else 0.0
+
+
+def cpu_s(pid: int) -> float:
+    """Return the CPU time that a process has used."""
+    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+        values = file.read().rpartition(")")[2].split()
+    # Fields 14 and 15 of the line; the first one after the name is field 3.
+    return (int(values[11]) + int(values[12])) / os.sysconf("SC_CLK_TCK")
--- a/src/hyssopwood_standins/deployment.py
+++ b/src/hyssopwood_standins/deployment.py
@@ -43,6 +43,17 @@
     servers: int = 4
     work_ms: float = 5
     unfenced: tuple[int, ...] = (4,)
+    instances_per_domain: int = 1
+
+    @property
+    def instances(self) -> int:
+        return self.instances_per_domain * len(self.domains)
+
+    def domain_of_entry(self, number: int) -> str:
+        return self.domains[(number - 1) % len(self.domains)]
+
+    def domain_of_server(self, number: int) -> str:
+        return self.domains[number % len(self.domains)]
 
 
 BERIDZE = Customer(
@@ -89,7 +100,7 @@
         return f"{self.customer.name}-entry-{number}"
 
     async def start(self) -> None:
-        """Start the platform, the servers and one entry instance in each failure domain."""
+        """Start the platform, the servers and the entry instances of each failure domain."""
         self.platform = _addresses(1)[0]
         name = f"{self.customer.name}-platform"
         options = ("--address", self.platform, "--list-lag-ms", str(LIST_LAG_MS))
@@ -97,7 +108,7 @@
         for number in range(1, self.customer.servers + 1):
             self.start_server(number)
         await self._until_answers(f"{self.platform_url}/control")
-        for number in range(1, len(self.customer.domains) + 1):
+        for number in range(1, self.customer.instances + 1):
             await self.start_entry(number)
 
     def start_server(self, number: int) -> None:
@@ -115,20 +126,24 @@
         name = self.entry_name(number)
         http_address, peer_address = _addresses(2)
         self.entries[name] = http_address
-        domains = self.customer.domains
         settings = {
             "instance": name,
-            "failure_domain": domains[(number - 1) % len(domains)],
+            "failure_domain": self.customer.domain_of_entry(number),
             "http_address": http_address,
             "peer_address": peer_address,
             "log_url": self.platform_url,
-            "initial_voters": len(domains),
+            "initial_voters": self.customer.instances,
             "timing": {"instance_list_lag_ms": ASSUMED_LIST_LAG_MS},
         }
         path = self._write(f"{name}.jsonc", f"Settings of {name}", settings)
         await self.list_entry(name, "live")
         self.launcher.start(name, "hyssopwood", "entry", "--settings", str(path))
 
+    async def replace_entry(self, number: int) -> None:
+        """Start an instance in the same failure domain in the place of a lost one."""
+        await self.unlist_entry(self.entry_name(number))
+        await self.start_entry(number + self.customer.instances)
+
     async def list_entry(self, name: str, state: str) -> None:
         """Put an entry instance into the platform's list."""
         body = {"address": self.entries[name], "state": state}
@@ -178,7 +193,7 @@
             self.server_name(number): {
                 "service": customer.service,
                 "address": self.servers[self.server_name(number)],
-                "failure_domain": customer.domains[number % len(customer.domains)],
+                "failure_domain": customer.domain_of_server(number),
                 "slots": customer.slots,
                 "checks_fencing": number not in customer.unfenced,
             }
@@ -207,14 +222,17 @@
             command.cancel()
         return max(0.0, in_force_at_ms - appended_at_ms)
 
-    def start_caller(self, duration_s: float, rate: float, *options: str) -> None:
-        """Start a caller that sends traffic through the balancer's targets."""
+    def start_caller(self, duration_s: float, rate: float, *options: str) -> str:
+        """Start a caller that sends traffic to the balancer's targets and return its name.
+
+        With a `--target` among the options the caller sends its traffic there instead.
+        """
         customer = self.customer
         name = f"{customer.name}-caller-{len(self._callers) + 1}"
         self._callers.append(name)
         arguments = {
             "--name": name,
-            "--platform-url": self.platform_url,
+            **({} if "--target" in options else {"--platform-url": self.platform_url}),
             "--path": f"/{customer.service}/work",
             "--record": str(self._record_file(name)),
             "--rate": str(rate),
@@ -226,6 +244,7 @@
         }
         flat = [part for pair in arguments.items() for part in pair]
         self.launcher.start(name, STANDINS, "caller", *flat, *options)
+        return name
 
     async def until_callers_end(self, limit_s: float) -> None:
         """Wait until every caller has ended."""
--- /dev/null
+++ b/src/hyssopwood_standins/fault_runs.py
@@ -0,0 +1,324 @@
+"""Run single and double faults against real processes and judge each run's guarantees."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeAlias
+
+from attrs import evolve, field, frozen
+from loguru import logger
+
+from hyssopwood_standins import report, web_process
+from hyssopwood_standins.bench_run import Run, Window, running, unavailable_ms
+from hyssopwood_standins.deployment import BERIDZE, DeploymentError
+
+CUSTOMER = evolve(BERIDZE, shards=16)
+OUTPUT = Path("out/fault-runs.json")
+RATE_PER_S = 100.0
+KEYS = 20
+LEAD_S = 1.5
+# Longer than a lease and a promise together.
+FREEZE_S = 1.5
+OUTAGE_S = 3.0
+AFTER_S = 4.0
+SETTLE_S = 0.5
+TIME_LIMIT_S = 300
+RUN_LIMIT_S = 60
+EXPECTED_EXIT = 0
+# A drain may wait for the balancer and for a handover of every server.
+DRAIN_LIMIT_S = 10.0
+MOVED_KEYS = 4
+
+Fault: TypeAlias = Callable[["_Target"], Awaitable[None]]
+
+
+@frozen
+class _Target:
+    """What a fault is applied to: one server and the instance that coordinates it."""
+
+    run: Run
+    server: str
+    coordinator: str
+    found: list[str] = field(factory=list)
+
+    @property
+    def launcher(self) -> Any:
+        return self.run.deployment.launcher
+
+    async def control_log(self, **faults: Any) -> None:
+        await self.run.deployment.control(self.run.deployment.platform, **faults)
+
+    async def control_server(self, **faults: Any) -> None:
+        address = self.run.deployment.servers[self.server]
+        await self.run.deployment.control(address, **faults)
+
+
+def _kill(*parts: str) -> Fault:
+    async def fault(target: _Target) -> None:
+        for part in parts:
+            target.launcher.kill(getattr(target, part))
+
+    return fault
+
+
+def _freeze(*parts: str) -> Fault:
+    async def fault(target: _Target) -> None:
+        names = [getattr(target, part) for part in parts]
+        for name in names:
+            target.launcher.freeze(name)
+        try:
+            await asyncio.sleep(FREEZE_S)
+        finally:
+            for name in names:
+                target.launcher.resume(name)
+
+    return fault
+
+
+def _in_outage(inner: Fault | None = None) -> Fault:
+    async def fault(target: _Target) -> None:
+        await target.control_log(outage=True)
+        try:
+            await asyncio.sleep(SETTLE_S)
+            if inner is not None:
+                await inner(target)
+            await asyncio.sleep(OUTAGE_S)
+        finally:
+            await target.control_log(outage=False)
+
+    return fault
+
+
+def _slow_log(inner: Fault) -> Fault:
+    async def fault(target: _Target) -> None:
+        await target.control_log(slow_ms=300)
+        await inner(target)
+
+    return fault
+
+
+def _losing_answers(inner: Fault) -> Fault:
+    async def fault(target: _Target) -> None:
+        await target.control_log(lose_answers=3)
+        await inner(target)
+
+    return fault
+
+
+async def _lose_domain(target: _Target) -> None:
+    deployment = target.run.deployment
+    customer = deployment.customer
+    lost = customer.domain_of_server(_number(target.server))
+    names = [n for n in deployment.entries if customer.domain_of_entry(_number(n)) == lost]
+    names += [n for n in deployment.servers if customer.domain_of_server(_number(n)) == lost]
+    for name in names:
+        target.launcher.kill(name)
+
+
+async def _silence(target: _Target) -> None:
+    await target.control_server(silence_connections=True)
+
+
+async def _silence_and_kill_coordinator(target: _Target) -> None:
+    await _silence(target)
+    target.launcher.kill(target.coordinator)
+
+
+async def _mislead(target: _Target) -> None:
+    report_of_load = {"running": 0, "queue": 0, "shedding": False}
+    await target.control_server(load_report=report_of_load)
+    target.launcher.kill(target.coordinator)
+
+
+async def _terminate(target: _Target) -> None:
+    """Stop the coordinator gracefully; its exit code tells whether it drained."""
+    await target.run.deployment.list_entry(target.coordinator, "leaving")
+    target.launcher.terminate(target.coordinator)
+    wait = target.launcher.wait
+    code = await asyncio.to_thread(wait, target.coordinator, DRAIN_LIMIT_S)
+    if code != EXPECTED_EXIT:
+        target.found.append(f"SIGTERM: exit code {code}, expected {EXPECTED_EXIT}")
+
+
+async def _kill_twice(target: _Target) -> None:
+    """Kill the server, and its coordinator while the lease of the server runs out."""
+    target.launcher.kill(target.server)
+    await asyncio.sleep(0.2)
+    target.launcher.kill(target.coordinator)
+
+
+async def _ticket_in_fault(target: _Target) -> None:
+    """Pin keys to another server while their server is frozen."""
+    deployment = target.run.deployment
+    others = [name for name in deployment.servers if name != target.server]
+    pins = {f"{CUSTOMER.service}-{index}": others[0] for index in range(MOVED_KEYS)}
+    ticket = {"number": 2, "ownership": {CUSTOMER.service: pins}}
+    target.launcher.freeze(target.server)
+    try:
+        target.run.tickets_ms.append(await deployment.publish(ticket))
+        await asyncio.sleep(SETTLE_S)
+    finally:
+        target.launcher.resume(target.server)
+
+
+def _number(name: str) -> int:
+    return int(name.rpartition("-")[2])
+
+
+FAULTS: dict[str, Fault] = {
+    "kill server": _kill("server"),
+    "kill coordinator": _kill("coordinator"),
+    "kill both": _kill("server", "coordinator"),
+    "kill server, then coordinator": _kill_twice,
+    "freeze server": _freeze("server"),
+    "freeze coordinator": _freeze("coordinator"),
+    "freeze both": _freeze("server", "coordinator"),
+    "log outage": _in_outage(),
+    "log outage, kill server": _in_outage(_kill("server")),
+    "log outage, freeze server": _in_outage(_freeze("server")),
+    "log outage, freeze coordinator": _in_outage(_freeze("coordinator")),
+    "log outage, freeze both": _in_outage(_freeze("server", "coordinator")),
+    "log outage, kill coordinator": _in_outage(_kill("coordinator")),
+    "log outage, kill both": _in_outage(_kill("server", "coordinator")),
+    "failure domain lost": _lose_domain,
+    "log answers lost, kill server": _losing_answers(_kill("server")),
+    "log answers lost, kill coordinator": _losing_answers(_kill("coordinator")),
+    "log slow, kill coordinator": _slow_log(_kill("coordinator")),
+    "connections silent": _silence,
+    "connections silent, kill coordinator": _silence_and_kill_coordinator,
+    "load misreported, kill coordinator": _mislead,
+    "SIGTERM of coordinator": _terminate,
+    "ticket while server is frozen": _ticket_in_fault,
+}
+# The caller must see no cut, lost or refused request in these.
+GRACEFUL = ("SIGTERM of coordinator",)
+
+
+async def _run_fault(name: str, unfenced: bool, seed: int, directory: Path) -> dict[str, Any]:
+    server_number = random.Random(seed).randrange(1, CUSTOMER.servers)
+    customer = evolve(CUSTOMER, unfenced=(server_number,) if unfenced else ())
+    label = f"{name}{' (no fencing check)' if unfenced else ''}"
+    async with asyncio.timeout(RUN_LIMIT_S), running(customer, directory, False) as run:
+        duration_s = LEAD_S + OUTAGE_S + FREEZE_S + AFTER_S
+        stragglers = ("--straggler-share", "0.01", "--straggler-ms", "300")
+        load = ("--keys", str(KEYS), "--zipf", "0", "--keyless-share", "0.2")
+        run.deployment.start_caller(duration_s, RATE_PER_S, *load, *stragglers, "--seed", str(seed))
+        await asyncio.sleep(LEAD_S)
+        server = run.deployment.server_name(server_number)
+        target = _Target(run, server, await _coordinator(run, server))
+        start = time.monotonic()
+        await FAULTS[name](target)
+        await run.deployment.until_callers_end(RUN_LIMIT_S)
+        await asyncio.sleep(SETTLE_S)
+        window = Window(start, time.monotonic())
+    return _judge(label, name, seed, run, target.found, window)
+
+
+async def _coordinator(run: Run, server: str) -> str:
+    """Return the instance that coordinates a server."""
+    for name in run.deployment.entries:
+        usages = (await run.deployment.status(name)).get("servers", [])
+        if any(usage.get("server") == server for usage in usages):
+            return name
+    raise DeploymentError(f"no instance shows that it coordinates {server}")
+
+
+def _judge(
+    label: str, name: str, seed: int, run: Run, found: list[str], window: Window
+) -> dict[str, Any]:
+    recordings = run.recordings
+    values = report.measures(recordings, max(run.tickets_ms, default=None))
+    violations = [*found, *report.violations(values)]
+    if name in GRACEFUL:
+        violations += [f"interrupted: {item}" for item in report.failures(recordings)]
+    return {
+        "fault": label,
+        "seed": seed,
+        "unavailable_ms": round(max(unavailable_ms(recordings, [window]), default=0.0), 1),
+        "requests": values["requests"],
+        "not_run": values["not_run"],
+        "unknown": values["unknown"],
+        **{key: values[key] for key in report.FORBIDDEN},
+        "violations": violations,
+    }
+
+
+async def _run_all(arguments: argparse.Namespace, directory: Path) -> list[dict[str, Any]]:
+    jobs = [
+        (name, unfenced)
+        for name in FAULTS
+        for unfenced in (False, True)
+        if (not unfenced or arguments.unfenced) and arguments.only in name
+    ]
+    slots = asyncio.Semaphore(arguments.jobs)
+    until = time.monotonic() + arguments.time_limit_s
+
+    async def run(index: int, name: str, unfenced: bool) -> dict[str, Any]:
+        async with slots:
+            if time.monotonic() > until:
+                return {"fault": name, "seed": arguments.seed, "violations": ["not run: no time"]}
+            seed = arguments.seed + index
+            place = directory / f"{index:02d}-{name.replace(' ', '-').replace(',', '')}"
+            try:
+                return await _run_fault(name, unfenced, seed, place)
+            except (DeploymentError, TimeoutError, OSError, ExceptionGroup) as error:
+                return {"fault": name, "seed": seed, "violations": [f"failed: {error!r}"]}
+
+    return list(await asyncio.gather(*(run(i, *job) for i, job in enumerate(jobs))))
+
+
+COLUMNS = ("unavailable_ms", "requests", "not_run", "unknown", *report.FORBIDDEN)
+
+
+def table(results: list[dict[str, Any]]) -> str:
+    """Return one line for each run."""
+    width = max(len(result["fault"]) for result in results)
+    lines = [f"{'fault':<{width}}  seed  " + "  ".join(COLUMNS)]
+    for result in results:
+        cells = (f"{result.get(name, '-')!s:>{len(name)}}" for name in COLUMNS)
+        lines.append(f"{result['fault']:<{width}}  {result['seed']:>4}  " + "  ".join(cells))
+    return "\n".join(lines)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the options of the fault runs."""
+    parser.add_argument("--only", default="", help="run only the faults whose name contains this")
+    parser.add_argument(
+        "--unfenced", action="store_true", help="also with a server without fencing"
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=2, help="runs at the same time")
+    parser.add_argument("--time-limit-s", type=float, default=TIME_LIMIT_S - RUN_LIMIT_S)
+    parser.add_argument("--output", type=Path, default=OUTPUT)
+    parser.add_argument("--keep", type=Path, help="directory for logs and records, kept afterwards")
+
+
+def main(arguments: argparse.Namespace) -> int:
+    """Run the faults; return 1 when a guarantee was violated."""
+    if arguments.keep is not None:
+        return _fault_runs(arguments, arguments.keep.resolve())
+    with tempfile.TemporaryDirectory(prefix="hyssopwood-faults-") as name:
+        return _fault_runs(arguments, Path(name))
+
+
+def _fault_runs(arguments: argparse.Namespace, directory: Path) -> int:
+    started = time.monotonic()
+    results = web_process.run(_run_all(arguments, directory))
+    if not results:
+        logger.error("no fault is named like {!r}", arguments.only)
+        return 2
+    arguments.output.parent.mkdir(parents=True, exist_ok=True)
+    arguments.output.write_text(json.dumps(results, indent=2) + "\n", encoding="utf-8")
+    print(table(results))
+    violated = [(item["fault"], line) for item in results for line in item["violations"]]
+    for fault, line in violated:
+        print(f"VIOLATED: {fault}: {line}")
+    logger.info("the fault runs took {:.1f} s", time.monotonic() - started)
+    return 1 if violated else 0
