--- a/src/hyssopwood_standins/baseline_router.py
+++ b/src/hyssopwood_standins/baseline_router.py
@@ -32,7 +32,6 @@
 MAX_BODY_BYTES = 1_048_576
 NOT_FORWARDED = ("host", "content-length", "transfer-encoding", "connection")
 RETURNED = ("Hyssopwood-Run", "Hyssopwood-Request-Id", "Content-Type", "Retry-After")
-SHARINGS = ("local", "permits", "forwarding")
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood_standins/bench.py
+++ b/src/hyssopwood_standins/bench.py
@@ -4,18 +4,20 @@
 
 import argparse
 import asyncio
-import importlib
 import json
 import tempfile
 import time
 from pathlib import Path
+from typing import Any
 
 from loguru import logger
 
-from hyssopwood_standins import web_process
+from hyssopwood_standins import bench_ownership, bench_requests, web_process
 from hyssopwood_standins.bench_run import BASELINE
 
-PARTS = ("ownership", "requests")
+MEASURES = {"ownership": bench_ownership.measure, "requests": bench_requests.measure}
+# Left out of a whole run, which would exceed its time limit.
+SHARING = "sharing"
 OUTPUT = Path("out")
 TIME_LIMIT_S = 240
 
@@ -24,28 +26,47 @@
     violations: list[str] = []
     async with asyncio.timeout(TIME_LIMIT_S):
         for part in parts:
-            module = importlib.import_module(f"hyssopwood_standins.bench_{part}")
-            values, found = await module.measure(directory / part)
+            if part == SHARING:
+                compared = await bench_requests.compare_sharing(directory / part)
+                _write(output, part, compared)
+                print(columns(part, compared), flush=True)
+                continue
+            values, found = await MEASURES[part](directory / part)
             violations += [f"{part}: {line}" for line in found]
-            text = json.dumps(values, indent=2) + "\n"
-            (output / f"{part}.json").write_text(text, encoding="utf-8")
+            _write(output, part, values)
             print(table(part, values), flush=True)
     return violations
 
 
+def _write(output: Path, part: str, values: dict[str, Any]) -> None:
+    text = json.dumps(values, indent=2) + "\n"
+    (output / f"{part}.json").write_text(text, encoding="utf-8")
+
+
 def table(part: str, values: dict[str, float]) -> str:
     """Return the measures beside those of the baseline, as aligned lines."""
     names = [name for name in values if not name.startswith(BASELINE)]
+    product = {name: values[name] for name in names}
+    baseline = {name: values[BASELINE + name] for name in names}
+    return columns(part, {"product": product, "baseline": baseline})
+
+
+def columns(title: str, compared: dict[str, dict[str, float]]) -> str:
+    """Return one column for each of the compared runs."""
+    names = list(next(iter(compared.values())))
     width = max(len(name) for name in names)
-    lines = [f"{part:<{width}}  {'product':>10}  {'baseline':>10}"]
+    lines = [f"{title:<{width}}" + "".join(f"  {name:>10}" for name in compared)]
     for name in names:
-        lines.append(f"{name:<{width}}  {values[name]:>10}  {values[BASELINE + name]:>10}")
+        cells = "".join(f"  {values[name]:>10}" for values in compared.values())
+        lines.append(f"{name:<{width}}{cells}")
     return "\n".join(lines)
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the options of the benchmark."""
-    parser.add_argument("--part", choices=PARTS, action="append", help="only this part")
+    parser.add_argument(
+        "--part", choices=(*MEASURES, SHARING), action="append", help="only this part"
+    )
     parser.add_argument("--output", type=Path, default=OUTPUT, help="directory for the results")
     parser.add_argument("--keep", type=Path, help="directory for logs and records, kept afterwards")
 
@@ -61,7 +82,7 @@
 def _bench(arguments: argparse.Namespace, directory: Path) -> int:
     arguments.output.mkdir(parents=True, exist_ok=True)
     started = time.monotonic()
-    parts = arguments.part or list(PARTS)
+    parts = arguments.part or list(MEASURES)
     try:
         found = web_process.run(_measure(parts, directory, arguments.output))
     except (ExceptionGroup, TimeoutError, OSError) as error:
--- a/src/hyssopwood_standins/bench_ownership.py
+++ b/src/hyssopwood_standins/bench_ownership.py
@@ -56,9 +56,9 @@
     await _planned_moves(run)
     await _lose_instance(run, planner=False)
     await _lose_instance(run, planner=True)
-    for number in (1, 2):
-        await _lose_server(run, "server_loss", number)
-    await _lose_server_in_outage(run, 3)
+    for probe in (0, 1):
+        await _lose_server(run, "server_loss", _owner(run, probe))
+    await _lose_server_in_outage(run, _owner(run, 2))
     await _lose_domain(run)
     for name in callers:
         run.deployment.launcher.terminate(name)
@@ -129,30 +129,36 @@
     return names[0]
 
 
-async def _lose_server(run: Run, phase: str, number: int) -> None:
+def _owner(run: Run, probe: int) -> str:
+    """Return the server of a watched key, so that the loss of its server shows."""
+    owner = report.last_server_of(run.recordings, f"probe-{probe}")
+    return owner or run.deployment.server_name(1)
+
+
+async def _lose_server(run: Run, phase: str, name: str) -> None:
     start = time.monotonic()
-    run.deployment.launcher.kill(run.deployment.server_name(number))
+    run.deployment.launcher.kill(name)
     await asyncio.sleep(LOSS_WINDOW_S)
     run.add_window(phase, start)
-    run.deployment.start_server(number)
+    run.deployment.start_server(_number(name))
     await asyncio.sleep(RECOVERY_S)
 
 
-async def _lose_server_in_outage(run: Run, number: int) -> None:
+async def _lose_server_in_outage(run: Run, name: str) -> None:
     deployment = run.deployment
     await deployment.control(deployment.platform, outage=True)
     await asyncio.sleep(OUTAGE_LEAD_S)
     try:
-        await _lose_server(run, "outage", number)
+        await _lose_server(run, "outage", name)
     finally:
         await deployment.control(deployment.platform, outage=False)
     await asyncio.sleep(RECOVERY_S)
 
 
 async def _lose_domain(run: Run) -> None:
-    """Kill every instance and every server of the last failure domain."""
+    """Kill every instance and every server of a watched key's failure domain."""
     customer = run.deployment.customer
-    lost = customer.domains[-1]
+    lost = customer.domain_of_server(_number(_owner(run, 3)))
     entries = [n for n in run.deployment.entries if customer.domain_of_entry(_number(n)) == lost]
     servers = [n for n in run.deployment.servers if customer.domain_of_server(_number(n)) == lost]
     start = time.monotonic()
@@ -198,11 +204,11 @@
 
 
 def _moves_per_minute(recordings: Recordings, window: Window) -> float:
-    in_window = [at for at in _changes_of_server(recordings) if window.start <= at < window.end]
+    in_window = [at for at in changes_of_server(recordings) if window.start <= at < window.end]
     return len(in_window) * SECONDS_PER_MINUTE / (window.end - window.start)
 
 
-def _changes_of_server(recordings: Recordings) -> Iterator[float]:
+def changes_of_server(recordings: Recordings) -> Iterator[float]:
     """Yield when a partition ran on another server than before.
 
     The first run of a key's own partition is compared with the key's run before it. Runs rather
--- a/src/hyssopwood_standins/bench_requests.py
+++ b/src/hyssopwood_standins/bench_requests.py
@@ -12,11 +12,15 @@
 from attrs import evolve
 
 from hyssopwood_standins import report
-from hyssopwood_standins.bench_run import MS_PER_S, Run, Window, latencies_ms, running
+from hyssopwood_standins.bench_run import MS_PER_S, Run, latencies_ms, running
 from hyssopwood_standins.deployment import BELLTONE, STANDINS
 from hyssopwood_standins.launcher import free_ports
 
-CUSTOMER = evolve(BELLTONE, servers=4, unfenced=(), work_ms=40.0)
+# With shorter work the crest needs more requests than the instances' share of this machine can
+# carry, and the crest would measure the CPU instead of the queues.
+CUSTOMER = evolve(
+    BELLTONE, servers=4, unfenced=(), instances_per_domain=2, work_ms=60.0, contract_ms=200
+)
 CALLERS = 3
 # No key is hot, so that the whole capacity can be used.
 UNIFORM = ("--zipf", "0")
@@ -47,6 +51,21 @@
 CALLERS_LIMIT_S = 40
 
 
+SHARINGS = ("local", "permits", "forwarding")
+
+
+async def compare_sharing(directory: Path) -> dict[str, dict[str, float]]:
+    """Run the baseline router's crest with each way to share slots among instances."""
+    compared: dict[str, dict[str, float]] = {}
+    for sharing in SHARINGS:
+        async with running(CUSTOMER, directory / sharing, True, sharing) as run:
+            part = _Part(run)
+            await part.latency()
+            await part.crest()
+        compared[sharing] = {**part.crest_values(), **part.cost_values()}
+    return compared
+
+
 async def measure(directory: Path) -> tuple[dict[str, float], list[str]]:
     """Run the baseline and the product one after the other; return measures and violations."""
     values: dict[str, float] = {}
@@ -72,10 +91,11 @@
         self._seed = 10
 
     async def scenario(self) -> None:
-        await self._latency()
+        """Go through every phase."""
+        await self.latency()
         await self._stragglers("without", 0.0)
         await self._stragglers("with", STRAGGLER_SHARE)
-        await self._crest()
+        await self.crest()
         await asyncio.sleep(SETTLE_S)
 
     def _capacity_per_s(self) -> float:
@@ -92,7 +112,7 @@
     async def _until_callers_end(self) -> None:
         await self._run.deployment.until_callers_end(CALLERS_LIMIT_S)
 
-    async def _latency(self) -> None:
+    async def latency(self) -> None:
         """Send the same light load through the router and directly to a server of its own."""
         target = await self._start_direct_server()
         work = ("--work-ms", str(LATENCY_WORK_MS))
@@ -126,7 +146,7 @@
             self._start(phase, STRAGGLER_S, rate, *options)
         await self._until_callers_end()
 
-    async def _crest(self) -> None:
+    async def crest(self) -> None:
         """Raise the demand to three times the capacity within 2 s, hold it, and lower it again."""
         duration_s = CREST_LEAD_S + 2 * RAMP_S + HOLD_S + AFTER_S
         rate = BASE_SHARE * self._capacity_per_s() / CALLERS
@@ -142,28 +162,41 @@
         return [item for item in self._run.recordings.attempts if item["caller"] in names]
 
     def values(self) -> dict[str, float]:
-        """Return the measures, calculated from the records."""
+        """Return every measure, calculated from the records."""
+        ratio = self._short_p99("with") / self._short_p99("without")
+        values = {
+            **self.crest_values(),
+            "short_p99_with_stragglers_over_without": round(ratio, 3),
+            **self.cost_values(),
+        }
+        return {self._run.prefix + name: value for name, value in values.items()}
+
+    def crest_values(self) -> dict[str, float]:
+        """Return the measures of the crest; those of the hold concern what was due in it."""
         crest = self._records("crest")
         start = min(item["due"] for item in crest)
         held_from = start + CREST_LEAD_S + RAMP_S
-        hold = Window(held_from, held_from + HOLD_S)
-        held = [item for item in crest if hold.start <= item["due"] < hold.end]
-        refusals = [1000 * (i["done"] - i["t"]) for i in held if i["outcome"] == "not_run"]
+        held_to = held_from + HOLD_S
+        held = [item for item in crest if held_from <= item["due"] < held_to]
+        refusals = [
+            (item["done"] - item["t"]) * MS_PER_S for item in held if item["outcome"] == "not_run"
+        ]
         admitted = latencies_ms(held)
         contract_ms = self._run.deployment.customer.contract_ms
         good = sum(latency <= contract_ms for latency in admitted)
         values = {
             "crest_goodput_ratio": good / HOLD_S / self._recorded_capacity_per_s(held),
             "crest_admitted_p99_over_contract": report.percentile(admitted, 0.99) / contract_ms,
-            "short_p99_with_stragglers_over_without": self._short_p99("with")
-            / self._short_p99("without"),
             "slot_overcommit_max": report.max_overcommit(self._run.recordings),
             "refusal_ms_p99": report.percentile(refusals, 0.99),
-            "recovery_s": recovery_s(crest, hold.end + RAMP_S, contract_ms),
-            "router_cpu_us_per_request": self._router_cpu_us(),
-            **self._added_latency(),
+            "recovery_s": recovery_s(crest, held_to + RAMP_S, contract_ms),
         }
-        return {self._run.prefix + name: round(value, 3) for name, value in values.items()}
+        return {name: round(value, 3) for name, value in values.items()}
+
+    def cost_values(self) -> dict[str, float]:
+        """Return the router's CPU time and the latency that it adds."""
+        values = {"router_cpu_us_per_request": self._router_cpu_us(), **self._added_latency()}
+        return {name: round(value, 3) for name, value in values.items()}
 
     def _recorded_capacity_per_s(self, attempts: list[dict[str, Any]]) -> float:
         """Return the slots that the servers recorded over the mean work that was asked for."""
--- a/src/hyssopwood_standins/bench_run.py
+++ b/src/hyssopwood_standins/bench_run.py
@@ -72,18 +72,25 @@
 
 
 @asynccontextmanager
-async def running(customer: Customer, directory: Path, baseline: bool) -> AsyncIterator[Run]:
+async def running(
+    customer: Customer, directory: Path, baseline: bool, sharing: str = "local"
+) -> AsyncIterator[Run]:
     """Yield a run whose processes end with the block."""
-    kind = BaselineDeployment if baseline else Deployment
     own = directory / ("baseline" if baseline else "product")
     own.mkdir(parents=True, exist_ok=True)
-    shape = baseline_customer(customer) if baseline else customer
     with Launcher(own, Recorder(own / "events.records.jsonl")) as launcher:
         async with aiohttp.ClientSession() as session:
-            run = Run(kind(shape, launcher, own, session), own, baseline)
+            if baseline:
+                shape = baseline_customer(customer)
+                deployment: Deployment = BaselineDeployment(
+                    shape, launcher, own, session, sharing=sharing
+                )
+            else:
+                deployment = Deployment(customer, launcher, own, session)
+            run = Run(deployment, own, baseline)
             await run.bring_up()
             yield run
-            _stop_entries(launcher, run.deployment)
+            _stop_entries(launcher, deployment)
 
 
 def _stop_entries(launcher: Launcher, deployment: Deployment) -> None:
