--- a/src/hyssopwood/cli.py
+++ b/src/hyssopwood/cli.py
@@ -29,7 +29,7 @@
     TicketRejectedError,
     UsageError,
 )
-from hyssopwood.events import set_up_logging
+from hyssopwood.events import Event, emit, set_up_logging
 from hyssopwood.log_client import InstanceList, LogClient
 from hyssopwood.records import TicketRecord, decode_record
 from hyssopwood.replica import Replica
@@ -52,7 +52,8 @@
 MAX_STATUS_BYTES = 1_048_576
 DEFAULT_STREAM = "hyssopwood"
 DEFAULT_TIMEOUT_S = 10.0
-TICKET_KEYS = frozenset({"number", "services", "servers", "ownership", "limits"})
+# Settings have `limits` too, so that key says nothing about the kind of a file.
+TICKET_KEYS = frozenset({"number", "services", "servers", "ownership"})
 INTERRUPTED = 130
 
 
@@ -228,7 +229,11 @@
 
 
 def _entry(options: argparse.Namespace) -> None:
-    settings = load_settings(options.settings)
+    try:
+        settings = load_settings(options.settings)
+    except InputError as error:
+        emit(Event.BAD_SETTINGS, source=error.source, faults=len(error.faults))
+        raise
     daemon = import_module("hyssopwood.daemon")
     daemon.run_daemon(settings)
 
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from hyssopwood.events import Event, emit
 from hyssopwood.idempotency import Begun, KeyRefused, Stored
 from hyssopwood.key_replication import KeyReplication, StateSource
 from hyssopwood.messages import PermitReply, PermitRequest, PermitReturn, SuspectReport
@@ -46,6 +47,7 @@
         """Return a refusal or a stored response, None after recording the key."""
         quarantine_s = self._suspects.quarantined_s(request.digest)
         if quarantine_s is not None:
+            emit(Event.POISON_REFUSED, server=server, digest=f"{request.digest:016x}")
             detail = "the request crashed backend servers"
             return _refusal(Reason.POISON, detail, quarantine_s)
         if not request.idempotency_key:
