--- a/src/hyssopwood/admission.py
+++ b/src/hyssopwood/admission.py
@@ -26,8 +26,8 @@
 MAX_SHEDDING_S = 1.0
 MIN_COLD_SHARE = 0.1
 # Durations vary, so a wait that just fits would be missed by many. With exponential ones and
-# three times the capacity, 1.0 and 1.0 gave 0.89 of the capacity in time, these gave 0.95.
-WAIT_MARGIN = 1.4
+# three times the capacity, 1.0 and 1.0 gave 0.89 of the capacity in time, these gave 0.94.
+WAIT_MARGIN = 1.2
 OWN_MARGIN = 2.5
 MIN_CONTRACT_SHARE = 0.5
 
