--- a/features/request_records.feature
+++ b/features/request_records.feature
@@ -36,7 +36,9 @@
       | a quarantine after one crash           | crash 7, guilty none |
       | a request that crashes alone           | crash 7 7, guilty 7 |
       | a request that crashes beside others   | crash 7+1 7+2, guilty 7 |
-      | innocents among many                   | crash 7+1+2 7+3+4, guilty none, crash 7+5+6, guilty 7 |
+      | a third server that crashes            | crash 7+1+2 7+3+4, guilty 7 |
+      | suspects that run side by side         | trial s1 7 yes, trial s1 1 no, trial s2 1 yes, end-trial s1 7, trial s1 1 yes |
+      | a trial that never ends                | trial s1 7 yes, jump-ms 5100, trial s1 1 yes |
       | innocents that succeed later           | crash 7+1 7+1, call suspects.record_success s1 1, guilty 7 |
       | the guilty cleared by one success      | crash 7 7, call suspects.record_success s1 7, guilty 7 |
       | a quarantine without end               | crash 7 7, jump-ms 61000, guilty none |
--- a/features/support/request_records.py
+++ b/features/support/request_records.py
@@ -4,7 +4,7 @@
 from hyssopwood.durations import Durations
 from hyssopwood.idempotency import Begun, IdempotencyRecords, Stored
 from hyssopwood.messages import SuspectReport
-from hyssopwood.poison import Suspects
+from hyssopwood.poison import Suspects, Trials
 from support.request_script import Script
 
 WINDOW_S = 60
@@ -67,6 +67,7 @@
 class SuspectScript(Script):
     def set_up(self):
         self.suspects = Suspects(self.timers, WINDOW_S, BOUND)
+        self.trials = Trials(self.timers)
 
     def crash(self, *groups):
         for group in groups:
@@ -83,6 +84,12 @@
     def others(self, count):
         self.crash(*(str(1000 + number) for number in range(int(count))))
 
+    def trial(self, server, request_id, expected):
+        assert self.trials.begin(server, request_id) == (expected == "yes")
+
+    def end_trial(self, server, request_id):
+        self.trials.end(server, request_id)
+
     def guilty(self, expected):
         found = [digest for digest in range(10) if self.suspects.quarantined_s(digest)]
         assert found == ([] if expected == "none" else [int(expected)]), found
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -13,7 +13,7 @@
 from hyssopwood.key_replication import KeyReplication, StateSource
 from hyssopwood.messages import PermitReply, PermitRequest, PermitReturn, SuspectReport
 from hyssopwood.outcomes import Reason
-from hyssopwood.poison import Suspects
+from hyssopwood.poison import Suspects, Trials
 from hyssopwood.settings import Timing
 from hyssopwood.state import partition_of
 from hyssopwood.timers import Timers
@@ -21,6 +21,7 @@
 OUTCOME_ANSWERED = "answered"
 OUTCOME_NOT_RUN = "not-run"
 STANDBY_RETRY_S = 0.1
+TRIAL_RETRY_S = 0.1
 
 
 def _refusal(reason: Reason, detail: str, retry_after_s: float | None) -> PermitReply:
@@ -38,10 +39,12 @@
     _source: StateSource
     _replication: KeyReplication
     _suspects: Suspects = field(init=False)
+    _trials: Trials = field(init=False)
     _copies: dict[object, asyncio.Task[bool]] = field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._suspects = Suspects(self._timers, self._timing.poison_quarantine_ms / 1000)
+        self._trials = Trials(self._timers)
 
     async def before(self, server: str, request: PermitRequest) -> PermitReply | None:
         """Return a refusal or a stored response, None after recording the key."""
@@ -50,10 +53,18 @@
             emit(Event.POISON_REFUSED, server=server, digest=f"{request.digest:016x}")
             detail = "the request crashed backend servers"
             return _refusal(Reason.POISON, detail, quarantine_s)
+        if not self._may_run_beside_others(server, request):
+            detail = "another request that ran when a backend server crashed runs here now"
+            return _refusal(Reason.QUEUE_FULL, detail, TRIAL_RETRY_S)
         if not request.idempotency_key:
             return None
         return await self._begin(server, request)
 
+    def _may_run_beside_others(self, server: str, request: PermitRequest) -> bool:
+        if not self._suspects.is_suspect(request.digest):
+            return True
+        return self._trials.begin(server, request.request_id)
+
     async def _begin(self, server: str, request: PermitRequest) -> PermitReply | None:
         records = self._replication.records_of(server)
         service, key = request.service, request.idempotency_key
@@ -75,6 +86,7 @@
 
     def not_issued(self, server: str, request: PermitRequest) -> None:
         """Forget the key of a request that was proved not to have run."""
+        self._trials.end(server, request.request_id)
         if request.idempotency_key:
             self._abandon(server, request)
 
@@ -85,6 +97,7 @@
 
     def returned(self, server: str, request: PermitRequest, outcome: PermitReturn) -> None:
         """Note the outcome of a request."""
+        self._trials.end(server, request.request_id)
         if outcome.outcome == OUTCOME_ANSWERED:
             cleared = self._suspects.record_success(server, request.digest)
             if cleared is not None:
@@ -104,6 +117,7 @@
 
     def crashed(self, server: str, running: tuple[PermitRequest, ...]) -> None:
         """Suspect the requests that may have run when a server crashed."""
+        self._trials.end_all(server)
         digests = [request.digest for request in running]
         for report in self._suspects.record_crash(server, digests):
             self._share(report)
--- a/src/hyssopwood/poison.py
+++ b/src/hyssopwood/poison.py
@@ -12,11 +12,12 @@
 from hyssopwood.timers import Timers
 
 MAX_SUSPECTS = 10_000
+# The second crash convicts: suspects never run side by side, so an innocent request that ran
+# beside the first crash is not there at the second.
 QUARANTINE_CRASHES = 2
-# Crashes with others beside count in part: with 2 requests each, two crashes are enough, with
-# 3 it takes three. Fewer would quarantine innocent repeated requests. Below 1 for rounding.
-QUARANTINE_WEIGHT = 0.999
 ALONE = 1.0
+# A trial whose end is never reported must not block the server's other suspects for long.
+TRIAL_LIMIT_S = 5.0
 
 
 @define(eq=False)
@@ -24,7 +25,6 @@
     """Crashes seen with one request digest."""
 
     crashes: int
-    weight: float
     ran_alone: bool
     expires: float
 
@@ -72,9 +72,8 @@
                 del self._suspects[report.digest]
             return
         if suspect is None:
-            suspect = self._suspects[report.digest] = _Suspect(0, 0.0, False, 0.0)
+            suspect = self._suspects[report.digest] = _Suspect(0, False, 0.0)
         suspect.crashes += 1
-        suspect.weight += min(ALONE, max(0.0, report.weight))
         suspect.ran_alone = suspect.ran_alone or report.weight >= ALONE
         suspect.expires = self._timers.now() + self._quarantine_s
         self._suspects.move_to_end(report.digest)
@@ -85,7 +84,7 @@
             digest=f"{report.digest:016x}",
             server=report.server,
             crashes=suspect.crashes,
-            weight=round(suspect.weight, 2),
+            weight=round(report.weight, 2),
         )
 
     def quarantined_s(self, digest: int) -> float | None:
@@ -96,10 +95,12 @@
         suspect = self._suspects.get(digest)
         if suspect is None or suspect.crashes < QUARANTINE_CRASHES:
             return None
-        if suspect.weight < QUARANTINE_WEIGHT:
-            return None
         return suspect.expires - self._timers.now()
 
+    def is_suspect(self, digest: int) -> bool:
+        """Return whether a request ran when a server crashed and has not succeeded since."""
+        return digest in self._suspects
+
     def _expire(self) -> None:
         now = self._timers.now()
         while self._suspects:
@@ -107,3 +108,38 @@
             if suspect.expires > now:
                 return
             del self._suspects[digest]
+
+
+@define(eq=False)
+class _Trial:
+    """One suspect that runs at a server."""
+
+    request_id: str
+    until: float
+
+
+class Trials:
+    """Let at most one suspect run at each server at a time."""
+
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._trials: dict[str, _Trial] = {}
+
+    def begin(self, server: str, request_id: str) -> bool:
+        """Return whether a suspect may run now."""
+        now = self._timers.now()
+        trial = self._trials.get(server)
+        if trial is not None and trial.request_id != request_id and now < trial.until:
+            return False
+        self._trials[server] = _Trial(request_id, now + TRIAL_LIMIT_S)
+        return True
+
+    def end(self, server: str, request_id: str) -> None:
+        """Let the next suspect run."""
+        trial = self._trials.get(server)
+        if trial is not None and trial.request_id == request_id:
+            del self._trials[server]
+
+    def end_all(self, server: str) -> None:
+        """Forget the trial of a server that has crashed."""
+        self._trials.pop(server, None)
