Claim the planner role only when the voters' promises to it lapse

Two instances without a connection between them no longer take the role from each other, and a member out of the planner's reach gives up its servers after 2 s. A candidate wakes up at its turn instead of at the next round.

--- a/features/planner.feature
+++ b/features/planner.feature
@@ -33,6 +33,7 @@
     And the planner cell runs until it is repaired
     And the planner cell runs for 11 s
     Then the lost planner instances are fenced and replaced within <ms> ms
+    And at most 2 planner claims were written
     And no planner partition has moved
     And every planner voter is live and no voters are pending
 
@@ -58,15 +59,33 @@
     When the planner cell loses a coordinator
     And the planner cell runs for 5 s
     Then the planner voters did not change
-    When an instance joins the planner cell
+    When 1 instances join the planner cell
     And the planner cell runs for 1 s
     Then every planner voter is live and no voters are pending
     And every change of planner voters kept a majority of the new ones
 
+  Scenario: The voters grow with the cell
+    Guards against a step so large that everybody's authority waits for new promises.
+    Given a settled planner cell of 3 instances in 3 failure domains with 6 servers
+    When 6 instances join the planner cell
+    And the planner cell runs for 8 s
+    Then the planner cell has 9 voters with at most 5 in each failure domain
+    And every change of planner voters kept a majority of the new ones
+
+  Scenario: The second of three voters is lost before the first is replaced
+    Guards against a fenced voter that counts for ever though its process is gone.
+    Given a settled planner cell of 3 instances in 3 failure domains with 6 servers
+    When the planner cell loses a voter
+    And the planner cell runs for 1 s
+    And the planner cell loses a voter
+    And the platform's list drops the lost planner instances
+    And the planner cell runs for 6 s
+    Then the planner cell fenced 3 instances and authority is held
+
   Scenario: Two candidates claim at the same time
     Guards against two planners that both believe that their epoch is in force.
     Given a settled planner cell of 5 instances in 3 failure domains with 6 servers
-    And the planner log takes 150 ms for an append
+    And the planner log takes 300 ms for an append
     When the planner cell loses the planner
     And the planner cell runs for 5 s
     Then a planner claim was rejected and one came into force
@@ -95,6 +114,16 @@
     And the planner cell runs for 6 s
     Then the planner role did not change
 
+  Scenario: Two instances that can't reach each other share the cell
+    Guards against two planners that take the role from each other, and against a coordinator
+    whose reports never arrive.
+    Given a settled planner cell of 5 instances in 3 failure domains with 6 servers
+    When the planner cell's planner and a coordinator lose their connection
+    And the planner cell runs for 6 s
+    Then the planner role did not change
+    And the planner cell fenced 0 instances and authority is held
+    And the coordinator without a connection has no planner server
+
   Scenario: The planner waits for the log
     Guards against appends into an outage and against a warning in every round.
     Given a settled planner cell of 5 instances in 3 failure domains with 6 servers
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -198,6 +198,21 @@
     context.cell.cut_off(others[lost])
 
 
+@when("the planner cell's planner and a coordinator lose their connection")
+def step_disconnect(context):
+    state = context.cell.state
+    context.blind = next(
+        c.incarnation for c in state.coordinations.values() if c.incarnation != state.planner
+    )
+    context.cell.network.cut(context.blind, [state.planner])
+
+
+@then("the coordinator without a connection has no planner server")
+def step_no_server(context):
+    coordinations = context.cell.state.coordinations.values()
+    assert all(c.incarnation != context.blind for c in coordinations), coordinations
+
+
 @when("the planner log goes down")
 def step_log_down(context):
     context.cell.log.down = True
@@ -226,9 +241,16 @@
     context.run(cell.start(*nodes))
 
 
-@when("an instance joins the planner cell")
-def step_joins(context):
-    context.run(context.cell.start(context.cell.add("new", "c")))
+@when("{count:d} instances join the planner cell")
+def step_joins(context, count):
+    nodes = [context.cell.add(f"n{index}", "cab"[index % 3]) for index in range(count)]
+    context.run(context.cell.start(*nodes))
+
+
+@when("the platform's list drops the lost planner instances")
+def step_drop_lost(context):
+    platform = context.cell.platform
+    platform.hidden = platform.names - set(context.cell.nodes)
 
 
 @when("a planner coordinator leaves")
@@ -383,6 +405,11 @@
     assert not state.pending_voters, state.pending_voters
 
 
+@then("at most {count:d} planner claims were written")
+def step_claims(context, count):
+    assert context.cell.log.kinds(context.start).count("planner") <= count
+
+
 @then("a planner claim was rejected and one came into force")
 def step_race(context):
     log = context.cell.log
--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -185,6 +185,9 @@
     def attest(self, incarnation):
         node = self._node
         silence = node.cluster.network.silence(node.incarnation, incarnation)
+        asked = node.cluster.holder_of(incarnation)
+        if asked is not None and asked.unsupported:
+            silence = PROMISE_S
         if silence is None:
             return AttestReply(False, int(PROMISE_S * 1000))
         if silence < PROMISE_S:
--- a/src/hyssopwood/liveness.py
+++ b/src/hyssopwood/liveness.py
@@ -11,6 +11,7 @@
 from hyssopwood.waiting import TaskGroup
 
 MIN_ATTEST_WAIT_S = 0.01
+MAX_ATTEST_WAIT_S = 0.05
 ANSWER_FRESH_S = 0.5
 
 
@@ -87,13 +88,14 @@
     """Collect the voters' attestations that their promises to silent members have ended."""
 
     def __init__(
-        self, peers: PeerNetwork, timers: Timers, timeout_s: float, on_attested: Callable[[], None]
+        self, peers: PeerNetwork, timers: Timers, timeout_s: float, on_change: Callable[[], None]
     ) -> None:
         self._peers = peers
         self._timers = timers
         self._timeout_s = timeout_s
-        self._on_attested = on_attested
+        self._on_change = on_change
         self._attested: dict[str, set[str]] = {}
+        self._waits_s: dict[tuple[str, str], float] = {}
         self._wanted: set[tuple[str, str]] = set()
         self._asks = TaskGroup()
 
@@ -102,6 +104,7 @@
         wanted = {(s, v) for s in suspects for v in voters if s != v}
         for pair in self._wanted - wanted:
             self._asks.stop(pair)
+            self._waits_s.pop(pair, None)
         self._wanted = wanted
         for suspect, voter in wanted:
             if voter not in self._attested.get(suspect, ()):
@@ -117,15 +120,26 @@
             if isinstance(reply, AttestReply):
                 if reply.attested:
                     self._attested.setdefault(suspect, set()).add(voter)
-                    self._on_attested()
+                    self._on_change()
                     return
-                wait_s = max(wait_s, reply.wait_ms / 1000)
+                self._waits_s[suspect, voter] = reply.wait_ms / 1000
+                wait_s = min(max(wait_s, reply.wait_ms / 1000), MAX_ATTEST_WAIT_S)
+                self._on_change()
             await self._timers.sleep(wait_s)
 
     def attesters(self, suspect: str) -> tuple[str, ...]:
         """Return the voters that attested, in a stable order."""
         return tuple(sorted(self._attested.get(suspect, ())))
 
+    def lapsing(self, suspect: str, within_s: float) -> tuple[str, ...]:
+        """Return the voters that attested or whose promise was about to end when last asked."""
+        waiting = {
+            voter
+            for (name, voter), wait_s in self._waits_s.items()
+            if name == suspect and wait_s <= within_s
+        }
+        return tuple(sorted(waiting.union(self._attested.get(suspect, ()))))
+
     def keep(self, incarnations: Iterable[str]) -> None:
         """Forget every other incarnation. A voter never takes an attestation back."""
         for name in self._attested.keys() - set(incarnations):
--- a/src/hyssopwood/planner.py
+++ b/src/hyssopwood/planner.py
@@ -25,7 +25,6 @@
     Member,
     effective_voters,
     has_quorum,
-    is_majority,
 )
 from hyssopwood.timers import Timers
 from hyssopwood.transitions import Applied
@@ -45,7 +44,11 @@
 IDLE_AFTER_S = 2.0
 # Longer than any promise or message lives after its process has ended.
 TERMINATED_AFTER_S = 1.0
+# A member that is silent for longer but not fenced is only out of the planner's reach.
+UNREACHABLE_AFTER_S = 2.0
 VOTER_WAIT_S = 2.0
+# Keeps a rounding error from turning the wait for a turn into a busy loop.
+MIN_WAIT_S = 0.005
 VOTER_SETTLE_S = 1.0
 # A replacement usually joins sooner, and a smaller set tolerates no more failures meanwhile.
 VOTER_SHRINK_S = 10.0
@@ -181,7 +184,7 @@
                 await self._guarded_round()
             else:
                 self._note_pause("the log does not answer")
-            await self._wake.wait(self._interval_s)
+            await self._wake.wait(min(self._interval_s, self._until_turn_s()))
 
     async def _guarded_round(self) -> None:
         try:
@@ -204,7 +207,6 @@
         if state.planner != self._own:
             self._epoch = None
             self._suspects = frozenset()
-            self._attestations.collect((), ())
             await self._consider_claim(state)
             return
         if self._epoch != state.planner_epoch:
@@ -226,7 +228,11 @@
     # Claims
 
     async def _consider_claim(self, state: ClusterState) -> None:
-        if self._resigned or self._overdue_s(state) < 0 or not self._may_claim(state):
+        silent_s = self._vacant_s(state)
+        self._watch_promises(state, silent_s)
+        # Each candidate waits a little longer than those that joined earlier, so that few race.
+        overdue = silent_s >= self._rank(state) * CLAIM_STEP_S
+        if self._resigned or not overdue or not self._may_claim(state):
             return
         body = PlannerRecord(
             instance=self._settings.instance,
@@ -237,21 +243,32 @@
             emit(Event.PLANNER_CLAIMED, epoch=self._replica.state.planner_epoch)
             self._wake.set()
 
-    def _overdue_s(self, state: ClusterState) -> float:
-        """Return the time since this candidate's turn to claim; negative before it.
+    def _until_turn_s(self) -> float:
+        """Return the time until this candidate's turn; infinite when it isn't ahead."""
+        state = self._replica.state
+        if self._own not in state.members or state.planner == self._own:
+            return math.inf
+        left_s = self._rank(state) * CLAIM_STEP_S - self._vacant_s(state)
+        return max(left_s, MIN_WAIT_S) if left_s > 0 else math.inf
 
-        Each candidate waits a little longer than those that joined earlier, so that few race.
-        """
+    def _vacant_s(self, state: ClusterState) -> float:
+        """Return since when the role may be claimed; negative while the planner works."""
         now = self._timers.now()
-        turn_s = self._rank(state) * CLAIM_STEP_S
-        if state.planner in state.members:
-            self._vacant_since_s = math.inf
-            silent_s = self._liveness.silent_s(state.planner) - CLAIM_AFTER_S
-            planner, refused_s = self._refused
-            idle_s = now - refused_s - IDLE_AFTER_S if planner == state.planner else -math.inf
-            return max(silent_s, idle_s) - turn_s
-        self._vacant_since_s = min(self._vacant_since_s, now)
-        return now - self._vacant_since_s - turn_s
+        if state.planner not in state.members:
+            self._vacant_since_s = min(self._vacant_since_s, now)
+            return now - self._vacant_since_s
+        self._vacant_since_s = math.inf
+        planner, refused_s = self._refused
+        idle_s = now - refused_s - IDLE_AFTER_S if planner == state.planner else -math.inf
+        return max(self._liveness.silent_s(state.planner) - CLAIM_AFTER_S, idle_s)
+
+    def _watch_promises(self, state: ClusterState, silent_s: float) -> None:
+        """Ask the voters about a planner that may have to be replaced."""
+        doubtful = state.planner in state.members
+        doubtful = doubtful and silent_s >= self._suspect_after_s - CLAIM_AFTER_S
+        suspects = (state.planner,) if doubtful and self._authority.held() else ()
+        self._attestations.keep(state.members)
+        self._attestations.collect(suspects, {*state.voters, *state.pending_voters})
 
     def _rank(self, state: ClusterState) -> int:
         """Return the number of candidates that claim before this one."""
@@ -262,13 +279,21 @@
     def _may_claim(self, state: ClusterState) -> bool:
         """Return whether a claim could help.
 
-        Without a majority of the voters a claim is useful only when the planner was terminated or
-        no voter is left; otherwise an isolated instance would take the role from a working planner.
+        A planner that only this instance can't reach keeps its promises at a majority of the
+        voters; otherwise two instances without a connection would take the role from each other.
+        Without a majority a claim helps only when the planner was terminated or no voter is left.
         """
-        if self._authority.held() or not effective_voters(state, state.voters):
-            return True
         planner = state.members.get(state.planner)
-        return planner is None or self._is_terminated(state, planner)
+        if not effective_voters(state, state.voters):
+            return True
+        if not self._authority.held():
+            if planner is not None:
+                return self._is_terminated(state, planner)
+            # Instances with authority claim sooner; without any, only a planner can help.
+            return self._vacant_s(state) >= IDLE_AFTER_S
+        if planner is None:
+            return True
+        return has_quorum(state, self._attestations.lapsing(state.planner, self._suspect_after_s))
 
     # Fences
 
@@ -364,7 +389,7 @@
 
     async def _change_voters(self) -> None:
         state = self._replica.state
-        if state.pending_voters and _may_commit(state):
+        if state.pending_voters:
             await self._commit(state)
             return
         eligible = self._eligible(state)
@@ -416,13 +441,19 @@
         state = self._replica.state
         # Servers go to members that answered the last probe, if there are any.
         prompt = self._eligible(state, PRECAUTION_INTERVALS * self._interval_s)
-        body = self._plans.build(state, prompt or self._eligible(state))
+        body = self._plans.build(state, prompt or self._eligible(state), self._unreachable(state))
         if body is None:
             return
         self._appends.spend(1)
         if await self._append(body):
             self._plans.written(body)
 
+    def _unreachable(self, state: ClusterState) -> frozenset[str]:
+        """Return members that hold authority but whose reports can't reach this planner."""
+        return frozenset(
+            name for name in state.members if self._liveness.silent_s(name) >= UNREACHABLE_AFTER_S
+        )
+
     async def _append(self, body: Any) -> bool:
         """Append a record; return whether it came into force."""
         applied = await self._replica.append(body)
@@ -436,9 +467,3 @@
     have given any. A single voter can't be a majority of more, so the first step goes to three.
     """
     return min(MAX_VOTERS, max(FEWEST_SPREAD_VOTERS, 2 * kept - 1))
-
-
-def _may_commit(state: ClusterState) -> bool:
-    """Return whether a majority of the pending voters is left; otherwise others are proposed."""
-    effective = effective_voters(state, state.pending_voters)
-    return is_majority(sum(voter in state.members for voter in effective), len(effective))
--- a/src/hyssopwood/plans.py
+++ b/src/hyssopwood/plans.py
@@ -108,7 +108,12 @@
         """Wait for reports before the first rebalancing of a new epoch."""
         self._rebalance_due_s = self._timers.now() + REBALANCE_INTERVAL_S
 
-    def build(self, state: ClusterState, eligible: Mapping[str, Member]) -> PlanRecord | None:
+    def build(
+        self,
+        state: ClusterState,
+        eligible: Mapping[str, Member],
+        unreachable: frozenset[str] = frozenset(),
+    ) -> PlanRecord | None:
         """Return the plan for this round, or None when nothing has to change."""
         self._usage.follow(state)
         self._follow_coordinations(state)
@@ -116,7 +121,7 @@
         draft = self._placement(state, status)
         body = PlanRecord(
             epoch=state.planner_epoch,
-            coordinators=self._coordinator_changes(state, eligible),
+            coordinators=self._coordinator_changes(state, eligible, unreachable),
             moves=tuple(draft.moves[:MAX_MOVES_PER_PLAN]),
             hot_keys_added=tuple(draft.added),
             hot_keys_removed=tuple(draft.removed),
@@ -197,9 +202,10 @@
     # Coordinators
 
     def _coordinator_changes(
-        self, state: ClusterState, eligible: Mapping[str, Member]
+        self, state: ClusterState, eligible: Mapping[str, Member], unreachable: frozenset[str]
     ) -> tuple[CoordinatorChange, ...]:
-        required = required_coordinators(state, eligible, self._usage.leaving, self._standby)
+        giving_up = self._usage.leaving | unreachable
+        required = required_coordinators(state, eligible, giving_up, self._standby)
         if required:
             return required
         turns = tuple(self._turns(state, eligible))
