--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from hyssopwood.errors import AuthorityLostError, LogError
+from hyssopwood.errors import AuthorityLostError, HyssopwoodError
 from hyssopwood.events import Event, emit
 from hyssopwood.messages import (
     PermitCancel,
@@ -21,7 +21,7 @@
 from hyssopwood.ownership_parts import Parts
 from hyssopwood.permit_desk import OUTCOME_UNKNOWN, PermitDesk, refusal
 from hyssopwood.permits import Permit, PermitBook
-from hyssopwood.records import Grant, GrantedRecord
+from hyssopwood.records import Grant, GrantedRecord, Takeover
 from hyssopwood.server_coordinator import (
     CLEARANCE_RETRY_S,
     LEAVING,
@@ -40,6 +40,7 @@
 GRANT_RECORD_RETRY_S = 0.25
 HAND_OVER_CHECK_S = 0.05
 CATCH_UP_S = 0.1
+RESTART_S = 0.5
 
 
 @define(eq=False)
@@ -100,6 +101,10 @@
             await self._parts.changed.wait(HAND_OVER_CHECK_S)
         return True
 
+    def refresh(self) -> None:
+        """Follow a change of the state that came without a log record."""
+        self._follow(self._parts.state)
+
     # Following the state
 
     def _follow(self, state: ClusterState) -> None:
@@ -145,12 +150,15 @@
     def _new_records(self, state: ClusterState, name: str, server: Server) -> ServerRecords:
         parts = self._parts
         limits = state.limits.get(server.service, ServiceLimits())
+        # A server with a coordinator may have had another address before this instance looked.
+        fresh = name not in state.coordinations
+        settled_at = parts.timers.now() + (0.0 if fresh else self._longest_lease_s())
         return ServerRecords(
             PermitBook(parts.timing.max_message_life_ms / 1000),
             UsageMeter(parts.make_key_counter()),
             parts.make_admission(name, 0, limits.queue),
             server.address,
-            parts.timers.now(),
+            settled_at,
         )
 
     def _longest_lease_s(self) -> float:
@@ -185,29 +193,42 @@
             emit(Event.TASK_FAILED, task=f"coordinator of {coordinator.name}", error=repr(error))
             self._active.pop(coordinator.name, None)
             self._parts.changed.set()
+            self._tasks.start(("restart", coordinator.name), self._restart_failed())
+
+    async def _restart_failed(self) -> None:
+        await self._parts.timers.sleep(RESTART_S)
+        self._follow(self._parts.state)
 
     # Granted records
 
     async def _record_grants(self) -> None:
-        """Record completed moves, all servers of the instance in one record."""
+        """Record completed moves and takeovers, all servers of the instance in one record."""
         while True:
-            grants = self._unrecorded()
-            if not grants or not self._parts.authority.held():
+            record = GrantedRecord(grants=self._unrecorded(), takeovers=self._takeovers())
+            nothing = not (record.grants or record.takeovers)
+            if nothing or not self._parts.authority.held():
                 await self._parts.timers.sleep(GRANT_RECORD_INTERVAL_S)
                 continue
             try:
-                await self._parts.replica.append(GrantedRecord(grants=grants))
-            except LogError:
+                await self._parts.replica.append(record)
+            except HyssopwoodError:
                 await self._parts.timers.sleep(GRANT_RECORD_RETRY_S)
 
     def _unrecorded(self) -> tuple[Grant, ...]:
         done = [
-            Grant(partition=partition, token=token)
+            Grant(partition=partition, token=token, server=active.coordinator.name)
             for active in self._active.values()
             for partition, token in active.coordinator.unrecorded_moves().items()
         ]
         return tuple(done[:MAX_GRANTS_PER_RECORD])
 
+    def _takeovers(self) -> tuple[Takeover, ...]:
+        return tuple(
+            Takeover(server=name, epoch=active.coordinator.epoch)
+            for name, active in self._active.items()
+            if active.coordinator.unrecorded_takeover()
+        )
+
     # Permits
 
     async def _on_permit_request(self, sender: str, request: PermitRequest) -> PermitReply:
@@ -274,6 +295,8 @@
         active = self._active.get(query.server)
         if owner is None or owner.token != query.token or query.server not in owner.awaiting:
             return False
+        if self._parts.unrecorded(query.partition, query.token):
+            return False
         if active is None or self._assigned(state).get(query.server) != active.coordinator.epoch:
             return False
         try:
@@ -291,6 +314,9 @@
         own = current is not None and current.incarnation == self._parts.incarnation
         if own and current.epoch >= query.epoch:
             return ServerReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
+        if self._parts.moved_without_log(query.server):
+            # The next coordinator could not know of these moves.
+            return ServerReleaseReply(False, int(CLEARANCE_RETRY_S * 1000))
         known = self._given_up.get(query.server, NO_EPOCH)
         self._given_up[query.server] = max(known, query.epoch)
         if query.server in self._active:
@@ -313,5 +339,6 @@
         records = self._records.get(server)
         if records is None:
             return 0
-        wait_s = records.book.quiet_at() - self._parts.timers.now()
+        quiet_at = max(records.book.quiet_at(), records.earlier_quiet_at)
+        wait_s = quiet_at - self._parts.timers.now()
         return int(wait_s * 1000) + 1 if wait_s > 0 else 0
--- a/src/hyssopwood/records.py
+++ b/src/hyssopwood/records.py
@@ -112,6 +112,26 @@
     acks: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class OutageMove:
+    """Name a move of a lost server's partition that was made while the log was down.
+
+    `token` is the token of the source's ownership.
+    """
+
+    partition: str
+    source: str
+    target: str
+    token: int
+
+
+@frozen(kw_only=True)
+class OutageMovesRecord:
+    """Record moves that were made while the log was down."""
+
+    moves: tuple[OutageMove, ...]
+
+
 @frozen(kw_only=True)
 class FenceRecord:
     """Remove an incarnation from every role.
@@ -123,14 +143,21 @@
     incarnation: str
     attesters: tuple[str, ...] = ()
     absent: bool = False
+    outage_moves: tuple[OutageMove, ...] = ()
 
 
 @frozen(kw_only=True)
 class Grant:
-    """Name a partition and its fencing token."""
+    """Name a partition and its fencing token.
+
+    `server` is the one whose coordinator writes the record. It matters when the partition is left
+    without an owner: the writer may coordinate several of the awaited servers and have released
+    the partition at only one of them.
+    """
 
     partition: str
     token: int
+    server: str = ""
 
 
 @frozen(kw_only=True)
@@ -168,6 +195,7 @@
     | VotersCommittedRecord
     | FenceRecord
     | GrantedRecord
+    | OutageMovesRecord
     | CheckpointRecord
 )
 
@@ -181,6 +209,7 @@
     "voters_committed": VotersCommittedRecord,
     "fence": FenceRecord,
     "granted": GrantedRecord,
+    "outage_moves": OutageMovesRecord,
     "checkpoint": CheckpointRecord,
 }
 _KINDS = {kind: name for name, kind in _TYPES.items()}
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -33,6 +33,8 @@
 # Pause of the main loop while it has no authority or no session.
 IDLE_S = 0.02
 MIN_PAUSE_S = 0.002
+# A restarted server gets its slots gradually over this time.
+WARM_UP_S = 1.0
 # How long a release query waits for the release at its receiver.
 RELEASE_POLL_S = 0.2
 
@@ -49,6 +51,8 @@
     address_settled_at: float
     leaving_since: float | None = None
     doubts: dict[str, Doubt] = field(factory=dict)
+    # Until then permits of earlier coordinators may start work.
+    earlier_quiet_at: float = -math.inf
 
     def end(self, permit: Permit, now: float, completed: bool = False) -> None:
         """Forget a permit and free its slot."""
@@ -86,12 +90,14 @@
     _failing: bool = field(default=False, init=False)
     _lapse_noted: bool = field(default=False, init=False)
     _checks_fencing: bool = field(default=True, init=False)
+    _last_entry: Server = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         parts = self.parts
         self._signal = Signal(parts.timers)
         self.departures = Departures(self.name, parts.timing.move_freeze_ms / 1000)
-        self._checks_fencing = self._server.checks_fencing
+        self._last_entry = parts.state.servers[self.name]
+        self._checks_fencing = self._last_entry.checks_fencing
         self.session = Session(
             parts.make_channel(self.records.address),
             parts.incarnation,
@@ -128,11 +134,19 @@
             self.taken_over
             and self.reachable()
             and partition in self.held
-            and partition in self.parts.state.ownerships
+            and self._entitled(partition)
             and not self.departures.frozen(partition)
             and not self._leaves_for_good()
         )
 
+    def _entitled(self, partition: str) -> bool:
+        """Return whether the server owns the partition or its release is still awaited.
+
+        A grant may be left over from an earlier life of a hot key, which others don't wait for.
+        """
+        owner = self.parts.state.ownerships.get(partition)
+        return owner is not None and self.name in (owner.server, *owner.awaiting)
+
     def will_serve(self, partition: str) -> bool:
         """Return whether permits for a partition may be issued soon."""
         owner = self.parts.state.ownerships.get(partition)
@@ -165,6 +179,13 @@
                 done[name] = owner.token
         return done
 
+    def unrecorded_takeover(self) -> bool:
+        """Return whether the takeover is complete and the log still awaits predecessors."""
+        current = self.parts.state.coordinations.get(self.name)
+        if current is None or current.epoch != self.epoch or not current.previous:
+            return False
+        return self.taken_over and self.parts.timers.now() >= self.inherited.quiet_at
+
     # Main loop
 
     def stop_permits(self) -> None:
@@ -199,6 +220,7 @@
         now = self.parts.timers.now()
         self._taken_over_at = now
         self.inherited.begin(quiet_at, self._longest_s())
+        self.records.earlier_quiet_at = quiet_at
         self.parts.hooks.taken_over(self.name, self.epoch)
         emit(Event.SERVER_TAKEN_OVER, server=self.name, epoch=self.epoch)
         self._clearances.start("quiet", self._await_quiet(takeover))
@@ -208,6 +230,7 @@
         """Renew as soon as no earlier permit can start work, to learn what still runs."""
         async for quiet_at in takeover.shorter_waits():
             self.inherited.quiet_at = min(self.inherited.quiet_at, quiet_at)
+            self.records.earlier_quiet_at = self.inherited.quiet_at
         await self.parts.timers.sleep(self.inherited.quiet_at - self.parts.timers.now())
         self._renew_at = -math.inf
         self.wake()
@@ -264,6 +287,7 @@
             emit(Event.SERVER_RESTARTED, server=self.name, incarnation=report.incarnation)
             self.inherited.end()
             self._note_crash()
+            self.records.admission.set_cold(WARM_UP_S)
         else:
             emit(Event.SESSION_OPENED, server=self.name, epoch=self.epoch, holds=len(report.holds))
         self.held.clear()
@@ -311,6 +335,8 @@
         if not grant and not release:
             return
         self._granting = set(grant)
+        if any(partition in self.held for partition in grant):
+            self.inherited.superseded |= self.inherited.count(self.parts.timers.now()) > 0
         try:
             holds = await self.session.change(grant, release)
         finally:
@@ -332,7 +358,7 @@
 
     def _leaves_unasked(self, partition: str) -> bool:
         owner = self.parts.state.ownerships.get(partition)
-        return owner is None or not owner.server
+        return owner is None or not owner.server or self.name not in owner.awaiting
 
     def _arriving(self) -> dict[str, int]:
         grant: dict[str, int] = {}
@@ -359,6 +385,7 @@
             self.held.update(grant)
         for partition, token in grant.items():
             if self.held.get(partition) == token:
+                self.book.supersede(partition, token)
                 emit(Event.PARTITION_GRANTED, server=self.name, partition=partition, token=token)
 
     def _start_clearance(self, partition: str, owner: Ownership) -> None:
@@ -412,20 +439,18 @@
         if not self.taken_over or partition in self._granting:
             return False
         self._settle()
-        if self.lapsed() and self._checks_fencing:
-            return True
-        if not self._drained(partition):
+        lapsed = self.lapsed()
+        if not self._drained(partition, lapsed and self._checks_fencing):
             return False
-        if self.lapsed():
+        if lapsed:
             return True
         known = self._report is not None
         return known and partition not in self.held and not self.session.in_doubt(partition)
 
-    def _drained(self, partition: str) -> bool:
-        state = self.parts.state
+    def _drained(self, partition: str, lapsed: bool = False) -> bool:
         if self.inherited.count(self.parts.timers.now()):
             return False
-        return not self.book.blocks(state, partition)
+        return not self.book.blocks(self.parts.state, partition, lapsed)
 
     # Permits that end
 
@@ -438,7 +463,7 @@
 
     def _note_lapse(self, now: float) -> None:
         if self._checks_fencing:
-            self.inherited.end()
+            self.inherited.lapse()
             self.held.clear()
             self._ended(self.book.settle_by_lapse(now))
         if not self._lapse_noted and self._report is not None:
@@ -459,7 +484,9 @@
 
     @property
     def _server(self) -> Server:
-        return self.parts.state.servers[self.name]
+        """Return the server's entry, the last one when a ticket has just removed it."""
+        self._last_entry = self.parts.state.servers.get(self.name, self._last_entry)
+        return self._last_entry
 
     def _server_gone(self) -> bool:
         return self.name not in self.parts.state.servers
