--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -159,10 +159,17 @@
         await asyncio.sleep(0.15)
         context.served = not cluster.lost_assignments()
         context.handed_over = await waiting
+        await asyncio.sleep(0.5)
 
     _run(context, scenario())
 
 
+@then("the log no longer awaits the old coordinator")
+def step_not_awaited(context):
+    for server, current in context.cluster.log.state.coordinations.items():
+        assert not current.previous, f"{server} awaits {current.previous}"
+
+
 @then("another coordinator serves its partitions within 150 ms")
 def step_handed_over(context):
     assert context.handed_over, "the old coordinator still has servers"
@@ -170,6 +177,45 @@
     assert context.served, "partitions were not served in time"
 
 
+@when("a server is killed and the log refuses the appends of all coordinators")
+def step_kill_read_only(context):
+    cluster = context.cluster
+    cluster.log.read_only = True
+
+    async def scenario():
+        state = cluster.log.state
+        context.keys = [
+            key
+            for key in KEYS
+            if state.ownerships[partition_of(state, SERVICE, key)].server == "s0"
+        ]
+        cluster.servers["s0"].restart()
+        cluster.servers["s0"].alive = False
+        await asyncio.sleep(1.5)
+
+    _run(context, scenario())
+
+
+async def _until_admitted(instance, key):
+    """Repeat what the remaining servers refuse for their load; that is not about owners."""
+    for _ in range(20):
+        outcome = await instance.request(key, 0.01)
+        if outcome not in ("would-miss-deadline", "queue-full"):
+            return outcome
+        await asyncio.sleep(0.1)
+    return outcome
+
+
+@then("requests for its keys are answered by other servers")
+def step_answered_elsewhere(context):
+    assert context.keys
+    instance = next(iter(context.cluster.instances.values()))
+    outcomes = {key: _run(context, _until_admitted(instance, key)) for key in context.keys}
+    assert set(outcomes.values()) == {"answered"}, outcomes
+    state = context.cluster.log.state
+    assert any(owner.awaiting for owner in state.ownerships.values()), "a grant was recorded"
+
+
 def _publish(cluster, **changes):
     import json
 
--- a/features/support/ownership_cluster.py
+++ b/features/support/ownership_cluster.py
@@ -306,6 +306,8 @@
             shards=SHARDS,
             operations={"read": Operation(repeatable=True)},
             path_prefix="/portal/",
+            # The fault cases wait for owners; refusals for a short contract would hide that.
+            contract_ms=2_000,
         )
         servers = {
             name: Server(
