Issue no permit for a request that was withdrawn while it waited for a grant

Cause: PermitDesk.withdraw looked for the request in the queue and in the permit book only. A request that waits for its partition's grant, or for the copy of its idempotency key, is in neither; it got a permit afterwards that nobody used, and that held its slot until the request's deadline plus 0.25 s. Entries withdraw such requests whenever their route changes, so a planned move could take every slot of a server for 2 s.

Ruled out: slots held by work (no run_started without run_ended) and a late grant (granted 45 ms before the first refusal). Not ruled out by the records: lost returns of the two requests answered before the refusals.

Before: the new row of request_admission.feature fails, as the permit is granted and its slot stays taken. After: it passes.

--- a/features/request_admission.feature
+++ b/features/request_admission.feature
@@ -15,6 +15,7 @@
       | waits that ignore shedding             | shedding 900, arrive 1 quick 500, refused would-miss-deadline |
       | work for a closed queue                | close, arrive 1 quick 500, refused no-authority |
       | work without time left                 | arrive 1 quick 0, refused deadline-exceeded |
+      | slots held for withdrawn requests      | withdraw-before-grant, counts 0 0 |
       | first come first served                | arrive 2 quick 60000, wait a=x:quick:900:1 b=x:quick:300:1 c=x:quick:600:1, order b c a |
       | short work behind long work            | arrive 2 quick 60000, wait a=x:slow:3000:1 b=x:quick:900:1 c=x:quick:800:1, order c b a |
       | a customer that takes all slots        | arrive 2 quick 60000, wait a=x:quick:500:1 b=x:quick:510:1 c=x:quick:520:1 d=y:quick:530:1, order a d b c |
--- a/features/support/request_admission.py
+++ b/features/support/request_admission.py
@@ -1,14 +1,16 @@
 """Script commands for the queue and slots of one server."""
 
 import asyncio
+import math
 import random
-from unittest.mock import MagicMock
+from unittest.mock import AsyncMock, MagicMock, patch
 
 from hyssopwood.admission import Admission, AdmissionRequest, AdmittedSlot, Refused
 from hyssopwood.durations import Durations
-from hyssopwood.messages import PermitReturn
+from hyssopwood.messages import PermitRequest, PermitReturn
 from hyssopwood.outcomes import Reason
 from hyssopwood.permit_desk import PermitDesk
+from hyssopwood.settings import Timing
 from support.request_script import Script
 
 WORK_S = {"quick": 0.02, "slow": 1.0}
@@ -84,6 +86,28 @@
         returned = PermitReturn(1, "not-run", 0.0, 503)
         PermitDesk(coordinator).give_back(MagicMock(issued_at=0.0), returned)
 
+    def withdraw_before_grant(self):
+        """Withdraw a request that waits for its partition, which is granted afterwards."""
+        granted = asyncio.Event()
+        coordinator = MagicMock()
+        coordinator.serves = lambda _: granted.is_set()
+        coordinator.records.admission = self.queue
+        coordinator.book.of_request.return_value = None
+        parts = coordinator.parts
+        parts.timers, parts.timing, parts.authority.until = self.timers, Timing(), lambda: math.inf
+        parts.state.services = {"portal": MagicMock(weight=1.0, contract_ms=200, operations={})}
+        parts.changed.wait = lambda _: granted.wait()
+        parts.hooks.before = AsyncMock(return_value=None)
+        request = PermitRequest("r", "s1", "portal", "quick", "k", 2000, 0, "", "x")
+        desk = PermitDesk(coordinator)
+        with patch("hyssopwood.permit_desk.partition_of", return_value="portal/0"):
+            asked = self.loop.create_task(desk.request("entry", request))
+            self.run(self.timers.settle())
+            desk.withdraw("entry", "r")
+            granted.set()
+            self.run(self.timers.settle())
+        assert not asked.result().granted
+
     def shedding(self, ms):
         self.queue.set_shedding(self.timers.now() + int(ms) / 1000)
 
--- a/src/hyssopwood/permit_desk.py
+++ b/src/hyssopwood/permit_desk.py
@@ -35,9 +35,20 @@
 
     coordinator: ServerCoordinator
     _queued: dict[str, str] = field(factory=dict, init=False)
+    _asking: set[tuple[str, str]] = field(factory=set, init=False)
+    _withdrawn: set[tuple[str, str]] = field(factory=set, init=False)
 
     async def request(self, sender: str, request: PermitRequest) -> PermitReply:
         """Return a permit, a stored response or a refusal."""
+        asked = (sender, request.request_id)
+        self._asking.add(asked)
+        try:
+            return await self._answer(sender, request)
+        finally:
+            self._asking.discard(asked)
+            self._withdrawn.discard(asked)
+
+    async def _answer(self, sender: str, request: PermitRequest) -> PermitReply:
         parts = self.coordinator.parts
         received = parts.timers.now()
         deadline = received + request.deadline_ms / 1000
@@ -69,7 +80,9 @@
         coordinator.end_permit(permit, completed=returned.outcome != OUTCOME_NOT_RUN)
 
     def withdraw(self, sender: str, request_id: str) -> None:
-        """Drop a queued request, or a permit that never reached its entry."""
+        """Drop a request in progress, or a permit that never reached its entry."""
+        if (sender, request_id) in self._asking:
+            self._withdrawn.add((sender, request_id))
         self.coordinator.records.admission.cancel(request_id)
         permit = self.coordinator.book.of_request(sender, request_id)
         if permit is not None and not permit.abandoned:
@@ -120,11 +133,15 @@
             unserved = await self._await_service(request, deadline)
             if unserved is not None:
                 return unserved
+            if (sender, request.request_id) in self._withdrawn:
+                # A permit for it would hold its slot until the deadline.
+                return refusal(Reason.DEADLINE_EXCEEDED, "the request was withdrawn")
             result = await self._acquire(request, deadline)
             if isinstance(result, Refused):
                 return self._refused(request, result)
+            withdrawn = (sender, request.request_id) in self._withdrawn
             # The wait for the slot may have outlasted the authority or the partition.
-            if self._refusal_now(request) is None:
+            if not withdrawn and self._refusal_now(request) is None:
                 return self._issue(sender, request, received, deadline, result)
             self.coordinator.records.admission.release(result, 0.0, False)
 
