--- a/src/hyssopwood_standins/fault_runs.py
+++ b/src/hyssopwood_standins/fault_runs.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from itertools import product
 from pathlib import Path
 from typing import Any, TypeAlias
 
@@ -262,11 +263,12 @@
 
 
 async def _run_all(arguments: argparse.Namespace, directory: Path) -> list[dict[str, Any]]:
+    # A run keeps its seed when others are left out.
     jobs = [
-        (name, unfenced)
-        for name in FAULTS
-        for unfenced in (False, True)
-        if arguments.only in name and (not unfenced or arguments.unfenced or name in UNFENCED_TOO)
+        (index, name, unfenced)
+        for index, (name, unfenced) in enumerate(product(FAULTS, (False, True)))
+        if any(part in name for part in arguments.only or [""])
+        and (not unfenced or arguments.unfenced or name in UNFENCED_TOO)
     ]
     slots = asyncio.Semaphore(arguments.jobs)
     until = time.monotonic() + arguments.time_limit_s
@@ -282,7 +284,7 @@
             except (DeploymentError, TimeoutError, OSError, ExceptionGroup) as error:
                 return {"fault": name, "seed": seed, "violations": [f"failed: {error!r}"]}
 
-    return list(await asyncio.gather(*(run(i, *job) for i, job in enumerate(jobs))))
+    return list(await asyncio.gather(*(run(*job) for job in jobs)))
 
 
 COLUMNS = ("unavailable_ms", "requests", "not_run", "unknown", *report.FORBIDDEN)
@@ -300,12 +302,12 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the options of the fault runs."""
-    parser.add_argument("--only", default="", help="run only the faults whose name contains this")
+    parser.add_argument("--only", action="append", help="run only faults whose name contains this")
     parser.add_argument(
         "--unfenced", action="store_true", help="also with a server without fencing"
     )
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--jobs", type=int, default=3, help="runs at the same time")
+    parser.add_argument("--jobs", type=int, default=4, help="runs at the same time")
     parser.add_argument("--time-limit-s", type=float, default=TIME_LIMIT_S - RUN_LIMIT_S)
     parser.add_argument("--output", type=Path, default=OUTPUT)
     parser.add_argument("--keep", type=Path, help="directory for logs and records, kept afterwards")
