--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 docs-check: $(STAMP)
 	$(PY) scripts/docs_check.py
 
-test: lint
+test: lint docs-check
 	$(PY) scripts/run_tests.py
 
 demo: $(STAMP)
