Build usage reports only when they are due

The membership and the outage task built every server's full usage, hot keys included, 20 times a second to see its status.

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -157,6 +157,7 @@
         node.peers.on(UsageReport, lambda sender, report: _take(context, report))
     context.status, context.reply = "up", Ack()
     context.membership._usage = lambda: (ServerUsage("s0", context.status, 0.0, (), ()),)
+    context.membership._statuses = lambda: (("s0", context.status),)
     _advance(context, 0.1)
     cluster.log.state = evolve(cluster.log.state, planner=planner.incarnation)
     step_has_joined(context)
--- a/features/support/outage_cell.py
+++ b/features/support/outage_cell.py
@@ -6,7 +6,6 @@
 from attrs import evolve
 
 from hyssopwood.errors import LogUnavailableError, PeerUnavailableError
-from hyssopwood.messages import ServerUsage
 from hyssopwood.outage_moves import OutageMoves
 from hyssopwood.records import FenceRecord, LogRecord, OutageMove, OutageMovesRecord
 from hyssopwood.settings import Timing
@@ -103,13 +102,13 @@
             authority,
             timers,
             Timing(),
-            lambda: self._usage(name),
+            lambda: self._statuses(name),
             lambda: None,
         )
 
-    def _usage(self, name):
+    def _statuses(self, name):
         server = self.lost.get(name)
-        return (ServerUsage(server, STATUS_DOWN, 0.0, (), ()),) if server else ()
+        return ((server, STATUS_DOWN),) if server else ()
 
     def raise_membership_offset(self, *names):
         for name in names:
--- a/features/support/planner_fakes.py
+++ b/features/support/planner_fakes.py
@@ -262,6 +262,7 @@
             cluster.platform,
             timers,
             self.usage,
+            lambda: tuple((item.server, item.status) for item in self.usage()),
             self._lose,
             note_report=lambda planner, accepted: self.planner.note_report(planner, accepted),
         )
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -80,6 +80,10 @@
         """Return status and load of each coordinated server."""
         return tuple(item.coordinator.usage() for item in self._active.values())
 
+    def statuses(self) -> tuple[tuple[str, str], ...]:
+        """Return the status of each coordinated server."""
+        return tuple((name, item.coordinator.status()) for name, item in self._active.items())
+
     async def run(self) -> None:
         """Follow the state until cancelled."""
         self._tasks.start("granted records", self._record_grants())
--- a/src/hyssopwood/incarnation.py
+++ b/src/hyssopwood/incarnation.py
@@ -75,7 +75,7 @@
             self.authority,
             timers,
             settings.timing,
-            lambda: self.coordinators.usage(),
+            lambda: self.coordinators.statuses(),
             self._note_change,
         )
         self.peers.on(PositionRequest, self._on_position_request)
@@ -136,6 +136,7 @@
             self.log,
             self.timers,
             self.coordinators.usage,
+            self.coordinators.statuses,
             self.on_lost,
         )
 
--- a/src/hyssopwood/membership.py
+++ b/src/hyssopwood/membership.py
@@ -93,6 +93,7 @@
         platform: InstanceListClient,
         timers: Timers,
         usage: Callable[[], tuple[ServerUsage, ...]],
+        statuses: Callable[[], tuple[tuple[str, str], ...]],
         on_lost: Callable[[str], Awaitable[None]],
         note_report: Callable[[str, bool], None] = lambda planner, accepted: None,
     ) -> None:
@@ -102,6 +103,7 @@
         self._platform = platform
         self._timers = timers
         self._usage = usage
+        self._statuses = statuses
         self._on_lost = on_lost
         self.note_report = note_report
         self._joined = False
@@ -200,13 +202,12 @@
             planner = self._replica.state.planner
             if not self._joined or planner not in self._replica.state.members:
                 continue
-            servers = self._usage()
             # Status changes and a new planner can't wait for the next periodic report.
-            key = (planner, self._leaving, tuple((s.server, s.status) for s in servers))
+            key = (planner, self._leaving, self._statuses())
             # Half a check interval absorbs rounding errors, which would delay each report by one.
             if key == self._sent and now + CHECK_INTERVAL_S / 2 < self._report_due_s:
                 continue
-            report = UsageReport(self._settings.instance, servers, self._leaving)
+            report = UsageReport(self._settings.instance, self._usage(), self._leaving)
             accepted = await self._send(planner, report)
             self.note_report(planner, accepted)
             self._sent = key
--- a/src/hyssopwood/outage_moves.py
+++ b/src/hyssopwood/outage_moves.py
@@ -23,7 +23,6 @@
     OutageMove,
     OutageMovesNotice,
     OutageMovesRequest,
-    ServerUsage,
 )
 from hyssopwood.records import OutageMove as RecordedMove
 from hyssopwood.records import OutageMovesRecord
@@ -143,7 +142,7 @@
     _authority: Authority
     _timers: Timers
     _timing: Timing
-    _usage: Callable[[], tuple[ServerUsage, ...]]
+    _statuses: Callable[[], tuple[tuple[str, str], ...]]
     _on_change: Callable[[], None]
     _in_force: dict[str, OutageMove] = field(factory=dict, init=False)
     _kept: dict[str, dict[str, OutageMove]] = field(factory=dict, init=False)
@@ -286,7 +285,7 @@
                 del self._kept[name]
 
     async def _move_lost(self) -> None:
-        lost = {usage.server for usage in self._usage() if usage.status == STATUS_DOWN}
+        lost = {server for server, status in self._statuses() if status == STATUS_DOWN}
         moves = tuple(self._needed(lost))[:MAX_MOVES_PER_MESSAGE]
         if not moves or not await self._keep_at_voters(moves):
             return
--- a/src/hyssopwood/server_coordinator.py
+++ b/src/hyssopwood/server_coordinator.py
@@ -154,13 +154,17 @@
             return False
         return owner.server == self.name or self.departures.frozen(partition)
 
+    def status(self) -> str:
+        """Return whether the server is lost, which costs less than all of its usage."""
+        return STATUS_DOWN if self._failing and self.lapsed() else STATUS_UP
+
     def usage(self) -> ServerUsage:
         """Return status and load of the server."""
         now = self.parts.timers.now()
         partitions = self.records.meter.partitions(self._server.slots, now)
         return ServerUsage(
             self.name,
-            STATUS_DOWN if self._failing and self.lapsed() else STATUS_UP,
+            self.status(),
             min(1.0, sum(item.busy_ratio for item in partitions)),
             partitions,
             self.records.meter.hot_keys(),
