--- a/features/support/request_admission.py
+++ b/features/support/request_admission.py
@@ -9,7 +9,7 @@
 from hyssopwood.durations import Durations
 from hyssopwood.messages import PermitRequest, PermitReturn
 from hyssopwood.outcomes import Reason
-from hyssopwood.permit_desk import PermitDesk
+from hyssopwood.permit_issuer import PermitIssuer
 from hyssopwood.settings import Timing
 from support.request_script import Script
 
@@ -84,7 +84,7 @@
         coordinator.parts.timers, coordinator.records.admission = self.timers, self.queue
         coordinator.end_permit = lambda *_, **__: self.queue.release(slot, 0.0, completed=False)
         returned = PermitReturn(1, "not-run", 0.0, 503)
-        PermitDesk(coordinator).give_back(MagicMock(issued_at=0.0), returned)
+        PermitIssuer(coordinator).give_back(MagicMock(issued_at=0.0), returned)
 
     def withdraw_before_grant(self):
         """Withdraw a request that waits for its partition, which is granted afterwards."""
@@ -99,8 +99,8 @@
         parts.changed.wait = lambda _: granted.wait()
         parts.hooks.before = AsyncMock(return_value=None)
         request = PermitRequest("r", "s1", "portal", "quick", "k", 2000, 0, "", "x")
-        desk = PermitDesk(coordinator)
-        with patch("hyssopwood.permit_desk.partition_of", return_value="portal/0"):
+        desk = PermitIssuer(coordinator)
+        with patch("hyssopwood.permit_issuer.partition_of", return_value="portal/0"):
             asked = self.loop.create_task(desk.request("entry", request))
             self.run(self.timers.settle())
             desk.withdraw("entry", "r")
--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -19,7 +19,7 @@
 )
 from hyssopwood.outcomes import Reason
 from hyssopwood.ownership_parts import Parts
-from hyssopwood.permit_desk import OUTCOME_UNKNOWN, PermitDesk, refusal
+from hyssopwood.permit_issuer import OUTCOME_UNKNOWN, PermitIssuer, refusal
 from hyssopwood.permits import Permit, PermitBook
 from hyssopwood.records import Grant, GrantedRecord, Takeover
 from hyssopwood.server_coordinator import (
@@ -48,7 +48,7 @@
     """One coordinated server."""
 
     coordinator: ServerCoordinator
-    desk: PermitDesk
+    issuer: PermitIssuer
 
 
 class Coordinators:
@@ -120,7 +120,7 @@
             self._start(name, epoch)
         for active in self._active.values():
             active.coordinator.wake()
-            active.desk.refuse_moved()
+            active.issuer.refuse_moved()
         self._parts.changed.set()
 
     def _assigned(self, state: ClusterState) -> dict[str, int]:
@@ -175,9 +175,9 @@
             return
         self._stop(name)
         coordinator = ServerCoordinator(self._parts, name, epoch, self._records[name])
-        desk = PermitDesk(coordinator)
-        coordinator.served_changed = desk.refuse_moved
-        self._active[name] = _Active(coordinator, desk)
+        issuer = PermitIssuer(coordinator)
+        coordinator.served_changed = issuer.refuse_moved
+        self._active[name] = _Active(coordinator, issuer)
         self._tasks.start(("server", name, epoch), self._supervise(coordinator))
         emit(Event.COORDINATOR_CHANGED, server=name, epoch=epoch)
 
@@ -187,7 +187,7 @@
             return
         active.coordinator.stop_permits()
         self._tasks.stop(("server", name, active.coordinator.epoch))
-        active.desk.refuse_moved()
+        active.issuer.refuse_moved()
         self._parts.changed.set()
 
     async def _supervise(self, coordinator: ServerCoordinator) -> None:
@@ -240,7 +240,7 @@
         active = self._active.get(request.server)
         if active is None:
             return refusal(Reason.MOVED, f"{request.server!r:.60} is not coordinated here")
-        return await active.desk.request(sender, request)
+        return await active.issuer.request(sender, request)
 
     async def _catch_up(self, position: int) -> None:
         """Wait briefly for records that the sender has applied and this instance hasn't."""
@@ -261,7 +261,7 @@
     def _give_back(self, name: str, permit: Permit, returned: PermitReturn) -> None:
         active = self._active.get(name)
         if active is not None:
-            active.desk.give_back(permit, returned)
+            active.issuer.give_back(permit, returned)
             active.coordinator.wake()
             return
         records = self._records[name]
@@ -272,7 +272,7 @@
 
     async def _on_permit_cancel(self, sender: str, cancel: PermitCancel) -> None:
         for active in self._active.values():
-            active.desk.withdraw(sender, cancel.request_id)
+            active.issuer.withdraw(sender, cancel.request_id)
 
     def _on_peer_lost(self, incarnation: str) -> None:
         for records in self._records.values():
--- a/src/hyssopwood/dispatch.py
+++ b/src/hyssopwood/dispatch.py
@@ -179,7 +179,7 @@
 
 
 @define(eq=False)
-class _Patience:
+class _RecheckSchedule:
     """Bound how long one request waits for an owner."""
 
     until: float
@@ -296,7 +296,7 @@
         self._budget.note_request()
         base = f"{self._id_prefix}.{next(self._sequence)}"
         digest = digest_of(request)
-        patience = _Patience(min(request.deadline, self._timers.now() + OWNER_WAIT_S))
+        schedule = _RecheckSchedule(min(request.deadline, self._timers.now() + OWNER_WAIT_S))
         for number in range(MAX_ATTEMPTS):
             route = self._router.route(request.service, request.key)
             outcome = await self._attempt(request, route, f"{base}#{number}", digest)
@@ -306,7 +306,7 @@
                 doubts.append(outcome)
                 again = await self._may_repeat(request, outcome)
             else:
-                again = outcome.reason in _MOVING and await self._moved(request, route, patience)
+                again = outcome.reason in _MOVING and await self._moved(request, route, schedule)
             if not again:
                 return outcome
         return outcome
@@ -446,24 +446,24 @@
         return self._timers.now() < request.deadline
 
     async def _moved(
-        self, request: CallerRequest, tried: Route | None, patience: _Patience
+        self, request: CallerRequest, tried: Route | None, schedule: _RecheckSchedule
     ) -> bool:
         """Wait for another owner; return whether another attempt makes sense."""
         if self._waiting >= MAX_WAITING:
             return False
         self._waiting += 1
         try:
-            with self._wait_limits.limit(patience.until):
-                return await self._wait_for_owner(request, tried, patience)
+            with self._wait_limits.limit(schedule.until):
+                return await self._wait_for_owner(request, tried, schedule)
         except WaitExpiredError:
             return False
         finally:
             self._waiting -= 1
 
     async def _wait_for_owner(
-        self, request: CallerRequest, tried: Route | None, patience: _Patience
+        self, request: CallerRequest, tried: Route | None, schedule: _RecheckSchedule
     ) -> bool:
-        recheck = self._sleep_once(patience.next_recheck_s(self._rng))
+        recheck = self._sleep_once(schedule.next_recheck_s(self._rng))
         try:
             while True:
                 version = self._router.version
--- a/src/hyssopwood/key_replication.py
+++ b/src/hyssopwood/key_replication.py
@@ -19,6 +19,7 @@
     IdempotencyCopy,
     IdempotencySynced,
 )
+from hyssopwood.peers import StateSource
 from hyssopwood.settings import Timing
 from hyssopwood.state import NO_EPOCH, ClusterState, Coordination, partition_of
 from hyssopwood.timers import Timers
@@ -48,15 +49,6 @@
         ...
 
 
-class StateSource(Protocol):
-    """Source of the state in force."""
-
-    @property
-    def state(self) -> ClusterState:
-        """Return the state in force."""
-        ...
-
-
 def standby_of(state: ClusterState, server: str, coordinator: str) -> str:
     """Return the instance that keeps copies for a server's coordinator, empty without one.
 
--- a/src/hyssopwood/permit_guard.py
+++ b/src/hyssopwood/permit_guard.py
@@ -10,9 +10,10 @@
 
 from hyssopwood.events import Event, emit
 from hyssopwood.idempotency import Begun, KeyRefused, Stored
-from hyssopwood.key_replication import KeyReplication, StateSource
+from hyssopwood.key_replication import KeyReplication
 from hyssopwood.messages import PermitReply, PermitRequest, PermitReturn, SuspectReport
 from hyssopwood.outcomes import Reason
+from hyssopwood.peers import StateSource
 from hyssopwood.poison import Suspects, Trials
 from hyssopwood.settings import Timing
 from hyssopwood.state import partition_of
--- a/src/hyssopwood/permit_desk.py
+++ b/src/hyssopwood/permit_issuer.py
@@ -30,7 +30,7 @@
 
 
 @define(eq=False)
-class PermitDesk:
+class PermitIssuer:
     """Issue the permits of one server and take them back."""
 
     coordinator: ServerCoordinator
