--- a/src/hyssopwood/daemon.py
+++ b/src/hyssopwood/daemon.py
@@ -22,7 +22,7 @@
 from hyssopwood.routes import Routes
 from hyssopwood.settings import Settings
 from hyssopwood.state import ClusterState
-from hyssopwood.status import instance_status
+from hyssopwood.status import instance_status, set_gauges
 from hyssopwood.supervisor import Child, Supervisor
 from hyssopwood.timers import SystemTimers
 
@@ -72,7 +72,7 @@
             self._routes.services,
             timers,
             readiness=self.readiness,
-            metrics=self._metrics.exposition,
+            metrics=self._exposition,
             status=self._status,
             observe=self._observe,
             options=EntryOptions(limits=settings.limits),
@@ -171,6 +171,11 @@
         self._metrics.observe("request", service, seconds)
         self._metrics.count("requests", f"{service}/{outcome}")
 
+    def _exposition(self) -> bytes:
+        if self._incarnation is not None:
+            set_gauges(self._metrics, self._incarnation)
+        return self._metrics.exposition()
+
     def _status(self) -> dict[str, Any]:
         return instance_status(
             self.settings, self._incarnation, self.readiness(), self._entry.in_flight, self._metrics
--- a/src/hyssopwood/status.py
+++ b/src/hyssopwood/status.py
@@ -10,6 +10,7 @@
 from hyssopwood.incarnation import Incarnation
 from hyssopwood.metrics import Metrics
 from hyssopwood.settings import Settings
+from hyssopwood.state import STATUS_UP
 
 MS_PER_S = 1000
 
@@ -59,3 +60,23 @@
         }
         for service, durations in metrics.durations("request").items()
     }
+
+
+def set_gauges(metrics: Metrics, incarnation: Incarnation) -> None:
+    """Set the gauges of an instance's view of the cluster, before they are exposed.
+
+    Counts start again with each incarnation.
+    """
+    state = incarnation.replica.state
+    metrics.set("ticket_number", state.ticket_number)
+    metrics.set("log_offset", state.applied)
+    metrics.set("log_reachable", float(incarnation.replica.log_reachable))
+    metrics.set("authority_held", float(incarnation.authority.held()))
+    metrics.set("members", len(state.members))
+    for kind, count in incarnation.replica.budget.appended.items():
+        metrics.set("appends", count, kind)
+    waiting = sum(1 for owner in state.ownerships.values() if owner.awaiting or not owner.server)
+    metrics.set("partitions_moving", waiting)
+    for usage in incarnation.coordinators.usage():
+        metrics.set("server_busy_ratio", usage.busy_ratio, usage.server)
+        metrics.set("server_up", float(usage.status == STATUS_UP), usage.server)
