--- a/src/hyssopwood/coordinator.py
+++ b/src/hyssopwood/coordinator.py
@@ -78,7 +78,11 @@
 
     def usage(self) -> tuple[ServerUsage, ...]:
         """Return status and load of each coordinated server."""
-        return tuple(item.coordinator.usage() for item in self._active.values())
+        # A ticket may have removed a server whose task has yet to see it.
+        servers = self._parts.state.servers
+        return tuple(
+            item.coordinator.usage() for name, item in self._active.items() if name in servers
+        )
 
     def statuses(self) -> tuple[tuple[str, str], ...]:
         """Return the status of each coordinated server."""
