Count only requests that the stopping instance had read as cut off

Cause: the scenario of the shutdown failed once with 'Connection reset by peer'. Played 28 times with each request traced, it failed once more: that request was on a new connection that the closing listener reset before it was accepted, 2 ms after it was opened; the instance had read nothing of it. Callers may send such a request again, so the case is allowed. Ruled out: a cut of requests that were read; none in 28 runs. The scenario names the requests that the instance took; it now knows them by id. It still fails if the listener stays open until the process ends.

--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import time
+from unittest.mock import patch
 
 import aiohttp
 from behave import given, then, when
 
+from hyssopwood.gateway.caller_connection import CallerConnection
 from hyssopwood.keyspace.plan import KEY_COUNT
 from hyssopwood_standins.key_server import KeyServer
 from support.gateway_deployment import Deployment
@@ -89,16 +91,21 @@
 def step_stop_under_load(context, name):
     deployment = context.deployment
     instance = deployment.instances[name]
-    context.cut = []
+    context.cut = {}
+    context.taken = set()
+    read_whole = CallerConnection.on_message_complete
+
+    def note_taken(connection):
+        context.taken.add(dict(connection._reading.head.headers)[b"request-id"].decode())
+        read_whole(connection)
 
     async def call(number):
+        request_id = f"stop{number}"
         try:
-            await deployment.send(instance, number * 23_757 % KEY_COUNT, method="POST")
-        except aiohttp.ClientConnectorError:
-            # Nothing was taken: the listener is closed.
-            return
+            key = number * 23_757 % KEY_COUNT
+            await deployment.send(instance, key, method="POST", request_id=request_id)
         except aiohttp.ClientError as error:
-            context.cut.append(repr(error))
+            context.cut[request_id] = repr(error)
 
     async def stop():
         began = time.monotonic()
@@ -115,13 +122,16 @@
         await asyncio.gather(*calls)
         return ended
 
-    context.stopped_after = context.run(stop())
+    with patch.object(CallerConnection, "on_message_complete", note_taken):
+        context.stopped_after = context.run(stop())
 
 
 @then("none of the requests that it took was cut off")
 def step_none_cut(context):
     assert len(context.deployment.answers) > 30
-    assert not context.cut, context.cut[:3]
+    # A connection that the listener's close resets before it is accepted has carried nothing.
+    cut = {key: error for key, error in context.cut.items() if key in context.taken}
+    assert len(context.taken) > 30 and not cut, cut
 
 
 @then("every request was answered by the server that holds its key")
--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -138,12 +138,12 @@
                 self.store.put("keyed.servers", name, server.entry(state))
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def send(self, instance, key, path="/pigs/x", method="GET"):
+    async def send(self, instance, key, path="/pigs/x", method="GET", request_id=None):
         """Send a request and note the answer, its key and who held the key then.
 
         The client repeats a GET by itself when its connection is cut, but not a POST.
         """
-        request_id = f"r{next(self.ids)}"
+        request_id = request_id or f"r{next(self.ids)}"
         headers = {
             "Host": "shop.example",
             "Request-Id": request_id,
