Send linked instances only what they lack

A new leader sent the registrations of 377 servers, the plan and the list of instances to each of 84 instances at once, some 4 MB over a link of 10 Mbit/s; its beats came after 0.95 s, so the links counted as lost and the next instance claimed. Ruled out: the store (it refused one machine only) and frozen processes (the links ended by time-out or found no connection, none by a reset). Change: beats name a digest of the registrations and the plan's version. An instance that differs reads the store itself, and asks the leader only when the store doesn't answer; the leader serves two such asks a beat. Changes of the plan go to every link, and those that an instance missed when it links. Three scenarios; the one of the registrations fails with a push at each link.

--- a/features/gateway_feeds.feature
+++ b/features/gateway_feeds.feature
@@ -19,6 +19,19 @@
     When the leader falls silent and server "s1" drains
     Then the instance knows within 1.5 s that server "s1" drains
 
+  Scenario Outline: An instance whose registrations differ from the leader's reads them anew
+    Guards against servers that an instance never learns of, and against a leader whose link is
+    choked as it sends all registrations to each instance (trouble-1 on beridze-gw-grown: eight
+    leaders in 30 s).
+    Given an instance that follows servers, with a leader
+    When the leader knows other servers and the store <answers>
+    Then the instance has read the store <calls> times and asked the leader <asked> times
+
+    Examples:
+      | answers               | calls | asked |
+      | answers               | 1     | 0     |
+      | refuses this instance | 3     | 3     |
+
   Scenario Outline: Records of servers count by start and sequence
     Guards against an old heartbeat that brings a server back or hides that it leaves.
     Given a directory that took the records "<records>"
--- a/features/gateway_queue.feature
+++ b/features/gateway_queue.feature
@@ -144,3 +144,21 @@
     Then the leader's list names "i4,leader"
     And instance "i4" was told that "i1,i2,i3" left
     And no task of the leader failed
+
+  Scenario: A leader sends registrations only to instances that ask for them
+    Guards against a leader whose link is choked by what the instances know already, so that its
+    beats come late and it is replaced (trouble-1 on beridze-gw-grown: eight leaders in 30 s).
+    Given a leader with links of instances "i1,i2,i3,i4"
+    When instance "i2" asks for all registrations
+    And the leader has sent beats for 0.7 s
+    Then only instance "i2" was sent registrations
+    And no message but those had more than 200 bytes
+
+  Scenario: Changes of the plan reach linked instances, and those that link later
+    Guards against requests to former owners: a first plan that fails to be sent, and changes that an
+    instance missed while it had no link.
+    Given a leader with links of instances "i1,i2"
+    When the leader publishes changes of the plan from -1 to 3, 3 to 5, 5 to 8
+    Then every linked instance has plan 8
+    And an instance that links with plan 3 gets plan 8
+    And an instance that links with plan 2 gets plan 2
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 from behave import given, then, when
 
-from hyssopwood.errors import InputError
+from hyssopwood.errors import InputError, LogUnavailableError
 from hyssopwood.gateway.feeds import (
     ConfigurationFollower,
     ServerChanges,
@@ -37,12 +37,17 @@
 
 
 class _Leader:
-    def __init__(self):
+    def __init__(self, digest=lambda: 0):
         self.version = 5
         self.silent = False
+        self.digest = digest
+        self.asked = 0
 
     def news(self):
-        return None if self.silent else Beat(0.1, self.version, 0.1)
+        return None if self.silent else Beat(0.1, self.version, 0.1, self.digest())
+
+    def ask_servers(self):
+        self.asked += 1
 
     async def wait_beat(self):
         await asyncio.sleep(0.05)
@@ -67,12 +72,17 @@
 class _Servers:
     def __init__(self):
         self.record = RECORD
+        self.calls = 0
+        self.refuses = False
 
     def relist(self):
         pass
 
     async def next(self, wait_s):
         await asyncio.sleep(0.005)
+        self.calls += 1
+        if self.refuses:
+            raise LogUnavailableError("refused")
         self.record = evolve(self.record, sequence=self.record.sequence + 1)
         return ServerChanges((self.record,), frozenset({self.record.server}))
 
@@ -122,9 +132,9 @@
 
 @given("an instance that follows servers, with a leader")
 def step_follow_servers(context):
-    context.leader = _Leader()
     context.server_feed = _Servers()
     context.directory = ServerDirectory()
+    context.leader = _Leader(context.directory.digest)
     context.directory.put(RECORD)
     follower = ServerFollower(
         context.server_feed, context.directory, SystemTimers(), context.leader
@@ -143,6 +153,20 @@
     context.server_feed.record = evolve(context.server_feed.record, draining=True)
 
 
+@when("the leader knows other servers and the store {answers}")
+def step_differs(context, answers):
+    context.server_feed.refuses = answers == "refuses this instance"
+    context.server_feed.calls = 0
+    context.leader.digest = lambda: -1
+    context.run(asyncio.sleep(1.8))
+
+
+@then("the instance has read the store {calls:d} times and asked the leader {asked:d} times")
+def step_read_and_asked(context, calls, asked):
+    assert context.server_feed.calls == calls, context.server_feed.calls
+    assert context.leader.asked == asked, context.leader.asked
+
+
 @then('the instance knows within {seconds:g} s that server "{name}" drains')
 def step_knows(context, seconds, name):
     context.run(_within(seconds, lambda: context.directory.get(name).draining))
--- a/features/steps/gateway_queue_steps.py
+++ b/features/steps/gateway_queue_steps.py
@@ -1,6 +1,7 @@
 """Steps for the queues that all instances share."""
 
 import asyncio
+from unittest.mock import patch
 
 import uvloop
 from attrs import evolve
@@ -21,8 +22,11 @@
     Rejected,
     SharedQueue,
 )
+from hyssopwood.keyspace import link
 from hyssopwood.keyspace.link import LeaderLink, LeaderView, LinkServer
 from hyssopwood.keyspace.link_codec import Hello, Report
+from hyssopwood.keyspace.link_codec import encode as encode_link
+from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Plan, PlanChange
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import SystemTimers
 from support.gateway_deployment import free_addresses
@@ -452,19 +456,28 @@
     def __init__(self, name, leader_address, timers):
         self.record = InstanceRecord(name, f"{name}:1", "a")
         self.instances = InstanceList(self.record)
+        self.updates = []
+        self.plan = None
         self.link = LeaderLink(
             timers,
-            Hello(self.record, "1"),
-            lambda plan, source: True,
-            lambda: None,
+            self._hello,
+            self._offer,
+            lambda: self.plan,
             lambda: Report({}, {}),
             lambda: Report({}, {}),
-            lambda update: None,
+            self.updates.append,
             lambda pause: None,
             self.instances.apply,
         )
         self.task = asyncio.ensure_future(self.link.follow(leader_address, lambda beat: True))
 
+    def _offer(self, plan, source):
+        self.plan = plan
+        return True
+
+    def _hello(self):
+        return Hello(self.record, "1", -1, self.instances.digest())
+
 
 @given('a leader with links of instances "{names}"')
 def step_leader(context, names):
@@ -479,9 +492,9 @@
     context.link_server = LinkServer(
         address,
         timers,
-        lambda: LeaderView(0.0, 1, 0.0),
+        lambda: LeaderView(0.0, 1, 0.0, 7, -1),
         lambda: None,
-        tuple,
+        lambda: tuple(_record(f"s{number}", 2) for number in range(400)),
         lambda report: None,
         lambda hello: None,
         context.leader_list,
@@ -529,3 +542,73 @@
 @then("no task of the leader failed")
 def step_no_failure(context):
     assert not context.failures, context.failures
+
+
+@when("the leader has sent beats for {seconds:g} s")
+def step_beats(context, seconds):
+    sent = context.sent = []
+    write = link._write
+
+    def count(writer, message):
+        sent.append((type(message).__name__, len(encode_link(message))))
+        write(writer, message)
+
+    async def beat():
+        running = asyncio.ensure_future(context.link_server.run())
+        await asyncio.sleep(seconds)
+        running.cancel()
+
+    with patch.object(link, "_write", count):
+        context.loop_of_links.run_until_complete(beat())
+
+
+@when('instance "{name}" asks for all registrations')
+def step_ask_registrations(context, name):
+    context.loop_of_links.call_soon(context.linked[name].link.ask_servers)
+
+
+@then('only instance "{name}" was sent registrations')
+def step_sent_registrations(context, name):
+    for other, item in context.linked.items():
+        assert len(item.updates) == (other == name), (other, len(item.updates))
+    assert len(context.linked[name].updates[0].present) == 400
+
+
+@then("no message but those had more than {most:d} bytes")
+def step_small(context, most):
+    assert len([kind for kind, _ in context.sent if kind == "Beat"]) >= 4
+    large = {kind for kind, size in context.sent if size > most}
+    assert large == {"ServerUpdate"}, large
+
+
+@when("the leader publishes changes of the plan from {text}")
+def step_publish_changes(context, text):
+    async def publish():
+        for item in text.split(", "):
+            base, version = (int(number) for number in item.split(" to "))
+            keys = KeyRange(0, KEY_COUNT - 1, f"s{version}", 1, version)
+            context.link_server.publish(PlanChange(base, version, ((SERVICE, keys),)))
+        await asyncio.sleep(0.1)
+
+    context.loop_of_links.run_until_complete(publish())
+
+
+@then("every linked instance has plan {version:d}")
+def step_plan_version(context, version):
+    plans = {name: item.plan and item.plan.version for name, item in context.linked.items()}
+    assert set(plans.values()) == {version}, plans
+
+
+@then("an instance that links with plan {version:d} gets plan {newest:d}")
+def step_late_link(context, version, newest):
+    async def follow():
+        address = context.listener.sockets[0].getsockname()
+        late = _LinkedInstance("late", f"{address[0]}:{address[1]}", SystemTimers())
+        late.plan = Plan(version, {})
+        late._hello = lambda: Hello(late.record, "1", version, 0)
+        late.link._hello = late._hello
+        await asyncio.sleep(0.1)
+        late.task.cancel()
+        return late.plan.version
+
+    assert context.loop_of_links.run_until_complete(follow()) == newest
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -108,15 +108,17 @@
         self._health = ServerHealth(timers)
         self._orders = outside.orders(self._order_pool)
         self._me = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
-        record = InstanceRecord(settings.instance, settings.peer_address, settings.failure_domain)
-        self._instances = InstanceList(record)
+        self._record = InstanceRecord(
+            settings.instance, settings.peer_address, settings.failure_domain
+        )
+        self._instances = InstanceList(self._record)
         self._keeper = QueueKeeper(self._directory, self._health, timers)
         self._queues = QueueLink(
             settings.peer_address, settings.instance, self._instances, self._keeper, timers, metrics
         )
         self._link = LeaderLink(
             timers,
-            Hello(record, self._me.incarnation),
+            self._hello,
             self._view.offer,
             lambda: self._view.plan,
             self._reports.take_recent,
@@ -323,7 +325,7 @@
 
     def _publish(self, plan: Plan, change: PlanChange) -> None:
         self._view.offer(plan, "own change")
-        self._link_server.publish(plan, change)
+        self._link_server.publish(change)
 
     def _publish_pause(self, pause: RangePause) -> None:
         self._view.pause(pause)
@@ -333,8 +335,15 @@
         if self._leadership.leading:
             self._link_server.publish_server(record, removed)
 
+    def _hello(self) -> Hello:
+        return Hello(
+            self._record, self._me.incarnation, self._view.version, self._instances.digest()
+        )
+
     def _take_servers(self, update: ServerUpdate) -> None:
         now = self._timers.now()
+        if update.complete:
+            self._directory.retain((record.server for record in update.present), now, lenient=True)
         for record in update.present:
             self._directory.put(record)
         for record in update.removed:
@@ -356,6 +365,8 @@
             age_s,
             0 if table is None else table.version,
             self._timers.now() - self._servers.read_at,
+            self._directory.digest(),
+            self._view.version,
         )
 
     def _sharing_instances(self) -> int:
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -27,6 +27,9 @@
 # A reader that was away for longer lists all servers anew instead of reading every heartbeat.
 RELIST_AFTER_S = 3.0
 RETRY_INTERVAL_S = 0.25
+# An instance whose registrations differ from the leader's reads the store itself, not more often
+# than this: for a moment either may know more.
+REREAD_INTERVAL_S = 2.0
 # Entries that lapse so soon after an outage may still come back.
 LENIENT_AFTER_OUTAGE_S = 2.0
 
@@ -50,6 +53,10 @@
         """Wait for the next beat."""
         ...
 
+    def ask_servers(self) -> None:
+        """Ask the leader for all registrations."""
+        ...
+
 
 class ConfigurationFeed(Protocol):
     """Source of configurations."""
@@ -142,12 +149,17 @@
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         async for now in self._timers.subscribe(SERVER_POLL_INTERVAL_S):
-            if self._leader.news() is None:
-                await self._poll()
-            else:
+            beat = self._leader.news()
+            if beat is not None and self._may_rely_on(beat, now):
                 self._directory.expire(now)
+            elif not await self._poll() and beat is not None:
+                self._leader.ask_servers()
 
-    async def _poll(self) -> None:
+    def _may_rely_on(self, beat: Beat, now: float) -> bool:
+        alike = beat.servers_digest == self._directory.digest()
+        return alike or now - self._read_at < REREAD_INTERVAL_S
+
+    async def _poll(self) -> bool:
         if self._timers.now() - self._read_at > RELIST_AFTER_S:
             self._feed.relist()
         try:
@@ -157,7 +169,7 @@
             if self._available:
                 emit(Event.LOG_UNAVAILABLE, use="servers", error=error)
             self._available = False
-            return
+            return False
         now = self._timers.now()
         if not self._available:
             self._available = True
@@ -165,6 +177,7 @@
         lenient = now - self._failed_at < LENIENT_AFTER_OUTAGE_S
         self._read_at = now
         self.apply(changes, now, lenient)
+        return True
 
     def apply(self, changes: ServerChanges, now: float, lenient: bool) -> None:
         """Apply changes to the directory."""
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -53,6 +53,11 @@
         """Return how many instances are known."""
         return len(self._records)
 
+    def digest(self) -> int:
+        """Return a number that two lists share only if they are alike."""
+        rows = sorted(f"{x.instance}|{x.address}|{x.failure_domain}" for x in self.records())
+        return int.from_bytes(blake2b("\n".join(rows).encode(), digest_size=8).digest())
+
     def records(self) -> tuple[InstanceRecord, ...]:
         """Return all known instances."""
         return tuple(self._records.values())
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
+from hashlib import blake2b
 
 from attrs import define, field, frozen
 
@@ -59,6 +60,7 @@
     _entries: dict[str, _Entry] = field(factory=dict, init=False)
     _removed: dict[str, _Removal] = field(factory=dict, init=False)
     _listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
+    _digest: int | None = field(default=None, init=False)
 
     def subscribe(self, listener: Callable[[ServerRecord, bool], None]) -> None:
         """Call back after each change that matters to routing: the record, and whether it went."""
@@ -76,6 +78,14 @@
             return removed.record
         return self.get(server)
 
+    def digest(self) -> int:
+        """Return a number that two directories share only if they route alike."""
+        if self._digest is None:
+            rows = sorted(_routing_row(record) for record in self.records())
+            data = "\n".join(rows).encode()
+            self._digest = int.from_bytes(blake2b(data, digest_size=8).digest())
+        return self._digest
+
     def of_service(self, service: str) -> Iterator[ServerRecord]:
         """Yield the records of a service's servers."""
         for entry in self._entries.values():
@@ -138,6 +148,7 @@
         self._notify(record, removed=True)
 
     def _notify(self, record: ServerRecord, removed: bool) -> None:
+        self._digest = None
         for listener in self._listeners:
             listener(record, removed)
 
@@ -152,6 +163,13 @@
     )
 
 
+def _routing_row(record: ServerRecord) -> str:
+    return (
+        f"{record.server}|{record.born_ms}|{record.draining}|{record.address}|{record.service}|"
+        f"{record.slots}|{record.failure_domain}"
+    )
+
+
 def _log_change(record: ServerRecord, cause: str) -> None:
     emit(
         Event.SERVER_CHANGED,
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -11,6 +11,7 @@
     servers @5 :ServerUpdate;
     pause @6 :RangePause;
     instances @7 :InstanceUpdate;
+    resync @8 :Resync;
   }
 }
 
@@ -24,6 +25,15 @@
 struct Hello {
   record @0 :Instance;
   incarnation @1 :Text;
+  # Version of the plan that the instance has; -1 if none.
+  planVersion @2 :Int64;
+  instancesDigest @3 :UInt64;
+}
+
+struct Resync {
+  # What the leader should send in full.
+  servers @0 :Bool;
+  plan @1 :Bool;
 }
 
 struct InstanceUpdate {
@@ -65,6 +75,10 @@
   configuration @1 :UInt64;
   # Time since the leader read the servers' registrations.
   serversAgeMs @2 :UInt32;
+  # Digest of the registrations that the leader knows.
+  serversDigest @3 :UInt64;
+  # -1 if there is no plan.
+  planVersion @4 :Int64;
 }
 
 struct OwnerChange {
@@ -76,8 +90,8 @@
 }
 
 struct PlanChange {
-  # Version of the plan that the change applies to.
-  base @0 :UInt64;
+  # Version of the plan that the change applies to; -1 if there was none.
+  base @0 :Int64;
   version @1 :UInt64;
   owners @2 :List(OwnerChange);
 }
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -82,6 +82,7 @@
     _seen_at: float = field(default=0.0, init=False)
     _follow_at: float = field(default=float("-inf"), init=False)
     _available: bool = field(default=True, init=False)
+    _reading: asyncio.Future[None] | None = field(default=None, init=False)
 
     @property
     def leading(self) -> bool:
@@ -128,6 +129,17 @@
             self._seen_at = self._parts.timers.now()
         return stored
 
+    async def _read_plan(self, version: int) -> None:
+        """Read a plan that the leader knows from the store, or ask the leader for it."""
+        try:
+            stored = await self._load()
+            if stored is not None and stored.plan is not None:
+                self._parts.view.offer(stored.plan, "store")
+            if self._parts.view.version < version:
+                self._parts.link.ask_plan()
+        finally:
+            self._reading = None
+
     def _may_claim(self, stored: StoredPlan) -> bool:
         if not self._parts.may_lead():
             return False
@@ -153,6 +165,9 @@
         await self._replace_stale(leader)
 
     def _stay(self, beat: Beat) -> bool:
+        if beat.plan_version > self._parts.view.version and self._reading is None:
+            # Changes come before the beat that names them, so one was missed before the link.
+            self._reading = asyncio.ensure_future(self._read_plan(beat.plan_version))
         return beat.store_age_s < LEADER_STALE_S
 
     async def _replace_stale(self, leader: Leader) -> None:
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 
 from attrs import define, field, frozen
@@ -19,11 +20,12 @@
     LinkMessage,
     PlanUpdate,
     Report,
+    Resync,
     ServerUpdate,
     decode,
     encode,
 )
-from hyssopwood.keyspace.plan import Plan, PlanChange
+from hyssopwood.keyspace.plan import NO_PLAN, Plan, PlanChange
 from hyssopwood.keyspace.plan_codec import decode_plan, encode_plan
 from hyssopwood.keyspace.plan_view import RangePause
 from hyssopwood.timers import Timers
@@ -41,6 +43,12 @@
 CONNECT_TIMEOUT_S = 0.6
 # Instances that the leader before knew have so long to link to a new one before they count as gone.
 RELINK_S = 2.0
+# Changes of the plan that are kept for instances that link with an older one.
+KEPT_CHANGES = 64
+# Instances that are sent everything with one beat. All registrations and the plan of the largest
+# deployment have about 50 KB, and a machine's link may carry 5 Mbit/s; 84 at once keep beats back
+# for seconds, so that the leader is taken for lost.
+RESYNCS_PER_BEAT = 2
 MAX_FRAME_BYTES = 4_194_304
 # Bytes that a slow instance may leave unread before its link is closed.
 MAX_UNSENT_BYTES = 1_048_576
@@ -73,10 +81,18 @@
     store_age_s: float
     configuration: int
     servers_age_s: float
+    servers_digest: int
+    plan_version: int
 
     def beat(self) -> Beat:
         """Return the beat that says so."""
-        return Beat(self.store_age_s, self.configuration, self.servers_age_s)
+        return Beat(
+            self.store_age_s,
+            self.configuration,
+            self.servers_age_s,
+            self.servers_digest,
+            self.plan_version,
+        )
 
 
 @define(eq=False)
@@ -92,9 +108,9 @@
     _greet: Callable[[Hello], None]
     _instances: InstanceList
     _leading_since: float | None = field(default=None, init=False)
+    _recent: deque[PlanChange] = field(factory=lambda: deque(maxlen=KEPT_CHANGES), init=False)
+    _owed: dict[asyncio.StreamWriter, Resync] = field(factory=dict, init=False)
     _writers: dict[asyncio.StreamWriter, str] = field(factory=dict, init=False)
-    # Version of the plan that each instance was sent last.
-    _sent: dict[asyncio.StreamWriter, int] = field(factory=dict, init=False)
 
     async def start(self) -> asyncio.Server:
         """Accept links."""
@@ -102,9 +118,25 @@
         return await asyncio.start_server(self._serve, host, int(port))
 
     async def run(self) -> None:
-        """Send beats until cancelled."""
+        """Send beats, and what instances have asked for, until cancelled."""
         async for _ in self._timers.subscribe(BEAT_INTERVAL_S):
             self.send_beat()
+            for writer in list(self._owed)[:RESYNCS_PER_BEAT]:
+                self._send_all(writer, self._owed.pop(writer))
+
+    def _send_all(self, writer: asyncio.StreamWriter, wanted: Resync) -> None:
+        if wanted.servers:
+            self._send(writer, ServerUpdate(self._servers(), complete=True))
+        plan = self._plan()
+        if wanted.plan and plan is not None:
+            self._send(writer, PlanUpdate(encode_plan(plan)))
+
+    def _send_plan_since(self, writer: asyncio.StreamWriter, version: int) -> None:
+        """Send the changes since a version; without them the instance reads the stored plan."""
+        for change in self._recent:
+            if change.base == version:
+                self._send(writer, change)
+                version = change.version
 
     def send_beat(self) -> None:
         """Send a beat to every linked instance, or end the links if this instance doesn't lead."""
@@ -141,18 +173,22 @@
         for writer in list(self._writers):
             self._send(writer, update)
 
-    def publish(self, plan: Plan, change: PlanChange) -> None:
-        """Send a plan to every linked instance; what changed is enough where it knows the rest."""
+    def publish(self, change: PlanChange) -> None:
+        """Send a change to every linked instance."""
+        self._recent.append(change)
         for writer in list(self._writers):
-            known = self._sent.get(writer) == change.base
-            self._send(writer, change if known else PlanUpdate(encode_plan(plan)))
-            self._sent[writer] = plan.version
+            self._send(writer, change)
 
     def publish_pause(self, pause: RangePause) -> None:
         """Tell every linked instance that a range's owner is about to let go."""
         for writer in list(self._writers):
             self._send(writer, pause)
 
+    def _owe(self, writer: asyncio.StreamWriter, wanted: Resync) -> None:
+        before = self._owed.get(writer, Resync())
+        servers, plan = wanted.servers or before.servers, wanted.plan or before.plan
+        self._owed[writer] = Resync(servers, plan)
+
     def _send(self, writer: asyncio.StreamWriter, message: LinkMessage) -> None:
         if writer.transport.is_closing():
             # Its task hasn't noticed yet; several links can end at once.
@@ -173,24 +209,23 @@
             self._writers[writer] = hello.record.instance
             emit(Event.PEER_CONNECTED, instance=hello.record.instance)
             self._greet(hello)
-            _write(writer, InstanceUpdate(self._instances.records(), complete=True))
-            _write(writer, ServerUpdate(self._servers(), complete=True))
+            if hello.instances_digest != self._instances.digest():
+                _write(writer, InstanceUpdate(self._instances.records(), complete=True))
+            self._send_plan_since(writer, hello.plan_version)
             _write(writer, view.beat())
-            plan = self._plan()
-            if plan is not None:
-                _write(writer, PlanUpdate(encode_plan(plan)))
-                self._sent[writer] = plan.version
             while True:
                 message = await _read(reader)
                 if isinstance(message, Report):
                     self._take_report(message)
+                elif isinstance(message, Resync):
+                    self._owe(writer, message)
         except (OSError, asyncio.IncompleteReadError):
             emit(Event.PEER_LOST, instance=self._writers.get(writer, "unknown"))
         except ProtocolError as error:
             emit(Event.PEER_REJECTED, error=error)
         finally:
             instance = self._writers.pop(writer, None)
-            self._sent.pop(writer, None)
+            self._owed.pop(writer, None)
             writer.close()
             if instance and instance not in self._writers.values() and self._view() is not None:
                 self._change_instances(InstanceUpdate((), (instance,)))
@@ -201,7 +236,7 @@
     """Follow a leader: take its plans and send it reports."""
 
     _timers: Timers
-    _hello: Hello
+    _hello: Callable[[], Hello]
     _offer: Callable[[Plan, str], bool]
     _plan: Callable[[], Plan | None]
     _recent_report: Callable[[], Report]
@@ -212,6 +247,7 @@
     _beat: Beat | None = field(default=None, init=False)
     _beat_at: float = field(default=float("-inf"), init=False)
     _beaten: asyncio.Event = field(factory=asyncio.Event, init=False)
+    _writer: asyncio.StreamWriter | None = field(default=None, init=False)
 
     @property
     def beat(self) -> Beat | None:
@@ -224,6 +260,18 @@
             return None
         return self._beat if self._beat.servers_age_s <= SERVERS_LIFE_S else None
 
+    def ask_servers(self) -> None:
+        """Ask the leader for all registrations."""
+        self._ask(Resync(servers=True))
+
+    def ask_plan(self) -> None:
+        """Ask the leader for the whole plan."""
+        self._ask(Resync(plan=True))
+
+    def _ask(self, wanted: Resync) -> None:
+        if self._writer is not None and not self._writer.transport.is_closing():
+            _write(self._writer, wanted)
+
     async def wait_beat(self) -> None:
         """Wait for the next beat."""
         await self._beaten.wait()
@@ -238,7 +286,8 @@
         except (OSError, TimeoutError, ValueError) as error:
             raise PeerUnavailableError(f"no link to the leader at {address}") from error
         _set_silence_limit(writer)
-        _write(writer, self._hello)
+        _write(writer, self._hello())
+        self._writer = writer
         reports = asyncio.ensure_future(self._send_reports(writer))
         try:
             await self._receive(reader, stay)
@@ -247,6 +296,7 @@
             raise PeerUnavailableError(detail) from error
         finally:
             self._beat = None
+            self._writer = None
             reports.cancel()
             writer.transport.abort()
 
@@ -276,9 +326,8 @@
             except InputError as error:
                 raise ProtocolError(str(error)) from error
         elif isinstance(message, PlanChange):
-            plan = self._plan()
-            if plan is None or plan.version < message.base:
-                raise ProtocolError(f"a change of plan {message.base} that was never sent")
+            plan = self._plan() or NO_PLAN
+            # Changes of a plan that this instance lacks or has passed are of no use.
             if plan.version == message.base:
                 self._offer(message.apply(plan), "leader")
 
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -29,6 +29,9 @@
 
     record: InstanceRecord
     incarnation: str
+    # Version of the plan that the instance has, and digest of the instances that it knows.
+    plan_version: int = -1
+    instances_digest: int = 0
 
 
 @frozen
@@ -55,6 +58,17 @@
     # Version of the leader's configuration, 0 if it has none.
     configuration: int = 0
     servers_age_s: float = 0.0
+    # Digest of the registrations that the leader knows, and version of its plan.
+    servers_digest: int = 0
+    plan_version: int = -1
+
+
+@frozen
+class Resync:
+    """Ask the leader to send in full what an instance lacks."""
+
+    servers: bool = False
+    plan: bool = False
 
 
 @frozen
@@ -68,7 +82,15 @@
 
 
 LinkMessage: TypeAlias = (
-    Hello | Report | PlanUpdate | PlanChange | Beat | ServerUpdate | RangePause | InstanceUpdate
+    Hello
+    | Report
+    | PlanUpdate
+    | PlanChange
+    | Beat
+    | ServerUpdate
+    | RangePause
+    | InstanceUpdate
+    | Resync
 )
 
 
@@ -82,6 +104,8 @@
     hello = wire.init("hello")
     _fill_instance(hello.init("record"), message.record)
     hello.incarnation = message.incarnation
+    hello.planVersion = message.plan_version
+    hello.instancesDigest = message.instances_digest
 
 
 @_fill.register
@@ -135,6 +159,8 @@
     beat.storeAgeMs = _milliseconds(message.store_age_s)
     beat.configuration = message.configuration
     beat.serversAgeMs = _milliseconds(message.servers_age_s)
+    beat.serversDigest = message.servers_digest
+    beat.planVersion = message.plan_version
 
 
 @_fill.register
@@ -168,6 +194,13 @@
         removed[index] = name
 
 
+@_fill.register
+def _(message: Resync, wire: Any) -> None:
+    resync = wire.init("resync")
+    resync.servers = message.servers
+    resync.plan = message.plan
+
+
 def _fill_instance(row: Any, record: InstanceRecord) -> None:
     row.instance = record.instance
     row.address = record.address
@@ -223,7 +256,18 @@
 
 
 def _read_beat(beat: Any) -> Beat:
-    return Beat(beat.storeAgeMs / 1000, beat.configuration, beat.serversAgeMs / 1000)
+    return Beat(
+        beat.storeAgeMs / 1000,
+        beat.configuration,
+        beat.serversAgeMs / 1000,
+        beat.serversDigest,
+        beat.planVersion,
+    )
+
+
+def _read_hello(hello: Any) -> Hello:
+    record = _read_instance(hello.record)
+    return Hello(record, hello.incarnation, hello.planVersion, hello.instancesDigest)
 
 
 def encode(message: LinkMessage) -> bytes:
@@ -239,7 +283,7 @@
         wire = _SCHEMA.LinkMessage.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
         kind = wire.which()
         if kind == "hello":
-            return Hello(_read_instance(wire.hello.record), wire.hello.incarnation)
+            return _read_hello(wire.hello)
         if kind == "report":
             return _read_report(wire.report)
         if kind == "plan":
@@ -248,6 +292,8 @@
             return _read_change(wire.change)
         if kind == "servers":
             return _read_servers(wire.servers)
+        if kind == "resync":
+            return Resync(wire.resync.servers, wire.resync.plan)
         if kind == "instances":
             return _read_instances(wire.instances)
         if kind == "pause":
--- a/src/hyssopwood/keyspace/plan.py
+++ b/src/hyssopwood/keyspace/plan.py
@@ -77,6 +77,10 @@
         return Plan(fence, services)
 
 
+# What the first change of a plan is based on.
+NO_PLAN = Plan(-1, {})
+
+
 @frozen
 class PlanChange:
     """Hold the owners that differ between two versions of the plan."""
