Store moves that are ready together with one write, and tell cut-off instances who leads

Each move waited for a write of its own: 35 ms for a plan of some 400 ranges that is then encoded for each of 84 links, with up to 71 moves under way. Instances take a moving key's former owner as its owner again after a second. Ruled out: lost changes of the plan (all instances had the leader's version) and servers that refused grants (the plan named the former owners). Change: one task stores all moves whose former owners have let go; messages are encoded once for all links; a server that doesn't answer its grant holds back the others' new owners for 0.15 s at most. Also: a new leader tells instances that have no link of itself by datagram, with each beat for 30 s. Not measured by itself yet.

--- a/features/gateway_queue.feature
+++ b/features/gateway_queue.feature
@@ -162,3 +162,25 @@
     Then every linked instance has plan 8
     And an instance that links with plan 3 gets plan 8
     And an instance that links with plan 2 gets plan 2
+
+  Scenario: A leader tells instances that have no link of itself
+    Guards against instances that the store refuses, and that follow an earlier leader's plan for
+    as long (trouble-1 on beridze-gw-grown: 30 of 85 instances for 9 s).
+    Given a leader with links of instances "i1,i2"
+    When instances "i3,i4" were known to the leader before and the leader sends beats
+    Then the leader told instances "i3,i4" of itself, and no other
+
+  Scenario: An instance takes by datagram who leads
+    Guards against a leader's word that is lost on its way through the codec.
+    Given instances "i1,i2" that know each other and server "s1" with 1 slots
+    When the other instance is told by datagram that leader i7 claimed at 12
+    Then the other instance knows it
+
+  Scenario: An instance that the store refuses follows the newest leader that told of itself
+    Guards against a leader that nobody finds, and against one that was replaced long ago.
+    Given an instance that the store refuses
+    When leader i2 that claimed at 8 tells of itself for 1 s
+    Then the instance has followed "i2"
+    When leader i3 that claimed at 12 tells of itself for 2 s
+    And leader i2 that claimed at 8 tells of itself for 1 s
+    Then the instance has followed "i2,i3"
--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -72,3 +72,11 @@
     order of renewals followed the hash seed of the process.
     When the schedule of seed 1 is played in processes with hash seeds "1,2,3"
     Then all of them saw the same
+
+  Scenario: Ranges that are free together get their next owners together
+    Guards against moves that wait for one write to the store each, so that keys have no owner for
+    seconds (trouble-1 on beridze-gw-grown: 3,898 requests refused by former owners).
+    Given a leader whose store takes 0.035 s for a write
+    When 60 ranges are moved at once, one of them to a server that doesn't answer
+    Then the next owners of all are published within 0.5 s
+    And at most 5 writes were needed
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -165,7 +165,13 @@
     context.keeper = QueueKeeper(context.directory, health, context.system_timers)
     own = InstanceRecord("i1", "127.0.0.1:1", "a")
     queues = QueueLink(
-        own.address, own.instance, InstanceList(own), context.keeper, context.system_timers, metrics
+        own.address,
+        own.instance,
+        InstanceList(own),
+        context.keeper,
+        context.system_timers,
+        metrics,
+        lambda leads: None,
     )
     context.dispatcher = Dispatcher(
         DispatcherParts(
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -1,12 +1,25 @@
 """Steps for the exploration of key ownership."""
 
+import asyncio
 import os
+import random
 import subprocess
 import sys
 
 from behave import given, then, when
 
+from hyssopwood.gateway.route_table import RouteTables
+from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.keyspace.authority import Authority
+from hyssopwood.keyspace.holds import ORDER_TIMEOUT_S
+from hyssopwood.keyspace.key_load import KeyLoad
+from hyssopwood.keyspace.key_manager import KeyManager, ManagerParts, OrderAnswer
+from hyssopwood.keyspace.placement import Move
+from hyssopwood.keyspace.plan import Leader, Plan, divide_evenly
+from hyssopwood.keyspace.plan_writer import PlanWriter
+from hyssopwood.metrics import Metrics
 from support.key_cluster import (
+    SERVICE,
     divide_leaders,
     explore,
     lose_leader_and_server,
@@ -14,6 +27,7 @@
     strand_leader,
 )
 from support.key_guards import without_guard
+from support.virtual_time import Process, VirtualLoop
 
 
 @given("the key cluster schedules with seeds from {first:d} to {last:d}")
@@ -126,3 +140,121 @@
 @then("all of them saw the same")
 def step_alike(context):
     assert context.seen[0].strip() and len(set(context.seen)) == 1, context.seen
+
+
+class _SlowStore:
+    """A store that takes a time for each write."""
+
+    def __init__(self, write_s):
+        self.write_s = write_s
+        self.writes = 0
+
+    async def write(self, end, plan, leader):
+        await asyncio.sleep(self.write_s)
+        self.writes += plan is not None
+        return end + 2
+
+
+class _Orders:
+    """Servers that answer at once, but for one."""
+
+    def __init__(self, silent):
+        self.silent = silent
+
+    async def grant(self, server, keys, hold_s, handover):
+        if server.server == self.silent:
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            return OrderAnswer(done=False)
+        return OrderAnswer(done=True)
+
+    async def release(self, server, keys, limit_s):
+        return OrderAnswer(done=True, handover="h")
+
+
+def _manager(store, timers, published):
+    directory = ServerDirectory()
+    for number in range(62):
+        directory.put(_server_record(f"s{number}"))
+    authority = Authority()
+    writer = PlanWriter(store, Leader("i1", "1", "i1:1"), authority, timers, 10)
+    parts = ManagerParts(
+        writer=writer,
+        authority=authority,
+        orders=_Orders("s61"),
+        tables=RouteTables(),
+        directory=directory,
+        load=KeyLoad(timers),
+        timers=timers,
+        metrics=Metrics(),
+        publish=lambda plan, change: published.append((timers.now(), plan, store.writes)),
+        pause=lambda pause: None,
+        max_hold_s=10.0,
+    )
+    return KeyManager(parts), writer
+
+
+def _server_record(name):
+    return ServerRecord(
+        server=name,
+        service=SERVICE,
+        address=f"{name}:1",
+        failure_domain="d",
+        slots=2,
+        draining=False,
+        warmup_left_s=0.0,
+        born_ms=1,
+        sequence=1,
+    )
+
+
+@given("a leader whose store takes {seconds:g} s for a write")
+def step_slow_store(context, seconds):
+    context.slow_store = _SlowStore(seconds)
+
+
+@when("{count:d} ranges are moved at once, one of them to a server that doesn't answer")
+def step_move_at_once(context, count):
+    loop = VirtualLoop()
+    published = []
+
+    async def move():
+        timers = Process("i1", random.Random(1))
+        manager, writer = _manager(context.slow_store, timers, published)
+        lives = tuple((f"s{number}", 1) for number in range(count))
+        manager.inherit(await writer.claim(Plan(8, {SERVICE: divide_evenly(lives, 8)})), True)
+        running = asyncio.ensure_future(manager.run())
+        await timers.sleep(1.0)
+        writes, began = context.slow_store.writes, timers.now()
+        parts = divide_evenly(lives, 8)
+        for number, part in enumerate(parts):
+            target = "s61" if number == 0 else "s60"
+            manager._start_move(SERVICE, Move(part.first, part.last, (target, 1)))
+        await timers.sleep(3.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        at, needed = max(_first_moved(published, part) for part in parts)
+        return at - began, needed - writes
+
+    try:
+        context.published_after, context.move_writes = loop.run_until_complete(move())
+    finally:
+        loop.close()
+
+
+def _first_moved(published, part):
+    """Return when a range's new owner was first published, and the writes until then."""
+    return min(
+        (at, writes)
+        for at, plan, writes in published
+        if plan.owner(SERVICE, part.first).server != part.server
+    )
+
+
+@then("the next owners of all are published within {seconds:g} s")
+def step_published_within(context, seconds):
+    assert context.published_after <= seconds, context.published_after
+
+
+@then("at most {count:d} writes were needed")
+def step_writes(context, count):
+    assert 0 < context.move_writes <= count, context.move_writes
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -103,6 +103,7 @@
     PEER_SILENT = EventSpec(603, "WARNING", "silent peer connection was replaced")
     HANDLER_FAILED = EventSpec(604, "ERROR", "handler of a peer message failed")
     QUEUE_KEEPER_SILENT = EventSpec(605, "WARNING", "keeper of a queue does not answer")
+    LEADER_TOLD = EventSpec(606, "INFO", "follows a leader that told of itself")
 
     BAD_SETTINGS = EventSpec(700, "ERROR", "settings are malformed")
     BAD_REQUEST = EventSpec(701, "INFO", "caller sent a malformed request")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -24,6 +24,7 @@
 from hyssopwood.gateway.load_reports import LoadReports
 from hyssopwood.gateway.queue_keeper import QueueKeeper
 from hyssopwood.gateway.queue_link import QueueLink
+from hyssopwood.gateway.queue_messages import Leads
 from hyssopwood.gateway.retry_budget import RetryBudget
 from hyssopwood.gateway.route_table import CallerLimits, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
@@ -114,7 +115,13 @@
         self._instances = InstanceList(self._record)
         self._keeper = QueueKeeper(self._directory, self._health, timers)
         self._queues = QueueLink(
-            settings.peer_address, settings.instance, self._instances, self._keeper, timers, metrics
+            settings.peer_address,
+            settings.instance,
+            self._instances,
+            self._keeper,
+            timers,
+            metrics,
+            self._take_leader,
         )
         self._link = LeaderLink(
             timers,
@@ -136,6 +143,7 @@
             self._take_report,
             self._greet,
             self._instances,
+            self._announce,
         )
         self._configuration = ConfigurationFollower(
             outside.configuration, self._tables, timers, self._link, self._link_server.send_beat
@@ -159,6 +167,8 @@
         self._was_ready = False
         self._manager: KeyManager | None = None
         self._predecessor: Leader | None = None
+        # Version of the plan at this instance's last claim.
+        self._claim = -1
         self._peers: asyncio.Server | None = None
 
     @property
@@ -301,6 +311,7 @@
             )
         )
         manager.inherit(claim.plan, claim.predecessor_ended)
+        self._claim = -1 if claim.plan is None else claim.plan.version
         self._manager, self._predecessor = manager, claim.predecessor
         self._load.forget()
         self._take_report(self._reports.take_recent())
@@ -335,6 +346,12 @@
         if self._leadership.leading:
             self._link_server.publish_server(record, removed)
 
+    def _announce(self, address: str) -> None:
+        self._queues.announce(address, Leads(self._me, self._claim))
+
+    def _take_leader(self, leads: Leads) -> None:
+        self._leadership.note_announced(leads.leader, leads.claim)
+
     def _hello(self) -> Hello:
         return Hello(
             self._record, self._me.incarnation, self._view.version, self._instances.digest()
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -62,6 +62,14 @@
         """Return all known instances."""
         return tuple(self._records.values())
 
+    def others(self) -> tuple[InstanceRecord, ...]:
+        """Return all known instances but this one."""
+        return tuple(item for item in self._records.values() if item != self._own)
+
+    def get(self, instance: str) -> InstanceRecord | None:
+        """Return an instance's record."""
+        return self._records.get(instance)
+
     def apply(self, update: InstanceUpdate) -> bool:
         """Take what a leader tells, and return whether it changed anything."""
         self._told = True
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -9,6 +9,7 @@
     reply @2 :Reply;
     done @3 :Done;
     taken @4 :Void;
+    leads @5 :Leads;
   }
 }
 
@@ -48,6 +49,15 @@
   certain @2;
 }
 
+struct Leads {
+  instance @0 :Text;
+  incarnation @1 :Text;
+  # Address for links to the leader.
+  address @2 :Text;
+  # Version of the plan at the leader's claim; a later leader has a higher one.
+  claim @3 :Int64;
+}
+
 struct Done {
   # What the exchange says of the service time; 0 if nothing.
   sampleMs @0 :Float32;
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -20,6 +20,7 @@
 from hyssopwood.gateway.queue_messages import (
     Ask,
     Done,
+    Leads,
     QueueMessage,
     Reply,
     ReplyState,
@@ -105,6 +106,8 @@
     _keeper: QueueKeeper
     _timers: Timers
     _metrics: Metrics
+    # Takes what a leader tells of itself.
+    _take_leader: Callable[[Leads], None]
     _transport: asyncio.DatagramTransport | None = field(default=None, init=False)
     _next_ticket: int = field(factory=lambda: secrets.randbelow(TICKETS), init=False)
     _pending: dict[int, _Pending] = field(factory=dict, init=False)
@@ -157,6 +160,10 @@
             return
         self._return(place.ticket, place.keeper, done)
 
+    def announce(self, address: str, leads: Leads) -> None:
+        """Tell an instance who leads; the datagram isn't repeated."""
+        self._send(address, 0, leads)
+
     def _keepers(self, ask: Ask, now: float) -> list[InstanceRecord]:
         """Return the other instances to ask before this one keeps the queue."""
         keepers: list[InstanceRecord] = []
@@ -272,6 +279,8 @@
             self._send(address, ticket, Taken())
         elif isinstance(message, Taken):
             self._returns.pop(ticket, None)
+        elif isinstance(message, Leads):
+            self._take_leader(message)
         else:
             self._take_reply(address, ticket, message)
 
--- a/src/hyssopwood/gateway/queue_messages.py
+++ b/src/hyssopwood/gateway/queue_messages.py
@@ -1,4 +1,4 @@
-"""Messages about places in a shared queue, and their wire form."""
+"""Datagrams between instances: places in shared queues, and who leads; and their wire form."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.exchange import ServerLoad
+from hyssopwood.keyspace.plan import Leader
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(Path(__file__).with_name("queue.capnp")))
@@ -88,7 +89,15 @@
     """Confirm that a place was taken back."""
 
 
-QueueMessage: TypeAlias = Ask | Reply | Done | Taken
+@frozen
+class Leads:
+    """Tell an instance without a link who leads, and since which version of the plan."""
+
+    leader: Leader
+    claim: int
+
+
+QueueMessage: TypeAlias = Ask | Reply | Done | Taken | Leads
 
 
 def _milliseconds(seconds: float) -> int:
@@ -143,6 +152,15 @@
     wire.taken = None
 
 
+@_fill.register
+def _(message: Leads, wire: Any) -> None:
+    leads = wire.init("leads")
+    leads.instance = message.leader.instance
+    leads.incarnation = message.leader.incarnation
+    leads.address = message.leader.address
+    leads.claim = message.claim
+
+
 def _read_ask(ask: Any) -> Ask:
     most_ms = ask.mostWaitMs
     return Ask(
@@ -182,6 +200,10 @@
             reply = wire.reply
             state = ReplyState(str(reply.state))
             return wire.ticket, Reply(state, reply.waitMs / MS_PER_S, reply.server, reply.bornMs)
+        if kind == "leads":
+            leads = wire.leads
+            leader = Leader(leads.instance, leads.incarnation, leads.address)
+            return wire.ticket, Leads(leader, leads.claim)
         if kind == "done":
             return wire.ticket, _read_done(wire.done)
         return wire.ticket, Taken()
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -33,6 +33,9 @@
 WORK_INTERVAL_S = 0.25
 BALANCE_INTERVAL_S = 0.25
 ORDER_RETRY_S = 0.2
+# Servers answer a grant in a few milliseconds; one that doesn't must not hold back the new owners
+# of other ranges that were stored with its own.
+PUBLISH_WITHIN_S = 0.15
 # At a cold start servers register one after the other; keys are divided when no further one has
 # registered for a while, and at the latest after the longest wait.
 SETTLE_S = 1.2
@@ -106,6 +109,7 @@
     _addresses: dict[tuple[str, int], str] = field(factory=dict, init=False)
     _renewing: set[tuple[str, int]] = field(factory=set, init=False)
     _pending: list[tuple[HeldRange, ServerRecord, str | None]] = field(factory=list, init=False)
+    _committing: bool = field(default=False, init=False)
     _began: float = field(default=0.0, init=False)
     _known: int = field(default=-1, init=False)
     _known_at: float = field(default=0.0, init=False)
@@ -496,14 +500,22 @@
         )
 
     async def _commit(self) -> None:
-        """Store all moves whose old owners have let go, then grant them."""
-        if not self._pending:
+        """Store all moves whose old owners have let go; one task does it for all."""
+        if self._committing:
             return
-        batch, self._pending = self._pending, []
+        self._committing = True
+        try:
+            while self._pending:
+                await self._commit_pending()
+        finally:
+            self._committing = False
+
+    async def _commit_pending(self) -> None:
+        """Store what is pending when the store's turn comes, and start the grants."""
         targets: list[tuple[HeldRange, KeyRange, str | None]] = []
 
         def build(version: int) -> Plan:
-            targets.clear()
+            batch, self._pending = self._pending, []
             changed = {}
             for held, target, handover in batch:
                 keys = evolve(
@@ -518,8 +530,14 @@
             held.give(keys, handover)
         self._note_written(plan, tuple((held.service, keys) for held, keys, _ in targets))
         self._parts.metrics.count("keys_moved", amount=sum(keys.size for _, keys, _ in targets))
-        await asyncio.gather(*(self._grant_moved(held) for held, _, _ in targets))
+        self._spawn(self._grant_and_publish([held for held, _, _ in targets]))
+
+    async def _grant_and_publish(self, moved: list[HeldRange]) -> None:
+        """Grant moved ranges and show their new owners once these can serve."""
+        grants = asyncio.gather(*(self._grant_moved(held) for held in moved))
+        await asyncio.wait([grants], timeout=PUBLISH_WITHIN_S)
         self._publish()
+        await grants
 
     async def _grant_moved(self, held: HeldRange) -> None:
         record = self._parts.directory.get(held.keys.server)
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -43,6 +43,8 @@
 SILENCE_POLL_S = 0.25
 # Spreads the claims of several instances.
 CLAIM_JITTER_S = 0.4
+# A leader that told of itself longer ago than this, three of its beats, may have been replaced.
+ANNOUNCED_LIFE_S = 1.0
 
 
 @frozen
@@ -83,6 +85,10 @@
     _follow_at: float = field(default=float("-inf"), init=False)
     _available: bool = field(default=True, init=False)
     _reading: asyncio.Future[None] | None = field(default=None, init=False)
+    # The latest leader that told of itself, its claim and when it told last.
+    _announced: Leader | None = field(default=None, init=False)
+    _announced_claim: int = field(default=-1, init=False)
+    _announced_at: float = field(default=float("-inf"), init=False)
 
     @property
     def leading(self) -> bool:
@@ -100,6 +106,7 @@
         while True:
             stored = await self._load()
             if stored is None:
+                await self._follow_announced()
                 await self._parts.timers.sleep(POLL_INTERVAL_S)
                 continue
             if stored.plan is not None:
@@ -111,6 +118,29 @@
             else:
                 await self._follow(stored)
 
+    def note_announced(self, leader: Leader, claim: int) -> None:
+        """Note a leader that tells of itself; the store may refuse to name it to this instance."""
+        if claim < self._announced_claim or leader.instance == self._parts.me.instance:
+            return
+        self._announced, self._announced_claim = leader, claim
+        self._announced_at = self._parts.timers.now()
+
+    def _announced_leader(self) -> Leader | None:
+        fresh = self._parts.timers.now() - self._announced_at < ANNOUNCED_LIFE_S
+        return self._announced if fresh else None
+
+    async def _follow_announced(self) -> None:
+        """Follow a leader that told of itself while the store names none."""
+        leader = self._announced_leader()
+        if leader is None:
+            return
+        emit(Event.LEADER_TOLD, instance=leader.instance, claim=self._announced_claim)
+        try:
+            await self._parts.link.follow(leader.address, self._stay)
+        except PeerUnavailableError as error:
+            emit(Event.PEER_LOST, instance=leader.instance, error=error)
+            self._announced_at = float("-inf")
+
     async def _load(self) -> StoredPlan | None:
         try:
             stored = await self._parts.store.load()
@@ -168,7 +198,10 @@
         if beat.plan_version > self._parts.view.version and self._reading is None:
             # Changes come before the beat that names them, so one was missed before the link.
             self._reading = asyncio.ensure_future(self._read_plan(beat.plan_version))
-        return beat.store_age_s < LEADER_STALE_S
+        replaced = (
+            self._announced_claim > beat.plan_version and self._announced_leader() is not None
+        )
+        return beat.store_age_s < LEADER_STALE_S and not replaced
 
     async def _replace_stale(self, leader: Leader) -> None:
         await self._parts.timers.sleep(CLAIM_JITTER_S * self._parts.chance.random())
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -12,7 +12,7 @@
 
 from hyssopwood.errors import InputError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
-from hyssopwood.gateway.instance_list import InstanceList, InstanceUpdate
+from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.keyspace.link_codec import (
     Beat,
@@ -43,6 +43,8 @@
 CONNECT_TIMEOUT_S = 0.6
 # Instances that the leader before knew have so long to link to a new one before they count as gone.
 RELINK_S = 2.0
+# An instance without a link is told so long who leads. The store may refuse it and name no leader.
+MISSING_LIFE_S = 30.0
 # Changes of the plan that are kept for instances that link with an older one.
 KEPT_CHANGES = 64
 # Instances that are sent everything with one beat. All registrations and the plan of the largest
@@ -62,9 +64,13 @@
     return decode(await reader.readexactly(length))
 
 
-def _write(writer: asyncio.StreamWriter, message: LinkMessage) -> None:
+def _frame(message: LinkMessage) -> bytes:
     data = encode(message)
-    writer.write(_LENGTH.pack(len(data)) + data)
+    return _LENGTH.pack(len(data)) + data
+
+
+def _write(writer: asyncio.StreamWriter, message: LinkMessage) -> None:
+    writer.write(_frame(message))
 
 
 def _set_silence_limit(writer: asyncio.StreamWriter) -> None:
@@ -107,6 +113,10 @@
     _take_report: Callable[[Report], None]
     _greet: Callable[[Hello], None]
     _instances: InstanceList
+    # Tells an instance at an address, by datagram, that this one leads.
+    _announce: Callable[[str], None]
+    # Instances that have lost their link, or never had one, and when they were missed first.
+    _missing: dict[str, tuple[InstanceRecord, float]] = field(factory=dict, init=False)
     _leading_since: float | None = field(default=None, init=False)
     _recent: deque[PlanChange] = field(factory=lambda: deque(maxlen=KEPT_CHANGES), init=False)
     _owed: dict[asyncio.StreamWriter, Resync] = field(factory=dict, init=False)
@@ -144,8 +154,8 @@
         for writer in list(self._writers):
             if view is None:
                 writer.transport.abort()
-            else:
-                self._send(writer, view.beat())
+        if view is not None:
+            self._broadcast(view.beat())
         self._prune(view is not None)
 
     def _prune(self, leading: bool) -> None:
@@ -153,10 +163,20 @@
         now = self._timers.now()
         if not leading:
             self._leading_since = None
-        elif self._leading_since is None:
+            self._missing.clear()
+            return
+        linked = set(self._writers.values())
+        for record, since in list(self._missing.values()):
+            if record.instance in linked or now - since > MISSING_LIFE_S:
+                del self._missing[record.instance]
+            else:
+                self._announce(record.address)
+        if self._leading_since is None:
             self._leading_since = now
+            for record in self._instances.others():
+                if record.instance not in linked:
+                    self._missing[record.instance] = record, now
         elif now - self._leading_since >= RELINK_S:
-            linked = set(self._writers.values())
             unlinked = tuple(
                 item.instance for item in self._instances.records() if item.instance not in linked
             )
@@ -164,39 +184,43 @@
 
     def _change_instances(self, update: InstanceUpdate) -> None:
         if self._instances.apply(update):
-            for writer in list(self._writers):
-                self._send(writer, update)
+            self._broadcast(update)
 
     def publish_server(self, record: ServerRecord, removed: bool) -> None:
         """Send a changed registration to every linked instance."""
-        update = ServerUpdate((), (record,)) if removed else ServerUpdate((record,))
-        for writer in list(self._writers):
-            self._send(writer, update)
+        self._broadcast(ServerUpdate((), (record,)) if removed else ServerUpdate((record,)))
 
     def publish(self, change: PlanChange) -> None:
         """Send a change to every linked instance."""
         self._recent.append(change)
-        for writer in list(self._writers):
-            self._send(writer, change)
+        self._broadcast(change)
 
     def publish_pause(self, pause: RangePause) -> None:
         """Tell every linked instance that a range's owner is about to let go."""
-        for writer in list(self._writers):
-            self._send(writer, pause)
+        self._broadcast(pause)
 
     def _owe(self, writer: asyncio.StreamWriter, wanted: Resync) -> None:
         before = self._owed.get(writer, Resync())
         servers, plan = wanted.servers or before.servers, wanted.plan or before.plan
         self._owed[writer] = Resync(servers, plan)
 
+    def _broadcast(self, message: LinkMessage) -> None:
+        """Send a message to every linked instance; it is encoded once."""
+        frame = _frame(message)
+        for writer in list(self._writers):
+            self._send_frame(writer, frame)
+
     def _send(self, writer: asyncio.StreamWriter, message: LinkMessage) -> None:
+        self._send_frame(writer, _frame(message))
+
+    def _send_frame(self, writer: asyncio.StreamWriter, frame: bytes) -> None:
         if writer.transport.is_closing():
             # Its task hasn't noticed yet; several links can end at once.
             return
         if writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             writer.transport.abort()
             return
-        _write(writer, message)
+        writer.write(frame)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         _set_silence_limit(writer)
@@ -228,6 +252,9 @@
             self._owed.pop(writer, None)
             writer.close()
             if instance and instance not in self._writers.values() and self._view() is not None:
+                record = self._instances.get(instance)
+                if record is not None:
+                    self._missing[instance] = record, self._timers.now()
                 self._change_instances(InstanceUpdate((), (instance,)))
 
 
