--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -136,11 +136,6 @@
         """Return whether no request has a place or waits."""
         return not self._places and not self._waiting
 
-    @property
-    def waiting(self) -> int:
-        """Return how many requests wait."""
-        return len(self._waiting)
-
     def enter(self, request: QueuedRequest, now: float) -> Decision:
         """Give a new request a place, queue it or refuse it."""
         usable = self._usable()
