Pass large answers on while they arrive, and bound bytes that are no message

Change: readers for both sides count what they feed and feed heads in slices; answers above 64 KiB are streamed with back-pressure (at most 256 KiB held); a cut answer resets its caller; bodies of callers must make progress; the store's answers are bounded.

Ruled out: a limit in the callbacks (passed by what the parser gathers); a pure Python parser (costs more than the rest of a request).

Without the meter the scenarios of endless bytes fail; without the store's bound its scenario fails.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -24,6 +24,8 @@
     And that route is repeatable, has 2 attempts, 1.2 s and priority 2
     And host "shop.example" routes "/pigs/x" by prefix "/pigs/" to "portal:1"
     And that route is not repeatable
+    And host "shop.example" routes "/photos/x" by prefix "/photos/" to "desk:1"
+    And that route is repeatable, has 2 attempts, 1.5 s and priority 1
     And host "shop.example" has no route for "/cats/"
     And host "other.example" has no route for "/pigs/list/2f"
     And service "portal" is sharded and "desk" is not
--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -47,6 +47,12 @@
     When records "a=1" are appended at 0
     Then reading from 0 fails as "protocol"
 
+  Scenario: A read without an end fails within its limit
+    Guards against a store that fills an instance's memory until the call's time is over.
+    Given a keyed store whose reads never end
+    Then reading from 0 fails as "unavailable"
+    And less than 0.9 s have passed
+
   Scenario: A feed goes on after its records have expired
     Guards against servers that stay listed because their removal was forgotten with the history.
     Given a keyed store
--- a/features/steps/gateway_caller_steps.py
+++ b/features/steps/gateway_caller_steps.py
@@ -126,7 +126,8 @@
 
 @when('a caller sends the bytes "{text}" and the limits are checked after {seconds:d} s')
 def step_late_head(context, text, seconds):
-    context.received = context.run(_check_after(context, text.encode(), seconds))
+    data = text.encode().decode("unicode_escape").encode()
+    context.received = context.run(_check_after(context, data, seconds))
 
 
 @when("a caller connects, sends nothing and the limits are checked after {seconds:d} s")
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -93,11 +93,11 @@
     instance = deployment.instances[name]
     context.cut = {}
     context.taken = set()
-    read_whole = CallerConnection.on_message_complete
+    read_whole = CallerConnection.request_read
 
-    def note_taken(connection):
-        context.taken.add(dict(connection._reading.head.headers)[b"request-id"].decode())
-        read_whole(connection)
+    def note_taken(connection, request, keeps_alive):
+        context.taken.add(dict(request.headers)[b"request-id"].decode())
+        read_whole(connection, request, keeps_alive)
 
     async def call(number):
         request_id = f"stop{number}"
@@ -122,7 +122,7 @@
         await asyncio.gather(*calls)
         return ended
 
-    with patch.object(CallerConnection, "on_message_complete", note_taken):
+    with patch.object(CallerConnection, "request_read", note_taken):
         context.stopped_after = context.run(stop())
 
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -57,6 +57,13 @@
         "match": {"path_prefix": "/pigs/"},
         "action": {"service": "portal", "timeout_s": 1.5, "max_attempts": 2},
     },
+    {
+        "name": "photos",
+        "type": "download",
+        "priority": 1,
+        "match": {"path_prefix": "/photos/"},
+        "action": {"service": "desk", "timeout_s": 1.5, "max_attempts": 2},
+    },
 ]
 CLUSTERS = [
     {"name": "portal", "health_path": "/health", "max_connections": 110, "sharded": True},
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -1,5 +1,7 @@
 """Steps for the client of the platform's store."""
 
+import time
+
 from behave import given, then, when
 
 from hyssopwood.errors import (
@@ -52,6 +54,19 @@
     context.store.faults.lose_answers = 1
 
 
+@given("a keyed store whose reads never end")
+def step_endless_store(context):
+    step_store(context)
+    context.store.faults.endless = True
+    context.began = time.monotonic()
+
+
+@then("less than {seconds:g} s have passed")
+def step_passed(context, seconds):
+    # Shorter than the call's own time limit, which would end the read, too.
+    assert time.monotonic() - context.began < seconds
+
+
 @given("a keyed store that answers {status:d}")
 def step_failing_store(context, status):
     step_store(context)
--- /dev/null
+++ b/src/hyssopwood/gateway/answer_stream.py
@@ -0,0 +1,101 @@
+"""Body of an answer that is passed on while it arrives, with back-pressure."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from hyssopwood.gateway.exchange import ExchangeBrokenError, StreamEnd
+
+# The server's connection is not read while so many bytes wait for the caller. With one read beyond
+# it, and the same again on the caller's side, a stream holds at most 256 KiB.
+WINDOW_BYTES = 65_536
+
+
+class StreamSource(Protocol):
+    """Connection that a stream's bytes come from."""
+
+    def pause(self) -> None:
+        """Read no more until told to."""
+        ...
+
+    def resume(self) -> None:
+        """Read again."""
+        ...
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        ...
+
+
+class AnswerStream:
+    """Hand the pieces of a body from a server's connection to the one reader."""
+
+    def __init__(self, length: int | None, source: StreamSource) -> None:
+        self._source = source
+        self._waiting = bytearray()
+        self._paused = False
+        self._cause = ""
+        self._changed = asyncio.Event()
+        # Size of the body, if the server has declared it.
+        self.length = length
+        self.ended: asyncio.Future[StreamEnd] = asyncio.get_running_loop().create_future()
+
+    async def read(self) -> bytes:
+        """Return the next piece, or nothing at the end; raise ExchangeBrokenError if cut off."""
+        while not self._waiting:
+            if self.ended.done():
+                if self.ended.result() is StreamEnd.WHOLE:
+                    return b""
+                raise ExchangeBrokenError(self._cause or self.ended.result().value)
+            self._changed.clear()
+            await self._changed.wait()
+        piece = bytes(self._waiting)
+        self._waiting.clear()
+        self._resume()
+        return piece
+
+    def put(self, data: bytes) -> None:
+        """Add bytes from the server."""
+        if self.ended.done():
+            return
+        self._waiting += data
+        self._changed.set()
+        if len(self._waiting) >= WINDOW_BYTES and not self._paused:
+            self._paused = True
+            self._source.pause()
+
+    def finish(self) -> None:
+        """Note that the body is whole; its connection may carry the next exchange."""
+        self._resume()
+        self._end(StreamEnd.WHOLE)
+
+    def fail(self, cause: str) -> None:
+        """Note that the server's connection ended before the body did."""
+        self._cause = cause
+        self._end(StreamEnd.BROKEN)
+
+    def expire(self) -> None:
+        """End a stream whose time is over."""
+        self._cut(StreamEnd.EXPIRED)
+
+    def abandon(self) -> None:
+        """End a stream that nobody reads."""
+        self._cut(StreamEnd.ABANDONED)
+
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._source.resume()
+
+    def _cut(self, end: StreamEnd) -> None:
+        if self.ended.done():
+            return
+        self._waiting.clear()
+        self._end(end)
+        self._source.abort()
+
+    def _end(self, end: StreamEnd) -> None:
+        if not self.ended.done():
+            self.ended.set_result(end)
+            self._changed.set()
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -8,15 +8,25 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-import httptools
-from attrs import define, field
+from attrs import define
 
 from hyssopwood.events import Event, emit
-from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, HeadReader
+from hyssopwood.gateway.answer_encoding import (
+    Framing,
+    encode_answer,
+    encode_end,
+    encode_head,
+    encode_piece,
+    framing_of,
+)
+from hyssopwood.gateway.answer_stream import WINDOW_BYTES
+from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, ExchangeBrokenError
+from hyssopwood.gateway.read_buffer import BufferedConnection, reset
+from hyssopwood.gateway.request_reader import RequestReader, RequestRefusedError
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.timers import Timers
 
-# Requests of one connection that are read before the first of them is answered.
+# Requests of one connection that run or wait for their turn to be answered.
 MAX_PIPELINED = 16
 # Time for a refusal to reach a caller that is still sending.
 LINGER_S = 0.5
@@ -26,7 +36,6 @@
 )
 # Methods that may be run beside earlier requests of the same connection.
 _OVERLAPPING = frozenset({b"GET"})
-_UNSUPPORTED = frozenset({b"HEAD", b"CONNECT", b"TRACE"})
 
 
 class Handler(Protocol):
@@ -45,30 +54,18 @@
     answer: CallerAnswer | None = None
     close: bool = False
     task: asyncio.Task[None] | None = None
+    # Whether the answer's body is being passed on.
+    streaming: bool = False
 
-
-@define(eq=False)
-class _Reading:
-    """Request that is being read."""
-
-    began: float
-    head: HeadReader = field(factory=HeadReader)
-    target: bytes = b""
-    chunks: list[bytes] = field(factory=list)
-    size: int = 0
-    arrived: float = 0.0
-    head_complete: bool = False
+    def drop(self) -> None:
+        """End the work for a caller that has left."""
+        if self.task is not None:
+            self.task.cancel()
+        if self.answer is not None and self.answer.stream is not None:
+            self.answer.stream.abandon()
 
 
-class _RefusedError(Exception):
-    """Raised inside the parser's callbacks when a request can't be accepted."""
-
-    def __init__(self, status: int) -> None:
-        super().__init__(status)
-        self.status = status
-
-
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(BufferedConnection):
     """Serve one connection; pipelined requests overlap where their method allows it."""
 
     def __init__(
@@ -83,26 +80,30 @@
         self._limits = limits
         self._closed = closed
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._reading: _Reading | None = None
+        self._reader = RequestReader(self, timers.now, limits)
         self._slots: deque[_Slot] = deque()
         self._idle_since = timers.now()
         self._closing = False
         self._stopping = False
         self._unread = b""
+        self._paused = False
+        self._reads_on = True
+        self._writable = asyncio.Event()
+        self._writable.set()
 
     @property
     def busy(self) -> bool:
         """Return whether a request is being read or answered."""
-        return bool(self._slots) or self._reading is not None
+        return bool(self._slots) or self._reader.busy
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
+        transport.set_write_buffer_limits(high=WINDOW_BYTES)
 
-    def data_received(self, data: bytes) -> None:
+    def received(self, data: bytes) -> None:
         if self._closing:
             return
-        if len(self._slots) >= MAX_PIPELINED:
+        if self._unread:
             self._unread += data
             return
         self._feed(data)
@@ -112,12 +113,18 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._closing = True
+        self._writable.set()
         for slot in self._slots:
-            if slot.task is not None:
-                slot.task.cancel()
+            slot.drop()
         self._slots.clear()
         self._closed(self)
 
+    def pause_writing(self) -> None:
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        self._writable.set()
+
     def stop(self) -> None:
         """Close after the answers to the requests that were read."""
         self._stopping = True
@@ -129,87 +136,58 @@
             self._transport.close()
 
     def check_limits(self, now: float) -> None:
-        """Close a connection that is idle for too long or whose head is late."""
-        limits = self._limits()
-        reading = self._reading
-        if reading is not None and not reading.head_complete:
-            if now - reading.began > limits.header_timeout_s:
-                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
-        elif not self.busy and now - self._idle_since > limits.idle_timeout_s:
+        """Close a connection that is idle for too long or whose request comes too slowly."""
+        if self._reader.late(now):
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+        elif not self.busy and now - self._idle_since > self._limits().idle_timeout_s:
             self.close_if_idle()
 
-    def on_message_begin(self) -> None:
-        self._reading = _Reading(self._timers.now())
-
-    def on_url(self, url: bytes) -> None:
-        assert self._reading is not None
-        self._reading.target += url
-        self._reading.head.size += len(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        assert self._reading is not None
-        self._reading.head.add(name, value)
-        if self._reading.head.size > self._limits().header_bytes:
-            raise _RefusedError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-
-    def on_headers_complete(self) -> None:
-        reading = self._reading
-        assert reading is not None
-        reading.head_complete = True
-        reading.arrived = self._timers.now()
-        if self._parser.get_method() in _UNSUPPORTED:
-            raise _RefusedError(HTTPStatus.NOT_IMPLEMENTED)
-        for name, value in reading.head.headers:
-            too_long = name == b"content-length" and int(value) > self._limits().body_bytes
-            if too_long:
-                raise _RefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            if name == b"expect" and value.lower() == b"100-continue" and not self._slots:
-                self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        reading = self._reading
-        assert reading is not None
-        reading.size += len(body)
-        if reading.size > self._limits().body_bytes:
-            raise _RefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        reading.chunks.append(body)
-
-    def on_message_complete(self) -> None:
-        reading, self._reading = self._reading, None
-        assert reading is not None
-        hosts = [value for name, value in reading.head.headers if name == b"host"]
-        if len(hosts) != 1 or not reading.target.startswith(b"/"):
-            raise _RefusedError(HTTPStatus.BAD_REQUEST)
-        request = CallerRequest(
-            method=self._parser.get_method(),
-            target=reading.target,
-            host=hosts[0].decode("latin-1").rsplit(":", 1)[0].lower(),
-            headers=tuple(reading.head.headers),
-            body=b"".join(reading.chunks),
-            arrived=reading.arrived,
-        )
-        slot = _Slot(request, close=not self._parser.should_keep_alive())
-        self._slots.append(slot)
+    def request_expects(self) -> None:
+        """Let the caller send the body."""
+        if not self._slots:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def request_read(self, request: CallerRequest, keeps_alive: bool) -> None:
+        """Take a request into the order of answers."""
+        self._slots.append(_Slot(request, close=not keeps_alive))
         self._start_next()
 
+    def upgrade_proposed(self) -> None:
+        """Answer the last request and end the connection."""
+        self._reads_on = False
+        if self._slots:
+            self._slots[-1].close = True
+
+    def may_read_on(self) -> bool:
+        """Return whether another request may be read."""
+        return self._reads_on and len(self._slots) < MAX_PIPELINED
+
     def _feed(self, data: bytes) -> None:
-        if self._reading is None and not self._slots:
-            self._idle_since = self._timers.now()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            if self._slots:
-                self._slots[-1].close = True
-        except httptools.HttpParserError as error:
-            refusal = error.__context__ or error.__cause__
-            refused = isinstance(refusal, _RefusedError)
-            self._refuse(refusal.status if refused else HTTPStatus.BAD_REQUEST)
-        if len(self._slots) >= MAX_PIPELINED and self._transport is not None:
+            self._unread = self._reader.feed(data)
+        except RequestRefusedError as refusal:
+            self._refuse(refusal.status)
+            return
+        if self._transport is None or self._transport.is_closing():
+            return
+        if not self._paused and (self._unread or not self.may_read_on()):
+            self._paused = True
             self._transport.pause_reading()
 
+    def _read_on(self) -> None:
+        """Read what waited while the order of answers was full."""
+        if self._closing or not self.may_read_on() or self._transport is None:
+            return
+        unread, self._unread = self._unread, b""
+        if unread:
+            self._feed(unread)
+        if not self._unread and self.may_read_on() and not self._transport.is_closing():
+            self._paused = False
+            self._transport.resume_reading()
+
     def _refuse(self, status: int) -> None:
         """Answer what was read last with a refusal and read no more."""
-        self._reading = None
+        self._reader.drop()
         emit(Event.CALLER_REFUSED, status=int(status))
         self._slots.append(_Slot(None, CallerAnswer(status=int(status)), close=True))
         self._closing = True
@@ -222,7 +200,7 @@
         earlier answer, callers send what is behind it again.
         """
         for index, slot in enumerate(self._slots):
-            if slot.request is None:
+            if slot.request is None or index >= MAX_PIPELINED:
                 return
             if slot.task is not None:
                 continue
@@ -244,28 +222,58 @@
         self._flush()
 
     def _flush(self) -> None:
+        """Write the answers whose turn it is."""
         while self._slots and self._slots[0].answer is not None:
-            slot = self._slots.popleft()
-            close = slot.close or (self._stopping and not self._slots)
-            assert slot.answer is not None
-            self._write(_encode(slot.answer, close))
+            slot = self._slots[0]
+            if slot.streaming:
+                return
+            if slot.answer.stream is not None:
+                slot.streaming = True
+                slot.task = asyncio.get_running_loop().create_task(self._pass_on(slot))
+                return
+            self._slots.popleft()
+            close = self._closes_after(slot)
+            self._write(encode_answer(slot.answer, close))
             if close:
                 self._end()
                 return
         self._idle_since = self._timers.now()
         self._start_next()
-        if self._unread and len(self._slots) < MAX_PIPELINED and self._transport is not None:
-            unread, self._unread = self._unread, b""
-            self._feed(unread)
-            if not self._closing and len(self._slots) < MAX_PIPELINED:
-                self._transport.resume_reading()
+        if self._paused:
+            self._read_on()
+
+    def _closes_after(self, slot: _Slot) -> bool:
+        is_last = not self._slots or self._slots[-1] is slot
+        return slot.close or (self._stopping and is_last)
+
+    async def _pass_on(self, slot: _Slot) -> None:
+        """Pass a body on while it arrives; one that is cut off ends the connection."""
+        assert slot.answer is not None and slot.answer.stream is not None
+        stream = slot.answer.stream
+        framing = framing_of(stream.length, slot.request)
+        close = self._closes_after(slot) or framing is Framing.CLOSE
+        self._write(encode_head(slot.answer, framing, stream.length, close))
+        try:
+            while piece := await stream.read():
+                await self._writable.wait()
+                self._write(encode_piece(piece, framing))
+        except ExchangeBrokenError:
+            # An answer that ends early must not look complete.
+            if self._transport is not None:
+                reset(self._transport)
+            return
+        self._write(encode_end(framing))
+        self._slots.popleft()
+        if close:
+            self._end()
+        else:
+            self._flush()
 
     def _end(self) -> None:
         """Close after the last answer; requests behind it count as not read."""
         self._closing = True
         for slot in self._slots:
-            if slot.task is not None:
-                slot.task.cancel()
+            slot.drop()
         self._slots.clear()
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -278,24 +286,5 @@
             transport.close()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if data and self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
-
-
-def _reason(status: int) -> str:
-    try:
-        return HTTPStatus(status).phrase
-    except ValueError:
-        return "Unknown"
-
-
-def _encode(answer: CallerAnswer, close: bool) -> bytes:
-    lines = [f"HTTP/1.1 {answer.status} {_reason(answer.status)}".encode()]
-    lines += [name + b": " + value for name, value in answer.headers]
-    bodiless = answer.status in (204, 304)
-    if not bodiless:
-        lines.append(b"Content-Length: " + str(len(answer.body)).encode())
-    if close:
-        lines.append(b"Connection: close")
-    head = b"\r\n".join(lines) + b"\r\n\r\n"
-    return head if bodiless else head + answer.body
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -12,6 +12,7 @@
 from hyssopwood.gateway.exchange import (
     AnswerHead,
     BadHeadError,
+    BodyStream,
     CallerAnswer,
     CallerRequest,
     Dialect,
@@ -19,6 +20,7 @@
     NotSentError,
     ServerAnswer,
     ServerRequest,
+    StreamEnd,
     end_to_end,
 )
 from hyssopwood.gateway.load_reports import LoadReports
@@ -166,6 +168,7 @@
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
+            task.add_done_callback(_abandon_stream)
             if work.route.repeatable:
                 task.cancel()
             else:
@@ -177,11 +180,35 @@
     async def _send(self, work: Work, entered: Entered) -> Outcome:
         """Send a request and give the place back with what the exchange taught."""
         done = Done()
+        stream: BodyStream | None = None
         try:
             outcome, done = await self._exchange(work, entered.server)
+            stream = _stream_of(outcome)
             return outcome
         finally:
-            self._parts.queues.give_back(entered.place, done)
+            if stream is None:
+                self._parts.queues.give_back(entered.place, done)
+            else:
+                self._follow(work, entered, stream, done)
+
+    def _follow(self, work: Work, entered: Entered, stream: BodyStream, done: Done) -> None:
+        """End a stream in time, and give its place back when the server has sent it all."""
+        left_s = work.deadline + ANSWER_GRACE_S - self._parts.timers.now()
+        expiry = self._parts.timers.call_later(left_s, stream.expire)
+
+        def end(ended: asyncio.Future[StreamEnd]) -> None:
+            expiry.cancel()
+            result = ended.result()
+            self._parts.metrics.count("gateway_streams", result.value)
+            failed = result is StreamEnd.BROKEN
+            if failed:
+                self._note_failure(entered.server, "an answer was cut off", certain=False)
+            if result is not StreamEnd.WHOLE:
+                self._log(Event.ANSWER_CUT, work, cause=result.value)
+            given = evolve(done, failure=Failure.UNCERTAIN) if failed else done
+            self._parts.queues.give_back(entered.place, given)
+
+        stream.ended.add_done_callback(end)
 
     async def _exchange(self, work: Work, server: ServerRecord) -> tuple[Outcome, Done]:
         began = self._parts.timers.now()
@@ -210,7 +237,10 @@
             doubt = MayHaveRun(Cause.DEADLINE, "the server did not answer in time")
             return doubt, Done(sample_s, failure=Failure.UNCERTAIN)
         self._count_send(work)
-        return self._judge(work, server, answer, began)
+        outcome, done = self._judge(work, server, answer, began)
+        if answer.stream is not None and not isinstance(outcome, Answered):
+            answer.stream.abandon()
+        return outcome, done
 
     def _count_send(self, work: Work) -> None:
         work.sends += 1
@@ -279,7 +309,10 @@
                 self._log(Event.REQUEST_ANSWERED, work, status=outcome.answer.status)
             answer = outcome.answer
             return CallerAnswer(
-                status=answer.status, headers=end_to_end(answer.headers), body=answer.body
+                status=answer.status,
+                headers=end_to_end(answer.headers),
+                body=answer.body,
+                stream=answer.stream,
             )
         self._parts.metrics.count("gateway_requests", outcome.cause.value)
         if isinstance(outcome, Refused):
@@ -339,6 +372,19 @@
         )
 
 
+def _stream_of(outcome: Outcome) -> BodyStream | None:
+    return outcome.answer.stream if isinstance(outcome, Answered) else None
+
+
+def _abandon_stream(task: asyncio.Task[Outcome]) -> None:
+    """End the stream of an answer that no caller waits for any more."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    stream = _stream_of(task.result())
+    if stream is not None:
+        stream.abandon()
+
+
 def _answer_fault(work: Work, answer: ServerAnswer, head: AnswerHead) -> str:
     if head.request_id != work.head.request_id:
         return "the answer bears no id or another request's"
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from enum import Enum
 from typing import Protocol, TypeAlias
 
 from attrs import define, field, frozen
@@ -23,20 +25,67 @@
     request_id: bytes = b""
 
 
+@frozen(kw_only=True)
+class AnswerStart:
+    """Hold the head of a server's answer."""
+
+    status: int
+    headers: Headers
+    # Size of the body, if the head declares it.
+    length: int | None
+    # Whether the answer itself tells where it ends; otherwise the connection's end does.
+    framed: bool
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header given in lower case."""
+    for known, value in headers:
+        if known == name:
+            return value
+    return None
+
+
+class StreamEnd(Enum):
+    """Name how a stream ended."""
+
+    WHOLE = "whole"
+    BROKEN = "broken"
+    EXPIRED = "expired"
+    ABANDONED = "abandoned"
+
+
+class BodyStream(Protocol):
+    """Body that is read while it arrives."""
+
+    # Size of the body, if the server has declared it.
+    length: int | None
+    ended: asyncio.Future[StreamEnd]
+
+    async def read(self) -> bytes:
+        """Return the next piece, or nothing at the end; raise ExchangeBrokenError if cut off."""
+        ...
+
+    def expire(self) -> None:
+        """End a stream whose time is over."""
+        ...
+
+    def abandon(self) -> None:
+        """End a stream that nobody reads."""
+        ...
+
+
 @frozen
 class ServerAnswer:
-    """Hold a server's whole answer."""
+    """Hold a server's answer: whole, or its head and a stream of its body."""
 
     status: int
     headers: Headers
     body: bytes
+    stream: BodyStream | None = None
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header given in lower case."""
-        for known, value in self.headers:
-            if known == name:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 @define(eq=False, kw_only=True)
@@ -50,6 +99,7 @@
     body: bytes
     # Time at which the head was complete, on the timers' clock.
     arrived: float
+    version: str = "1.1"
 
 
 @frozen(kw_only=True)
@@ -59,6 +109,8 @@
     status: int
     headers: Headers = ()
     body: bytes = b""
+    # Replaces `body`.
+    stream: BodyStream | None = None
 
 
 @frozen(kw_only=True)
--- /dev/null
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -0,0 +1,209 @@
+"""Reads callers' requests: bytes in, whole requests out; it owns every limit but the pipeline's."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol
+
+import httptools
+from attrs import define, field
+
+from hyssopwood.gateway.exchange import CallerRequest, HeadReader
+from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
+from hyssopwood.gateway.route_table import CallerLimits
+
+# Heads are fed in parts. The requests that one part can hold are parsed at once, a few dozen of the
+# shortest ones.
+HEAD_SLICE_BYTES = 1024
+# Bytes of a request that count neither as its header nor as its body, beside the chunks' frames.
+OTHER_FRAMING_BYTES = 1024
+MAX_HEADER_LINES = 256
+# A body whose bytes still come is read for so long at most.
+BODY_TIMEOUT_S = 60.0
+_UNSUPPORTED = frozenset({b"HEAD", b"CONNECT", b"TRACE"})
+
+
+class RequestRefusedError(Exception):
+    """Raised when bytes can't be accepted as a request."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = int(status)
+
+
+class RequestEvents(Protocol):
+    """Take what was read."""
+
+    def request_expects(self) -> None:
+        """Note that the caller waits for leave to send the body."""
+        ...
+
+    def request_read(self, request: CallerRequest, keeps_alive: bool) -> None:
+        """Take a whole request."""
+        ...
+
+    def upgrade_proposed(self) -> None:
+        """Note that the last request proposes another protocol, and that nothing is read after it.
+
+        The proposal isn't taken up.
+        """
+        ...
+
+    def may_read_on(self) -> bool:
+        """Return whether another request may be read."""
+        ...
+
+
+@define(eq=False)
+class _Reading:
+    """Request that is being read."""
+
+    began: float
+    meter: FramingMeter
+    head: HeadReader = field(factory=HeadReader)
+    target: bytes = b""
+    body: bytearray = field(factory=bytearray)
+    arrived: float = 0.0
+    # Time of the last byte of the body, or of the head's end.
+    progress_at: float = 0.0
+    head_complete: bool = False
+    # Size of the body, if the head declares it.
+    length: int | None = None
+
+    @property
+    def next_bytes(self) -> int:
+        """Return how many bytes to parse next: no more than the request can be seen to need."""
+        if not self.head_complete or self.length is None:
+            return HEAD_SLICE_BYTES
+        return min(READ_BYTES, max(1, self.length - len(self.body)))
+
+
+class RequestReader:
+    """Parse the requests on one connection."""
+
+    def __init__(
+        self,
+        events: RequestEvents,
+        now: Callable[[], float],
+        limits: Callable[[], CallerLimits],
+    ) -> None:
+        self._events = events
+        self._now = now
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._reading: _Reading | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being read."""
+        return self._reading is not None
+
+    def feed(self, data: bytes) -> bytes:
+        """Parse bytes and return those that may not be read yet.
+
+        Raises RequestRefusedError if they are no request or pass a limit.
+        """
+        view = memoryview(data)
+        while view and self._events.may_read_on():
+            reading = self._reading
+            piece = view[: HEAD_SLICE_BYTES if reading is None else reading.next_bytes]
+            if reading is not None:
+                reading.meter.note_fed(len(piece))
+            self._parse(piece)
+            if self._reading is not None and self._reading.meter.exceeded:
+                raise RequestRefusedError(self._refusal_of(self._reading))
+            view = view[len(piece) :]
+        return bytes(view)
+
+    def late(self, now: float) -> bool:
+        """Return whether the request that is being read takes too long."""
+        reading = self._reading
+        if reading is None:
+            return False
+        limit_s = self._limits().header_timeout_s
+        if not reading.head_complete:
+            return now - reading.began > limit_s
+        return now - reading.progress_at > limit_s or now - reading.arrived > BODY_TIMEOUT_S
+
+    def drop(self) -> None:
+        """Forget the request that is being read."""
+        self._reading = None
+
+    def on_message_begin(self) -> None:
+        limit = self._limits().header_bytes + OTHER_FRAMING_BYTES
+        self._reading = _Reading(self._now(), FramingMeter(limit))
+
+    def on_url(self, url: bytes) -> None:
+        assert self._reading is not None
+        self._reading.target += url
+        self._reading.head.size += len(url)
+        self._check_head(self._reading)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self._reading is not None
+        self._reading.head.add(name, value)
+        self._check_head(self._reading)
+
+    def on_headers_complete(self) -> None:
+        reading = self._reading
+        assert reading is not None
+        reading.head_complete = True
+        reading.arrived = reading.progress_at = self._now()
+        if self._parser.get_method() in _UNSUPPORTED:
+            raise RequestRefusedError(HTTPStatus.NOT_IMPLEMENTED)
+        for name, value in reading.head.headers:
+            if name == b"content-length":
+                reading.length = int(value)
+                if reading.length > self._limits().body_bytes:
+                    raise RequestRefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            if name == b"expect" and value.lower() == b"100-continue":
+                self._events.request_expects()
+
+    def on_body(self, body: bytes) -> None:
+        reading = self._reading
+        assert reading is not None
+        reading.meter.note_body(len(body))
+        reading.progress_at = self._now()
+        if len(reading.body) + len(body) > self._limits().body_bytes:
+            raise RequestRefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        reading.body += body
+
+    def on_message_complete(self) -> None:
+        reading, self._reading = self._reading, None
+        assert reading is not None
+        hosts = [value for name, value in reading.head.headers if name == b"host"]
+        if len(hosts) != 1 or not reading.target.startswith(b"/"):
+            raise RequestRefusedError(HTTPStatus.BAD_REQUEST)
+        request = CallerRequest(
+            method=self._parser.get_method(),
+            target=reading.target,
+            host=hosts[0].decode("latin-1").rsplit(":", 1)[0].lower(),
+            headers=tuple(reading.head.headers),
+            body=bytes(reading.body),
+            arrived=reading.arrived,
+            version=self._parser.get_http_version(),
+        )
+        self._events.request_read(request, self._parser.should_keep_alive())
+
+    def _parse(self, piece: memoryview) -> None:
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            self._events.upgrade_proposed()
+        except httptools.HttpParserError as error:
+            refusal = error.__context__ or error.__cause__
+            refused = isinstance(refusal, RequestRefusedError)
+            status = refusal.status if refused else HTTPStatus.BAD_REQUEST
+            raise RequestRefusedError(status) from error
+
+    def _check_head(self, reading: _Reading) -> None:
+        limits = self._limits()
+        too_many = len(reading.head.headers) > MAX_HEADER_LINES
+        if reading.head.size > limits.header_bytes or too_many:
+            raise RequestRefusedError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
+    def _refusal_of(self, reading: _Reading) -> int:
+        if reading.head_complete:
+            return HTTPStatus.BAD_REQUEST
+        return HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -4,19 +4,19 @@
 
 import asyncio
 import socket
-import struct
 from typing import Any
 
-import httptools
-from attrs import define, field
-
+from hyssopwood.gateway.answer_reader import AnswerReader
+from hyssopwood.gateway.answer_stream import AnswerStream
 from hyssopwood.gateway.exchange import (
+    AnswerStart,
     ExchangeBrokenError,
-    HeadReader,
     NotSentError,
     ServerAnswer,
     ServerRequest,
+    find_header,
 )
+from hyssopwood.gateway.read_buffer import BufferedConnection, reset
 
 # Servers take a connection in a few milliseconds; one lost packet costs 0.2 s.
 CONNECT_TIMEOUT_S = 0.5
@@ -26,10 +26,11 @@
 UNSTATED_IDLE_S = 2.0
 # Share of the server's idle timeout after which a connection is no longer reused.
 IDLE_SHARE = 0.6
-# Answers are held whole in memory.
-MAX_ANSWER_BYTES = 67_108_864
-_NO_LINGER = struct.pack("ii", 1, 0)
-_BODILESS = frozenset({204, 304})
+# Larger answers are passed on while they arrive. Smaller ones are held whole, so that a broken one
+# can still be asked for elsewhere.
+STREAMED_BYTES = 65_536
+# Late answers to other requests that are dropped before an exchange counts as broken.
+MAX_FOREIGN_ANSWERS = 4
 
 
 def _idle_limit(value: bytes) -> float | None:
@@ -40,39 +41,27 @@
     return None
 
 
-@define
-class _Incoming:
-    """Collect one answer."""
-
-    head: HeadReader = field(factory=HeadReader)
-    status: int = 0
-    chunks: list[bytes] = field(factory=list)
-    size: int = 0
-    framed: bool = False
-    head_complete: bool = False
-
-    def answer(self) -> ServerAnswer:
-        return ServerAnswer(self.status, tuple(self.head.headers), b"".join(self.chunks))
-
-
-class ServerConnection(asyncio.Protocol):
-    """Send requests and return their whole answers; unexpected bytes end the connection."""
+class ServerConnection(BufferedConnection):
+    """Send requests and return their answers; unexpected bytes end the connection."""
 
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
-        self._incoming: _Incoming | None = None
+        self._reader = AnswerReader(self)
         self._result: asyncio.Future[ServerAnswer] | None = None
+        self._start: AnswerStart | None = None
+        self._body = bytearray()
+        self._stream: AnswerStream | None = None
         self._request_id = b""
+        self._id_header: bytes | None = None
         self._usable = True
-        self._mismatched = 0
+        self._foreign = 0
         self._idle_limit_s = UNSTATED_IDLE_S
         self.idle_since = 0.0
 
     @property
     def usable(self) -> bool:
         """Return whether another exchange may begin."""
-        return self._usable and self._result is None
+        return self._usable and self._result is None and self._stream is None
 
     @property
     def idle_limit_s(self) -> float:
@@ -82,7 +71,7 @@
     async def exchange(
         self, host: str, request: ServerRequest, id_header: bytes | None
     ) -> ServerAnswer:
-        """Send a request and return its answer.
+        """Send a request and return its answer; a large one is returned with its first bytes.
 
         An answer whose `id_header` names another request is dropped. Cancelling the call ends
         the connection.
@@ -104,13 +93,8 @@
     def abort(self) -> None:
         """End the connection at once; bytes not yet delivered are dropped."""
         self._usable = False
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        transport.abort()
+        if self._transport is not None:
+            reset(self._transport)
 
     def close(self) -> None:
         """End an idle connection."""
@@ -118,27 +102,34 @@
         if self._transport is not None:
             self._transport.close()
 
+    def pause(self) -> None:
+        """Read no more until told to."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         raw = transport.get_extra_info("socket")
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_TIMEOUT_MS)
 
-    def data_received(self, data: bytes) -> None:
-        if self._result is None or self._result.done():
+    def received(self, data: bytes) -> None:
+        if not self._expects_bytes():
             # Bytes that follow a whole answer belong to no request.
             self.abort()
             return
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(f"malformed answer: {error}")
+            self._reader.feed(data)
+        except ExchangeBrokenError as error:
+            self._fail(str(error))
 
     def eof_received(self) -> bool:
-        incoming = self._incoming
-        if incoming is not None and incoming.head_complete and not incoming.framed:
-            # The end of the connection is the end of the answer.
-            self.on_message_complete()
+        self._reader.end()
         self._fail("the server closed the connection")
         return False
 
@@ -146,73 +137,81 @@
         self._usable = False
         self._fail(f"the connection was lost: {exc or 'closed'}")
 
-    def on_message_begin(self) -> None:
-        if self._result is None or self._result.done():
+    def answer_started(self, start: AnswerStart) -> None:
+        """Take the head of an answer; the head of another request's answer ends the reuse."""
+        if not self._expects_bytes():
             self._usable = False
             return
-        self._incoming = _Incoming()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self._incoming is not None:
-            self._incoming.head.add(name, value)
-
-    def on_headers_complete(self) -> None:
-        incoming = self._incoming
-        if incoming is None:
-            return
-        incoming.status = self._parser.get_status_code()
-        names = {name for name, _ in incoming.head.headers}
-        incoming.head_complete = True
-        incoming.framed = (
-            b"content-length" in names
-            or b"transfer-encoding" in names
-            or incoming.status in _BODILESS
-            or incoming.status < 200
-        )
-
-    def on_body(self, body: bytes) -> None:
-        incoming = self._incoming
-        if incoming is None:
-            return
-        incoming.size += len(body)
-        if incoming.size > MAX_ANSWER_BYTES:
-            self._fail("the answer is too large")
+        self._start = start
+        if self._is_foreign(start):
+            # A late extra answer to an earlier request; the expected one follows it.
+            self._usable = False
+            self._foreign += 1
+            if self._foreign > MAX_FOREIGN_ANSWERS:
+                raise ExchangeBrokenError("too many answers to other requests")
             return
-        incoming.chunks.append(body)
+        if start.length is not None and start.length > STREAMED_BYTES:
+            self._begin_stream(start)
 
-    def on_message_complete(self) -> None:
-        incoming, self._incoming = self._incoming, None
-        if incoming is None or self._result is None or self._result.done():
+    def answer_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        start = self._start
+        if start is None or self._is_foreign(start):
             return
-        if incoming.status < 200:
+        if self._stream is not None:
+            self._stream.put(data)
             return
-        answer = incoming.answer()
-        self._note_reuse(answer, incoming)
-        if self._is_foreign(answer):
-            # A late extra answer to an earlier request; the expected one follows it.
-            self._usable = False
-            self._mismatched += 1
+        self._body += data
+        if len(self._body) > STREAMED_BYTES:
+            self._begin_stream(start)
+
+    def answer_ended(self) -> None:
+        """Return the whole answer, or end its stream."""
+        start, self._start = self._start, None
+        if start is None or self._is_foreign(start):
+            return
+        self._note_reuse(start)
+        if self._stream is not None:
+            stream, self._stream = self._stream, None
+            stream.finish()
+        elif self._result is not None and not self._result.done():
+            body = bytes(self._body)
+            self._body.clear()
+            self._result.set_result(ServerAnswer(start.status, start.headers, body))
+
+    def _expects_bytes(self) -> bool:
+        return self._stream is not None or (self._result is not None and not self._result.done())
+
+    def _begin_stream(self, start: AnswerStart) -> None:
+        """Return the answer's head and pass its body on from here."""
+        if self._result is None or self._result.done():
             return
-        self._result.set_result(answer)
+        self._stream = AnswerStream(start.length, self)
+        self._stream.put(bytes(self._body))
+        self._body.clear()
+        self._result.set_result(ServerAnswer(start.status, start.headers, b"", self._stream))
 
-    def _is_foreign(self, answer: ServerAnswer) -> bool:
+    def _is_foreign(self, start: AnswerStart) -> bool:
         if self._id_header is None:
             return False
-        answered = answer.header(self._id_header)
+        answered = find_header(start.headers, self._id_header)
         return answered is not None and answered != self._request_id
 
-    def _note_reuse(self, answer: ServerAnswer, incoming: _Incoming) -> None:
+    def _note_reuse(self, start: AnswerStart) -> None:
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if not incoming.framed or unsent or not self._parser.should_keep_alive():
+        if not start.framed or unsent or not self._reader.keeps_alive:
             self._usable = False
-        keep_alive = answer.header(b"keep-alive")
+        keep_alive = find_header(start.headers, b"keep-alive")
         stated = None if keep_alive is None else _idle_limit(keep_alive)
         self._idle_limit_s = UNSTATED_IDLE_S if stated is None else stated
 
     def _fail(self, cause: str) -> None:
         if self._result is not None and not self._result.done():
             self._result.set_exception(ExchangeBrokenError(cause))
+        if self._stream is not None:
+            stream, self._stream = self._stream, None
+            stream.fail(cause)
         self.abort()
 
 
--- a/src/hyssopwood/gateway/server_pool.py
+++ b/src/hyssopwood/gateway/server_pool.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from hyssopwood.gateway.exchange import ServerAnswer, ServerRequest
+from hyssopwood.gateway.exchange import BodyStream, ServerAnswer, ServerRequest
 from hyssopwood.gateway.server_connection import ServerConnection, connect
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.timers import Timers
@@ -33,16 +33,23 @@
     async def exchange(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
         """Send a request over a pooled or a new connection and return the answer.
 
-        Raises NotSentError if no byte was sent, and ExchangeBrokenError if some were.
+        A streamed answer keeps its connection until the stream has ended. Raises NotSentError if
+        no byte was sent, and ExchangeBrokenError if some were.
         """
         connection = self._take(server)
         if connection is None:
             connection = await self._connect(server.address)
             self._opened += 1
+        stream: BodyStream | None = None
         try:
-            return await connection.exchange(server.address, request, self._id_header)
+            answer = await connection.exchange(server.address, request, self._id_header)
+            stream = answer.stream
+            return answer
         finally:
-            self._give_back(server, connection)
+            if stream is None:
+                self._give_back(server, connection)
+            else:
+                stream.ended.add_done_callback(lambda _: self._give_back(server, connection))
 
     def forget(self, server: ServerRecord) -> None:
         """Close the idle connections to a server whose connections have gone silent."""
--- a/src/hyssopwood/platform/orders.py
+++ b/src/hyssopwood/platform/orders.py
@@ -70,6 +70,9 @@
         except (ExchangeBrokenError, TimeoutError):
             self._pool.forget(server)
             return OrderAnswer(done=False)
+        if answer.stream is not None:
+            # The head says all; nothing of a large body is wanted.
+            answer.stream.abandon()
         # Only the proof of release travels on; its value means nothing to the gateway.
         handover = answer.header(HANDOVER)
         return OrderAnswer(
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -29,6 +29,8 @@
 MAX_READ_KB = 1024
 # Long poll, registrations, plan and leader's writes at once, and as many after lost answers.
 MAX_CONNECTIONS = 8
+# A page holds 1 MB of values, in base64 and with their keys.
+MAX_ANSWER_BYTES = 8_388_608
 _LENGTH = struct.Struct(">I")
 _BOUNDS = struct.Struct(">QQ")
 # Answers that promise that nothing was done.
@@ -180,7 +182,7 @@
             async with session.request(
                 method, self._base + path, params=params, data=body or None, timeout=timeout
             ) as answer:
-                return answer.status, await answer.read()
+                return answer.status, await _read_bounded(answer, path)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._metrics.count("store_failures", type(error).__name__)
             raise LogUnavailableError(f"{path}: {type(error).__name__}: {error}") from error
@@ -192,6 +194,17 @@
         return self._session
 
 
+async def _read_bounded(answer: aiohttp.ClientResponse, path: str) -> bytes:
+    """Return a body; raise LogUnavailableError if it is longer than any answer of the store."""
+    data = bytearray()
+    async for piece in answer.content.iter_any():
+        data += piece
+        if len(data) > MAX_ANSWER_BYTES:
+            answer.close()
+            raise LogUnavailableError(f"{path}: the answer exceeds {MAX_ANSWER_BYTES} bytes")
+    return bytes(data)
+
+
 def _value(item: dict[str, Any]) -> bytes | None:
     return base64.b64decode(item.get("value") or "") or None
 
--- a/src/hyssopwood_standins/keyed_store.py
+++ b/src/hyssopwood_standins/keyed_store.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 PAGE_ITEMS = 500
+ENDLESS_PIECE_BYTES = 65_536
 
 
 @define
@@ -53,6 +54,8 @@
     lose_answers: int = 0
     # Bytes cut off each read.
     cut_bytes: int = 0
+    # Whether answers to reads never end.
+    endless: bool = False
     page_items: int = PAGE_ITEMS
 
 
@@ -114,10 +117,12 @@
             request.transport.abort()
         return web.json_response({"offset": offset, "end_offset": partition.end})
 
-    async def _read(self, request: web.Request) -> web.Response:
+    async def _read(self, request: web.Request) -> web.StreamResponse:
         refusal = self._refusal()
         if refusal is not None:
             return refusal
+        if self.faults.endless:
+            return await _send_without_end(request)
         partition = self.partition(request.query["topic"])
         start = int(request.query["from_revision"])
         if start < partition.first:
@@ -160,6 +165,13 @@
     return contents
 
 
+async def _send_without_end(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse()
+    await response.prepare(request)
+    while True:
+        await response.write(bytes(ENDLESS_PIECE_BYTES))
+
+
 async def _wait(event: asyncio.Event, limit_s: float) -> None:
     try:
         async with asyncio.timeout(limit_s):
