Stop requests that crash servers, and keep a stopping instance until slow callers have their answers

Cause of the first: only the repeats of one attempt were bounded; a caller that sent the request again cost a server each time. Instances now report lost requests to the leader, which names a request to all of them after three server starts have ended with it. Ruled out: counting resets alone (innocent requests on reset connections); counting in each instance.

Unsent bytes now count as busy.

--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -9,6 +9,7 @@
 
 from hyssopwood.gateway.answer_stream import AnswerStream
 from hyssopwood.gateway.caller_server import CallerServer
+from hyssopwood.gateway.crash_suspects import CrashWatch
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherParts
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
 from hyssopwood.gateway.load_reports import LoadReports
@@ -194,6 +195,7 @@
             queues=context.queues,
             new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
             reports=LoadReports(KeyLoad(timers)),
+            crashes=CrashWatch(timers),
         )
     )
     context.listener = CallerServer("127.0.0.1:0", dispatcher, timers)
@@ -466,3 +468,47 @@
 @then("the caller has had the whole body {count:d} times")
 def step_had_often(context, count):
     assert context.bodies == [(_body(context.server.size), True)] * count
+
+
+@when("a caller asks for it, and reads on only {seconds:g} s after the server has sent it all")
+def step_read_late(context, seconds):
+    async def ask():
+        raw = socket.socket()
+        # A small window, so that the last bytes wait in the gateway.
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * KIB)
+        port = context.listener._server.sockets[0].getsockname()[1]
+        raw.connect(("127.0.0.1", port))
+        reader, writer = await asyncio.open_connection(sock=raw, limit=4 * KIB)
+        while not context.listener._connections:
+            await asyncio.sleep(0.001)
+        for connection in context.listener._connections:
+            own = connection._transport.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * KIB)
+        writer.write(_request("/large"))
+        body = bytearray()
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"200 OK" in head
+        while len(body) < context.server.size - 120 * KIB:
+            body += await reader.read(4 * KIB)
+        async with asyncio.timeout(LIMIT_S):
+            while context.server.sent < context.server.size or not _idle_slots(context):
+                body += await reader.read(4 * KIB) if not _idle_slots(context) else b""
+                await asyncio.sleep(0)
+        context.busy = []
+        for _ in range(int(seconds / 0.01)):
+            context.busy.append(context.listener.busy)
+            await asyncio.sleep(0.01)
+        body += await reader.readexactly(context.server.size - len(body))
+        writer.close()
+        return bytes(body)
+
+    context.body, context.whole = context.run(ask()), True
+
+
+def _idle_slots(context):
+    return all(not connection._slots for connection in context.listener._connections)
+
+
+@then("the gateway was busy all the while")
+def step_busy(context):
+    assert context.busy and all(context.busy), context.busy
--- a/scripts/measure_streams.py
+++ b/scripts/measure_streams.py
@@ -88,6 +88,12 @@
     queues = QueueLink(
         own.address, own.instance, InstanceList(own), keeper, timers, metrics, lambda leads: None
     )
+    more = {}
+    if "crashes" in DispatcherParts.__annotations__:
+        # Versions before this part existed are measured, too.
+        from hyssopwood.gateway.crash_suspects import CrashWatch
+
+        more["crashes"] = CrashWatch(timers)
     parts = DispatcherParts(
         tables=tables,
         directory=directory,
@@ -101,6 +107,7 @@
         queues=queues,
         new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
         reports=LoadReports(KeyLoad(timers)),
+        **more,
     )
     return Dispatcher(parts), timers
 
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -93,8 +93,10 @@
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being read or answered."""
-        return bool(self._slots) or self._reader.busy
+        """Return whether a request is being read or answered, or an answer isn't sent yet."""
+        transport = self._transport
+        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        return bool(self._slots) or self._reader.busy or unsent
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -7,10 +7,11 @@
 import secrets
 from collections.abc import Callable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.caller_server import CallerServer
+from hyssopwood.gateway.crash_suspects import CrashCounter, CrashWatch, Suspects
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherParts
 from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, Dialect
 from hyssopwood.gateway.feeds import (
@@ -104,6 +105,8 @@
         self._view = PlanView(timers)
         self._reports = LoadReports(KeyLoad(timers))
         self._load = KeyLoad(timers)
+        self._crashes = CrashWatch(timers)
+        self._crash_counter = CrashCounter(timers, self._directory.has_ended)
         self._pool = ServerPool(timers, outside.id_header)
         self._order_pool = ServerPool(timers, None)
         self._health = ServerHealth(timers)
@@ -128,11 +131,12 @@
             self._hello,
             self._view.offer,
             lambda: self._view.plan,
-            self._reports.take_recent,
-            self._reports.take,
+            self._recent_report,
+            self._next_report,
             self._take_servers,
             self._view.pause,
             self._instances.apply,
+            self._crashes.take,
         )
         self._link_server = LinkServer(
             settings.peer_address,
@@ -144,6 +148,7 @@
             self._greet,
             self._instances,
             self._announce,
+            self._find_suspects,
         )
         self._configuration = ConfigurationFollower(
             outside.configuration, self._tables, timers, self._link, self._link_server.send_beat
@@ -292,6 +297,7 @@
             queues=self._queues,
             new_budget=self._new_budget,
             reports=self._reports,
+            crashes=self._crashes,
         )
 
     async def _lead(self, claim: Claim) -> None:
@@ -314,7 +320,8 @@
         self._claim = -1 if claim.plan is None else claim.plan.version
         self._manager, self._predecessor = manager, claim.predecessor
         self._load.forget()
-        self._take_report(self._reports.take_recent())
+        self._crash_counter.forget()
+        self._take_report(self._recent_report())
         own_reports = asyncio.ensure_future(self._take_own_reports())
         try:
             await manager.run()
@@ -332,7 +339,7 @@
 
     async def _take_own_reports(self) -> None:
         async for _ in self._timers.subscribe(HOUSEKEEPING_INTERVAL_S / 2):
-            self._take_report(self._reports.take())
+            self._take_report(self._next_report())
 
     def _publish(self, plan: Plan, change: PlanChange) -> None:
         self._view.offer(plan, "own change")
@@ -366,7 +373,19 @@
         for record in update.removed:
             self._directory.remove_version(record, now)
 
+    def _recent_report(self) -> Report:
+        return evolve(self._reports.take_recent(), crashes=self._crashes.recent_report())
+
+    def _next_report(self) -> Report:
+        return evolve(self._reports.take(), crashes=self._crashes.next_report())
+
+    def _find_suspects(self) -> Suspects:
+        suspects = self._crash_counter.suspects()
+        self._crashes.take(suspects)
+        return suspects
+
     def _take_report(self, report: Report) -> None:
+        self._crash_counter.take(report.crashes)
         for service, counts in report.keys.items():
             for key, count in counts.items():
                 self._load.note(service, key, count)
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.crash_suspects import CrashWatch
 from hyssopwood.gateway.exchange import (
     AnswerHead,
     BadHeadError,
@@ -71,6 +72,7 @@
     queues: QueueLink
     new_budget: Callable[[], RetryBudget]
     reports: LoadReports
+    crashes: CrashWatch
 
 
 class Dispatcher:
@@ -143,6 +145,9 @@
             if self._left(work) <= 0:
                 last = Refused(Cause.DEADLINE, "the time for this request is over")
                 break
+            if self._parts.crashes.refuses(work.request):
+                last = Refused(Cause.QUARANTINED, "it has crashed each server that ran it")
+                break
             if work.sends and not self._budget(work.service).take(self._parts.timers.now()):
                 break
             outcome = await self._attempt(work)
@@ -227,10 +232,12 @@
         except ExchangeBrokenError as error:
             self._count_send(work)
             self._note_failure(server, str(error), certain=False)
+            self._parts.crashes.note_lost(work.request, server.life)
             return MayHaveRun(Cause.BROKEN, str(error)), Done(failure=Failure.UNCERTAIN)
         except TimeoutError:
             self._count_send(work)
             self._note_failure(server, "no answer in time", certain=False)
+            self._parts.crashes.note_lost(work.request, server.life)
             # The server needs at least so long.
             sample_s = self._parts.timers.now() - began
             self._parts.reports.note_time(server.life, sample_s)
@@ -269,6 +276,7 @@
         fault = _answer_fault(work, answer, head)
         if fault:
             return MayHaveRun(Cause.BAD_ANSWER, fault), done
+        self._parts.crashes.note_success(work.request)
         return Answered(answer), done
 
     def _message(self, work: Work, server: ServerRecord) -> ServerRequest:
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -29,6 +29,7 @@
     BROKEN = "broken"
     BAD_ANSWER = "bad-answer"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
 
 
 @frozen
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Hashable
 from functools import partial
 from typing import TypeAlias
@@ -52,6 +53,8 @@
     _timers: Timers
     _queues: dict[QueueName, SharedQueue] = field(factory=dict, init=False)
     _askers: dict[Hashable, _Asker] = field(factory=dict, init=False)
+    # Set while any request has a place or waits.
+    _occupied: asyncio.Event = field(factory=asyncio.Event, init=False)
 
     @property
     def places(self) -> int:
@@ -59,12 +62,16 @@
         return len(self._askers)
 
     async def run(self) -> None:
-        """Review all queues at intervals until cancelled."""
-        async for _ in self._timers.subscribe(REVIEW_INTERVAL_S):
+        """Review all queues at intervals until cancelled; sleep while they are empty."""
+        while True:
+            await self._occupied.wait()
+            await self._timers.sleep(REVIEW_INTERVAL_S)
             for name, queue in list(self._queues.items()):
                 self._advance(name)
                 if queue.idle and not self._servers(name):
                     del self._queues[name]
+            if not self._askers:
+                self._occupied.clear()
 
     def ask(self, ticket: Hashable, ask: Ask, answer: Answer) -> None:
         """Take a request in; `answer` is called now and again when its state changes.
@@ -97,6 +104,7 @@
         decision = queue.enter(request, now)
         if isinstance(decision, Granted | Queued):
             self._askers[ticket] = _Asker(ask.queue, answer)
+            self._occupied.set()
         answer(_reply(decision))
 
     def leave(self, ticket: Hashable, done: Done) -> None:
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -113,6 +113,8 @@
     _pending: dict[int, _Pending] = field(factory=dict, init=False)
     _returns: dict[int, _Return] = field(factory=dict, init=False)
     _passed_over: dict[str, float] = field(factory=dict, init=False)
+    # Set while there is anything to repeat.
+    _unanswered: asyncio.Event = field(factory=asyncio.Event, init=False)
     # While this instance stops, others are sent to the next keeper.
     declining: bool = field(default=False, init=False)
 
@@ -130,13 +132,18 @@
             self._transport.close()
 
     async def run(self) -> None:
-        """Repeat unanswered messages until cancelled."""
-        async for now in self._timers.subscribe(CHECK_INTERVAL_S):
+        """Repeat unanswered messages until cancelled; sleep while there are none."""
+        while True:
+            await self._unanswered.wait()
+            await self._timers.sleep(CHECK_INTERVAL_S)
+            now = self._timers.now()
             for pending in list(self._pending.values()):
                 self._check(pending, now)
             for ticket, item in list(self._returns.items()):
                 if now - item.sent_at >= REPEAT_AFTER_S:
                     self._repeat_return(ticket, item, now)
+            if not self._pending and not self._returns:
+                self._unanswered.clear()
 
     async def enter(self, ask: Ask, moved: asyncio.Future[None] | None = None) -> Place | Reply:
         """Return a place, or the reply that refuses one.
@@ -208,6 +215,7 @@
         final: asyncio.Future[Reply | None] = asyncio.get_running_loop().create_future()
         pending = _Pending(self._take_ticket(), ask, asked_at, keeper, final, now)
         self._pending[pending.ticket] = pending
+        self._unanswered.set()
         self._send(keeper.address, pending.ticket, _aged(ask, now - asked_at))
         reply: Reply | None = None
         try:
@@ -242,6 +250,7 @@
 
     def _return(self, ticket: int, keeper: InstanceRecord, done: Done) -> None:
         self._returns[ticket] = _Return(keeper, done, self._timers.now())
+        self._unanswered.set()
         self._send(keeper.address, ticket, done)
 
     def _repeat_return(self, ticket: int, item: _Return, now: float) -> None:
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -78,6 +78,11 @@
             return removed.record
         return self.get(server)
 
+    def has_ended(self, life: tuple[str, int]) -> bool:
+        """Return whether a start of a server is gone or was followed by a later one."""
+        record = self.get(life[0])
+        return record is None or record.life != life
+
     def digest(self) -> int:
         """Return a number that two directories share only if they route alike."""
         if self._digest is None:
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -12,6 +12,7 @@
     pause @6 :RangePause;
     instances @7 :InstanceUpdate;
     resync @8 :Resync;
+    suspects @9 :Suspects;
   }
 }
 
@@ -59,9 +60,25 @@
   meanMs @2 :Float32;
 }
 
+struct LostRequest {
+  fingerprint @0 :UInt64;
+  # Start of the server whose connection was lost.
+  server @1 :Text;
+  bornMs @2 :UInt64;
+}
+
 struct Report {
   services @0 :List(ServiceKeys);
   servers @1 :List(ServerTime);
+  lost @2 :List(LostRequest);
+  # Fingerprints of watched requests that have succeeded.
+  cleared @3 :List(UInt64);
+}
+
+struct Suspects {
+  # Fingerprints of requests that crash servers.
+  watched @0 :List(UInt64);
+  quarantined @1 :List(UInt64);
 }
 
 struct PlanUpdate {
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -12,6 +12,7 @@
 
 from hyssopwood.errors import InputError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.crash_suspects import Suspects
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.keyspace.link_codec import (
@@ -115,6 +116,9 @@
     _instances: InstanceList
     # Tells an instance at an address, by datagram, that this one leads.
     _announce: Callable[[str], None]
+    _suspects: Callable[[], Suspects] = Suspects
+    # What all linked instances were told.
+    _told: Suspects = field(factory=Suspects, init=False)
     # Instances that have lost their link, or never had one, and when they were missed first.
     _missing: dict[str, tuple[InstanceRecord, float]] = field(factory=dict, init=False)
     _leading_since: float | None = field(default=None, init=False)
@@ -156,8 +160,15 @@
                 writer.transport.abort()
         if view is not None:
             self._broadcast(view.beat())
+            self._tell_suspects()
         self._prune(view is not None)
 
+    def _tell_suspects(self) -> None:
+        suspects = self._suspects()
+        if suspects != self._told:
+            self._told = suspects
+            self._broadcast(suspects)
+
     def _prune(self, leading: bool) -> None:
         """Drop instances that the leader before knew and that have no link to this one."""
         now = self._timers.now()
@@ -236,6 +247,7 @@
             if hello.instances_digest != self._instances.digest():
                 _write(writer, InstanceUpdate(self._instances.records(), complete=True))
             self._send_plan_since(writer, hello.plan_version)
+            _write(writer, self._told)
             _write(writer, view.beat())
             while True:
                 message = await _read(reader)
@@ -271,6 +283,7 @@
     _take_servers: Callable[[ServerUpdate], None]
     _pause: Callable[[RangePause], None]
     _take_instances: Callable[[InstanceUpdate], object]
+    _take_suspects: Callable[[Suspects], None] = lambda suspects: None
     _beat: Beat | None = field(default=None, init=False)
     _beat_at: float = field(default=float("-inf"), init=False)
     _beaten: asyncio.Event = field(factory=asyncio.Event, init=False)
@@ -343,6 +356,8 @@
                 self._pause(message)
             elif isinstance(message, InstanceUpdate):
                 self._take_instances(message)
+            elif isinstance(message, Suspects):
+                self._take_suspects(message)
             else:
                 self._take_plan(message)
 
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from hyssopwood.errors import ProtocolError
+from hyssopwood.gateway.crash_suspects import CrashReport, Suspects
 from hyssopwood.gateway.instance_list import InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.keyspace.plan import KeyRange, PlanChange
@@ -41,6 +42,7 @@
     keys: dict[str, dict[int, int]]
     # Mean time of answers that weren't queued, in seconds, by start of a server.
     times: dict[tuple[str, int], float]
+    crashes: CrashReport = CrashReport()
 
 
 @frozen
@@ -91,6 +93,7 @@
     | RangePause
     | InstanceUpdate
     | Resync
+    | Suspects
 )
 
 
@@ -123,6 +126,12 @@
         item.server = server
         item.bornMs = born_ms
         item.meanMs = mean_s * 1000
+    lost = report.init("lost", len(message.crashes.lost))
+    for item, (number, (server, born_ms)) in zip(lost, message.crashes.lost, strict=True):
+        item.fingerprint = number
+        item.server = server
+        item.bornMs = born_ms
+    report.cleared = list(message.crashes.cleared)
 
 
 @_fill.register
@@ -201,6 +210,13 @@
     resync.plan = message.plan
 
 
+@_fill.register
+def _(message: Suspects, wire: Any) -> None:
+    suspects = wire.init("suspects")
+    suspects.watched = sorted(message.watched)
+    suspects.quarantined = sorted(message.quarantined)
+
+
 def _fill_instance(row: Any, record: InstanceRecord) -> None:
     row.instance = record.instance
     row.address = record.address
@@ -226,7 +242,8 @@
         for service in report.services
     }
     times = {(item.server, item.bornMs): item.meanMs / 1000 for item in report.servers}
-    return Report(keys, times)
+    lost = tuple((item.fingerprint, (item.server, item.bornMs)) for item in report.lost)
+    return Report(keys, times, CrashReport(lost, tuple(report.cleared)))
 
 
 def _read_change(change: Any) -> PlanChange:
@@ -294,6 +311,9 @@
             return _read_servers(wire.servers)
         if kind == "resync":
             return Resync(wire.resync.servers, wire.resync.plan)
+        if kind == "suspects":
+            suspects = wire.suspects
+            return Suspects(frozenset(suspects.watched), frozenset(suspects.quarantined))
         if kind == "instances":
             return _read_instances(wire.instances)
         if kind == "pause":
