Give shared work to instances with room, and ask a store that is away less often

Change: the capacity of each instance (processor share, or what its link leaves useful) is part of its record.

Ruled out: a longer silence before a leader is replaced (keys of a lost leader's servers wait longer); one shared read for all instances (the leader's links are what is missing then).

A report of a lost request alone was never sent, since only load counted as something to tell; the scenario "A lost request is reported also where there is no load to report" covers it.

--- a/features/gateway_feeds.feature
+++ b/features/gateway_feeds.feature
@@ -75,3 +75,31 @@
       | {"version":1,"lives":[["s",1]],"services":{"p":[[0,100,0,1],[50,65535,0,1]]}}        |
       | {"version":1,"lives":[],"services":{"p":[[0,65535,0,1]]}}                            |
       | {"lives":[["s",1]],"services":{}}                                                    |
+
+  Scenario: A store that is away is called less and less, and by one part at a time
+    Guards against an outage in which every instance calls the store seven times a second (trouble-3
+    on musgo-limpio-grown: 12,338 calls, 0.145 of the day's worth).
+    Given 100 instances whose three parts call the store every 0.25 s
+    When the store is away for 8 s
+    Then an instance made at most 1.5 calls a second in that time
+    When the store is back
+    Then every instance has called it within 2 s
+    And no quarter of a second saw more than half of the instances
+
+  Scenario: Single lost answers hold nothing back
+    Guards against news that come late because the store lost one answer in three.
+    Given 100 instances whose three parts call the store every 0.25 s
+    When the store loses every third answer for 8 s
+    Then an instance made at least 9 calls a second in that time
+
+  Scenario: Few instances look closely for the leader's silence
+    Guards against 195 instances that read the plan four times a second until one of them leads.
+    Given a list of 65 instances in each of the domains "a,b,c"
+    Then 4 of each domain are candidates to lead
+    And when 2 instances are known, all are candidates
+
+  Scenario: A bystander follows a leader that tells of itself without asking the store
+    Guards against reads of the store by every instance at each change of the leader.
+    Given a bystander that has lost its leader
+    When leader i3 that claimed at 12 tells of itself after 0.2 s
+    Then the bystander follows i3 within 0.4 s and has read the store twice
--- a/features/gateway_queue.feature
+++ b/features/gateway_queue.feature
@@ -184,3 +184,37 @@
     When leader i3 that claimed at 12 tells of itself for 2 s
     And leader i2 that claimed at 8 tells of itself for 1 s
     Then the instance has followed "i2,i3"
+
+  Scenario: Instances keep queues by their capacity
+    Guards against a machine with a fifth of the processor time that keeps as many queues as others.
+    Given instances of one domain with capacities "430,860,2150"
+    When 3000 queues are given to keepers
+    Then each keeps its share by capacity within a tenth
+    When the instance with capacity 2150 leaves
+    Then only its queues have another keeper than before
+
+  Scenario Outline: An instance with little capacity lets others claim first
+    Guards against a leader that keeps its beats back and is replaced (musgo-limpio-grown, trouble-3:
+    two changes of the leader within 5 s left the keys of 26 lost servers without an owner for 30 s).
+    Given instances with capacities "<capacities>" that see at the same time that nobody leads
+    Then the instance with capacity <claimer> claims within <limit> s
+
+    Examples:
+      | capacities  | claimer | limit |
+      | 430,860     | 860     | 0.3   |
+      | 250,430,800 | 800     | 0.3   |
+      | 250         | 250     | 0.8   |
+
+  Scenario: A lost request is reported also where there is no load to report
+    Guards against requests to services without keys whose crashes the leader never counts.
+    Given a leader with links of instances "i1,i2"
+    When instance "i1" has lost a request and nothing else to report
+    Then the leader has taken a report of that request
+
+  Scenario: Reports grow rarer with the number of instances
+    Guards against a leader that is busy with reports when its beats are due.
+    Given a leader with links of instances "i1,i2"
+    When the instances know 12 instances and 2.1 s pass
+    Then each instance has reported 6 to 9 times
+    When the instances know 160 instances and 3.2 s pass
+    Then each instance has reported 2 to 4 times
--- /dev/null
+++ b/features/steps/gateway_availability_steps.py
@@ -0,0 +1,209 @@
+"""Steps for calls to a store that is away, and for instances that wait for a leader."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from hyssopwood.errors import PeerUnavailableError
+from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
+from hyssopwood.gateway.store_availability import StoreAvailability
+from hyssopwood.keyspace.leadership import Leadership, LeadershipParts
+from hyssopwood.keyspace.link_codec import Beat
+from hyssopwood.keyspace.plan import Leader, Plan
+from hyssopwood.keyspace.plan_store import StoredPlan
+from hyssopwood.keyspace.plan_view import PlanView
+from hyssopwood.timers import SystemTimers
+
+STEP_S = 0.05
+PARTS = 3
+
+
+class _Clock:
+    def __init__(self):
+        self.time = 0.0
+
+    def now(self):
+        return self.time
+
+
+class _Caller:
+    """One instance: its parts call at an interval unless they are held back."""
+
+    def __init__(self, clock, number, interval_s):
+        rng = random.Random(number)
+        self.clock = clock
+        self.availability = StoreAvailability(clock, rng)
+        self.interval_s = interval_s
+        self.due = [rng.random() * interval_s for _ in range(PARTS)]
+        self.calls = []
+
+    def step(self, answers):
+        for part in range(PARTS):
+            if self.clock.time < self.due[part]:
+                continue
+            self.due[part] = self.clock.time + self.interval_s
+            if not self.availability.may_call():
+                continue
+            self.calls.append(self.clock.time)
+            if answers(self):
+                self.availability.note_success()
+            else:
+                self.availability.note_failure(self.clock.time)
+
+
+def _play(context, seconds, answers):
+    context.began = context.clock.time
+    while context.clock.time < context.began + seconds:
+        for caller in context.callers:
+            caller.step(answers)
+        context.clock.time += STEP_S
+    context.lasted = seconds
+
+
+@given("{count:d} instances whose three parts call the store every {interval_s:g} s")
+def step_callers(context, count, interval_s):
+    context.clock = _Clock()
+    context.callers = [_Caller(context.clock, number, interval_s) for number in range(count)]
+
+
+@when("the store is away for {seconds:d} s")
+def step_away(context, seconds):
+    _play(context, seconds, lambda caller: False)
+
+
+@when("the store is back")
+def step_back(context):
+    _play(context, 4, lambda caller: True)
+
+
+@when("the store loses every third answer for {seconds:d} s")
+def step_loses(context, seconds):
+    _play(context, seconds, lambda caller: len(caller.calls) % 3 != 0)
+
+
+def _rates(context):
+    return [
+        sum(context.began <= at for at in caller.calls) / context.lasted
+        for caller in context.callers
+    ]
+
+
+@then("an instance made at most {most:g} calls a second in that time")
+def step_at_most(context, most):
+    assert max(_rates(context)) <= most, max(_rates(context))
+
+
+@then("an instance made at least {least:g} calls a second in that time")
+def step_at_least(context, least):
+    assert min(_rates(context)) >= least, min(_rates(context))
+
+
+def _first_calls(context):
+    return [min(at for at in caller.calls if at >= context.began) for caller in context.callers]
+
+
+@then("every instance has called it within {seconds:g} s")
+def step_called_within(context, seconds):
+    assert max(_first_calls(context)) - context.began <= seconds
+
+
+@then("no quarter of a second saw more than half of the instances")
+def step_spread(context):
+    first = _first_calls(context)
+    most = max(sum(at <= other < at + 0.25 for other in first) for at in first)
+    assert most <= len(first) / 2, most
+
+
+@given('a list of {count:d} instances in each of the domains "{domains}"')
+def step_large_list(context, count, domains):
+    context.records = [
+        InstanceRecord(f"i{domain}{number}", f"{domain}{number}:1", domain)
+        for domain in domains.split(",")
+        for number in range(count)
+    ]
+
+
+def _candidates(records, count):
+    found = []
+    for record in records:
+        instances = InstanceList(record)
+        instances.apply(InstanceUpdate(tuple(records), complete=True))
+        if instances.is_among_first("leader", count):
+            found.append(record)
+    return found
+
+
+@then("{count:d} of each domain are candidates to lead")
+def step_candidates(context, count):
+    domains = [record.failure_domain for record in _candidates(context.records, count)]
+    assert {domain: domains.count(domain) for domain in domains} == dict.fromkeys("abc", count)
+
+
+@then("when {count:d} instances are known, all are candidates")
+def step_few(context, count):
+    assert len(_candidates(context.records[:count], 4)) == count
+
+
+class _Store:
+    def __init__(self):
+        self.reads = 0
+
+    async def load(self):
+        self.reads += 1
+        return StoredPlan(5, None, Leader("i2", "1", "i2:1"))
+
+
+class _Link:
+    """The first leader can't be linked; others are followed."""
+
+    def __init__(self):
+        self.followed = []
+
+    async def follow(self, address, stay):
+        if address == "i2:1":
+            raise PeerUnavailableError("gone")
+        self.followed.append(address)
+        while stay(Beat(0.0, plan_version=12)):
+            await asyncio.sleep(0.05)
+
+
+@given("a bystander that has lost its leader")
+def step_bystander(context):
+    timers = SystemTimers()
+    context.store, context.link = _Store(), _Link()
+    context.view = PlanView(timers)
+    context.view.offer(Plan(12, {}), "test")
+    context.bystander = Leadership(
+        LeadershipParts(
+            store=context.store,
+            me=Leader("i1", "1", "i1:1"),
+            view=context.view,
+            link=context.link,
+            timers=timers,
+            chance=random.Random(1),
+            availability=StoreAvailability(timers),
+            is_candidate=lambda: False,
+            lead=lambda claim: None,
+            may_lead=lambda: True,
+        )
+    )
+
+
+@when("leader {name} that claimed at {claim:d} tells of itself after {seconds:g} s")
+def step_tells_after(context, name, claim, seconds):
+    async def tell():
+        context.task = asyncio.ensure_future(context.bystander.run())
+        await asyncio.sleep(0.25 + seconds)
+        context.bystander.note_announced(Leader(name, "1", f"{name}:1"), claim)
+        await asyncio.sleep(0.4)
+        context.task.cancel()
+        await asyncio.gather(context.task, return_exceptions=True)
+
+    context.run(tell())
+
+
+@then("the bystander follows {name} within {seconds:g} s and has read the store twice")
+def step_followed(context, name, seconds):
+    assert context.link.followed == [f"{name}:1"], context.link.followed
+    assert context.store.reads == 2, context.store.reads
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -13,6 +13,7 @@
 )
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.link_codec import Beat
 from hyssopwood.keyspace.plan import KeyRange, Plan, PlanChange, divide_evenly
 from hyssopwood.keyspace.plan_codec import decode_plan, encode_plan
@@ -99,7 +100,12 @@
     context.feed = _Configurations()
     context.route_tables = RouteTables()
     follower = ConfigurationFollower(
-        context.feed, context.route_tables, SystemTimers(), context.leader, lambda: None
+        context.feed,
+        context.route_tables,
+        SystemTimers(),
+        context.leader,
+        lambda: None,
+        StoreAvailability(SystemTimers()),
     )
 
     async def start():
@@ -137,7 +143,11 @@
     context.leader = _Leader(context.directory.digest)
     context.directory.put(RECORD)
     follower = ServerFollower(
-        context.server_feed, context.directory, SystemTimers(), context.leader
+        context.server_feed,
+        context.directory,
+        SystemTimers(),
+        context.leader,
+        StoreAvailability(SystemTimers()),
     )
 
     async def start():
--- a/features/steps/gateway_queue_steps.py
+++ b/features/steps/gateway_queue_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from hyssopwood.errors import LogUnavailableError
+from hyssopwood.gateway.crash_suspects import CrashReport
 from hyssopwood.gateway.exchange import ServerLoad
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.queue_keeper import QueueKeeper
@@ -24,6 +25,7 @@
     Rejected,
     SharedQueue,
 )
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace import link
 from hyssopwood.keyspace.leadership import Leadership, LeadershipParts
 from hyssopwood.keyspace.link import LeaderLink, LeaderView, LinkServer
@@ -470,11 +472,16 @@
             self._offer,
             lambda: self.plan,
             lambda: Report({}, {}),
-            lambda: Report({}, {}),
+            self._next_report,
             self.updates.append,
             lambda pause: None,
             self.instances.apply,
+            lambda suspects: None,
+            lambda: self.shown_count or self.instances.count,
         )
+        self.lost = ()
+        self.reports = 0
+        self.shown_count = 0
         self.task = asyncio.ensure_future(self.link.follow(leader_address, lambda beat: True))
 
     def _offer(self, plan, source):
@@ -484,12 +491,18 @@
     def _hello(self):
         return Hello(self.record, "1", -1, self.instances.digest())
 
+    def _next_report(self):
+        self.reports += 1
+        lost, self.lost = self.lost, ()
+        return Report({}, {}, CrashReport(lost))
+
 
 @given('a leader with links of instances "{names}"')
 def step_leader(context, names):
     context.loop_of_links = uvloop.new_event_loop()
     context.failures = []
     context.announced = []
+    context.reported = []
     context.loop_of_links.set_exception_handler(
         lambda loop, failure: context.failures.append(failure)
     )
@@ -502,7 +515,7 @@
         lambda: LeaderView(0.0, 1, 0.0, 7, -1),
         lambda: None,
         lambda: tuple(_record(f"s{number}", 2) for number in range(400)),
-        lambda report: None,
+        context.reported.append,
         lambda hello: None,
         context.leader_list,
         context.announced.append,
@@ -516,6 +529,33 @@
     context.loop_of_links.run_until_complete(start())
 
 
+@when('instance "{name}" has lost a request and nothing else to report')
+def step_lost_request(context, name):
+    context.linked[name].lost = ((7, ("s1", 1)),)
+    context.loop_of_links.run_until_complete(asyncio.sleep(0.4))
+
+
+@then("the leader has taken a report of that request")
+def step_reported(context):
+    assert [report.crashes.lost for report in context.reported if report.crashes.lost] == [
+        ((7, ("s1", 1)),)
+    ]
+
+
+@when("the instances know {count:d} instances and {seconds:g} s pass")
+def step_many_instances(context, count, seconds):
+    for item in context.linked.values():
+        item.shown_count, item.reports = count, 0
+    # Links without beats count as lost.
+    step_beats(context, seconds)
+
+
+@then("each instance has reported {least:d} to {most:d} times")
+def step_report_count(context, least, most):
+    counts = [item.reports for item in context.linked.values()]
+    assert all(least <= count <= most for count in counts), counts
+
+
 @when('the links of instances "{names}" are reset at the same moment')
 def step_reset_links(context, names):
     async def reset():
@@ -523,6 +563,9 @@
             if instance in names.split(","):
                 writer.transport.abort()
         await asyncio.sleep(0.1)
+        # What has changed goes out with the next beat.
+        context.link_server.send_beat()
+        await asyncio.sleep(0.1)
         context.listener.close()
         context.listed = sorted(item.instance for item in context.leader_list.records())
         told = {name: item.instances.records() for name, item in context.linked.items()}
@@ -681,6 +724,7 @@
             link=context.followed_link,
             timers=timers,
             chance=random.Random(1),
+            availability=StoreAvailability(timers),
             lead=lambda claim: None,
             may_lead=lambda: True,
         )
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -15,6 +15,7 @@
 )
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables, ServiceSpec
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.holds import ORDER_TIMEOUT_S
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import KeyManager, ManagerParts, OrderAnswer
@@ -313,6 +314,7 @@
                 link=_LinkOf(cluster, self),
                 timers=self.process,
                 chance=cluster.rng,
+                availability=StoreAvailability(self.process, cluster.rng),
                 lead=self.lead,
                 may_lead=lambda: not self.stopping,
             )
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -31,6 +31,7 @@
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import KeyManager, KeyOrders, ManagerParts
 from hyssopwood.keyspace.leadership import Claim, Leadership, LeadershipParts
@@ -56,6 +57,11 @@
 ASSUMED_INSTANCES = 100
 
 
+# Instances of each failure domain that look closely for a leader's silence; the others would only
+# add reads of the store, 600 a second of 195 instances.
+CANDIDATES_PER_DOMAIN = 4
+
+
 @frozen(kw_only=True)
 class Outside:
     """Name the parts through which the gateway meets the deployment's platform."""
@@ -113,7 +119,10 @@
         self._orders = outside.orders(self._order_pool)
         self._me = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
         self._record = InstanceRecord(
-            settings.instance, settings.peer_address, settings.failure_domain
+            settings.instance,
+            settings.peer_address,
+            settings.failure_domain,
+            settings.capacity,
         )
         self._instances = InstanceList(self._record)
         self._keeper = QueueKeeper(self._directory, self._health, timers)
@@ -137,6 +146,7 @@
             self._view.pause,
             self._instances.apply,
             self._crashes.take,
+            lambda: self._instances.count,
         )
         self._link_server = LinkServer(
             settings.peer_address,
@@ -150,10 +160,18 @@
             self._announce,
             self._find_suspects,
         )
+        self._availability = StoreAvailability(timers)
         self._configuration = ConfigurationFollower(
-            outside.configuration, self._tables, timers, self._link, self._link_server.send_beat
+            outside.configuration,
+            self._tables,
+            timers,
+            self._link,
+            self._link_server.send_beat,
+            self._availability,
+        )
+        self._servers = ServerFollower(
+            outside.servers, self._directory, timers, self._link, self._availability
         )
-        self._servers = ServerFollower(outside.servers, self._directory, timers, self._link)
         self._directory.subscribe(self._publish_server)
         self._leadership = Leadership(self._leadership_parts())
         self._dispatcher = Dispatcher(self._dispatcher_parts())
@@ -279,6 +297,9 @@
             link=self._link,
             timers=self._timers,
             chance=random.Random(),
+            availability=self._availability,
+            is_candidate=lambda: self._instances.is_among_first("leader", CANDIDATES_PER_DOMAIN),
+            capacity=self._settings.capacity,
             lead=self._lead,
             may_lead=lambda: not self._stopping.is_set(),
         )
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -12,6 +12,7 @@
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.route_table import RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.link_codec import Beat
 from hyssopwood.timers import Timers
 
@@ -87,6 +88,7 @@
     _timers: Timers
     _leader: LeaderNews
     _taken: Callable[[], None]
+    _store: StoreAvailability
     _available: bool = field(default=True, init=False)
 
     async def run(self) -> None:
@@ -112,14 +114,20 @@
         return beat is not None and (table is None or beat.configuration > table.version)
 
     async def _read(self, wait_s: float) -> None:
+        if not self._store.may_call():
+            await self._timers.sleep(max(RETRY_INTERVAL_S, self._store.left_s()))
+            return
+        began = self._timers.now()
         try:
             tables = await self._feed.next(wait_s)
         except LogError as error:
+            self._store.note_failure(began)
             if self._available:
                 emit(Event.LOG_UNAVAILABLE, use="configuration", error=error)
             self._available = False
             await self._timers.sleep(RETRY_INTERVAL_S)
             return
+        self._store.note_success()
         if not self._available:
             self._available = True
             emit(Event.LOG_RECOVERED, use="configuration")
@@ -137,6 +145,7 @@
     _directory: ServerDirectory
     _timers: Timers
     _leader: LeaderNews
+    _store: StoreAvailability
     _failed_at: float = field(default=float("-inf"), init=False)
     _available: bool = field(default=True, init=False)
     _read_at: float = field(default=float("-inf"), init=False)
@@ -160,16 +169,22 @@
         return alike or now - self._read_at < REREAD_INTERVAL_S
 
     async def _poll(self) -> bool:
+        if not self._store.may_call():
+            self._failed_at = self._timers.now()
+            return False
         if self._timers.now() - self._read_at > RELIST_AFTER_S:
             self._feed.relist()
+        began = self._timers.now()
         try:
             changes = await self._feed.next(0.0)
         except LogError as error:
+            self._store.note_failure(began)
             self._failed_at = self._timers.now()
             if self._available:
                 emit(Event.LOG_UNAVAILABLE, use="servers", error=error)
             self._available = False
             return False
+        self._store.note_success()
         now = self._timers.now()
         if not self._available:
             self._available = True
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY
 from hyssopwood.settings import validate_address, validate_positive
 
 
@@ -34,3 +35,5 @@
     metrics_address: str = field(validator=validate_address)
     store_address: str = field(validator=validate_address)
     bounds: Bounds
+    # Processor time and link for work that any instance may do, in thousandths of a core.
+    capacity: int = field(default=NOMINAL_CAPACITY, validator=validate_positive)
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from hashlib import blake2b
 
 from attrs import define, field, frozen
 
+# Thousandths of a core of an instance whose settings don't state its share.
+NOMINAL_CAPACITY = 1000
+
 
 @frozen
 class InstanceRecord:
@@ -15,10 +19,15 @@
     # Address for messages between instances.
     address: str
     failure_domain: str
+    # Processor time that it has for shared work, in thousandths of a core.
+    capacity: int = NOMINAL_CAPACITY
 
 
-def _rank(queue: str, record: InstanceRecord) -> bytes:
-    return blake2b(f"{queue}|{record.instance}".encode(), digest_size=8).digest()
+def _rank(queue: str, record: InstanceRecord) -> float:
+    """Return a rank by weighted rendezvous hashing; the lowest keeps the queue."""
+    digest = blake2b(f"{queue}|{record.instance}".encode(), digest_size=8).digest()
+    chance = (int.from_bytes(digest) + 1) / 2**64
+    return -math.log(chance) / max(1, record.capacity)
 
 
 @frozen
@@ -55,7 +64,9 @@
 
     def digest(self) -> int:
         """Return a number that two lists share only if they are alike."""
-        rows = sorted(f"{x.instance}|{x.address}|{x.failure_domain}" for x in self.records())
+        rows = sorted(
+            f"{x.instance}|{x.address}|{x.failure_domain}|{x.capacity}" for x in self.records()
+        )
         return int.from_bytes(blake2b("\n".join(rows).encode(), digest_size=8).digest())
 
     def records(self) -> tuple[InstanceRecord, ...]:
@@ -86,12 +97,17 @@
             self._ranked.clear()
         return changed
 
+    def is_among_first(self, purpose: str, count: int) -> bool:
+        """Return whether this instance is one of the first by rank for a purpose."""
+        first = self.ranked(purpose, self._own.failure_domain)[:count]
+        return self.count <= count or self._own in first
+
     def ranked(self, queue: str, failure_domain: str) -> tuple[InstanceRecord, ...]:
         """Return the instances that may keep a queue, the one that should first.
 
         All instances with the same list return the same order, and a change of the list moves few
         queues. Instances of the queue's failure domain come first, so that asking crosses no more
-        often than the request itself.
+        often than the request itself; among them each keeps queues by its capacity.
         """
         known = self._ranked.get((queue, failure_domain))
         if known is None:
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -21,6 +21,8 @@
   # Address for messages between instances.
   address @1 :Text;
   failureDomain @2 :Text;
+  # Thousandths of a core.
+  capacity @3 :UInt32;
 }
 
 struct Hello {
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -20,6 +20,8 @@
     PeerUnavailableError,
 )
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY
+from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.authority import Authority
 from hyssopwood.keyspace.link import LeaderLink
 from hyssopwood.keyspace.link_codec import Beat
@@ -41,8 +43,17 @@
 # After a link was lost, the store is asked at this interval whether the leader still writes; the
 # link is tried again when that is known.
 SILENCE_POLL_S = 0.25
+# The same for instances that aren't candidates; they claim if all candidates are lost.
+BYSTANDER_POLL_S = 1.0
 # Spreads the claims of several instances.
 CLAIM_JITTER_S = 0.4
+# Instances with less than this, in thousandths of a core, wait before they claim, so that one with
+# room for the leader's work does it first: a leader of 0.43 cores that links 85 instances and moves
+# the keys of 26 lost servers at once keeps its beats back and is replaced.
+AMPLE_CAPACITY = 800
+# Wait of an instance that has no capacity at all; others wait in proportion to what they lack. It
+# covers two polls of the stronger ones.
+WEAK_CLAIM_DELAY_S = 0.6
 # A leader that told of itself longer ago than this, three of its beats, may have been replaced.
 ANNOUNCED_LIFE_S = 1.0
 
@@ -69,6 +80,11 @@
     link: LeaderLink
     timers: Timers
     chance: random.Random
+    availability: StoreAvailability
+    # Whether this instance is one of the few that look for a leader's silence closely.
+    is_candidate: Callable[[], bool] = lambda: True
+    # Thousandths of a core that this instance has.
+    capacity: int = NOMINAL_CAPACITY
     # Runs the leader's work on the claimed plan until it fails or is cancelled.
     lead: Callable[[Claim], Awaitable[None]]
     may_lead: Callable[[], bool]
@@ -85,10 +101,13 @@
     _follow_at: float = field(default=float("-inf"), init=False)
     _available: bool = field(default=True, init=False)
     _reading: asyncio.Future[None] | None = field(default=None, init=False)
+    # End of the plan's partition at which stronger instances were given time to claim.
+    _yielded_at: int | None = field(default=None, init=False)
     # The latest leader that told of itself, its claim and when it told last.
     _announced: Leader | None = field(default=None, init=False)
     _announced_claim: int = field(default=-1, init=False)
     _announced_at: float = field(default=float("-inf"), init=False)
+    _told: asyncio.Event = field(factory=asyncio.Event, init=False)
 
     @property
     def leading(self) -> bool:
@@ -112,9 +131,10 @@
             if stored.plan is not None:
                 self._parts.view.offer(stored.plan, "store")
             if self._may_claim(stored):
-                await self._claim_and_lead(stored)
+                if not await self._yields(stored):
+                    await self._claim_and_lead(stored)
             elif self._parts.timers.now() < self._follow_at:
-                await self._parts.timers.sleep(SILENCE_POLL_S)
+                await self._await_leader()
             else:
                 await self._follow(stored)
 
@@ -124,6 +144,20 @@
             return
         self._announced, self._announced_claim = leader, claim
         self._announced_at = self._parts.timers.now()
+        self._told.set()
+
+    async def _await_leader(self) -> None:
+        """Wait before the store is read again; the next leader tells of itself meanwhile."""
+        if self._parts.is_candidate():
+            await self._parts.timers.sleep(SILENCE_POLL_S)
+            return
+        self._told.clear()
+        try:
+            async with asyncio.timeout(BYSTANDER_POLL_S):
+                await self._told.wait()
+        except TimeoutError:
+            return
+        await self._follow_announced()
 
     def _announced_leader(self) -> Leader | None:
         fresh = self._parts.timers.now() - self._announced_at < ANNOUNCED_LIFE_S
@@ -142,13 +176,18 @@
             self._announced_at = float("-inf")
 
     async def _load(self) -> StoredPlan | None:
+        if not self._parts.availability.may_call():
+            return None
+        began = self._parts.timers.now()
         try:
             stored = await self._parts.store.load()
         except LogError as error:
+            self._parts.availability.note_failure(began)
             if self._available:
                 emit(Event.LOG_UNAVAILABLE, use="plan", error=error)
             self._available = False
             return None
+        self._parts.availability.note_success()
         if not self._available:
             self._available = True
             emit(Event.LOG_RECOVERED, use="plan")
@@ -179,6 +218,18 @@
             return True
         return self._parts.timers.now() - self._seen_at >= LEADER_SILENCE_S
 
+    async def _yields(self, stored: StoredPlan) -> bool:
+        """Give stronger instances time to claim first, once for each state of the store."""
+        delay_s = self._claim_delay_s()
+        if not delay_s or self._yielded_at == stored.end_offset:
+            return False
+        self._yielded_at = stored.end_offset
+        await self._parts.timers.sleep(delay_s)
+        return True
+
+    def _claim_delay_s(self) -> float:
+        return WEAK_CLAIM_DELAY_S * max(0.0, 1 - self._parts.capacity / AMPLE_CAPACITY)
+
     async def _follow(self, stored: StoredPlan) -> None:
         leader = stored.leader
         if leader is None or not leader.address or leader == self._parts.me:
@@ -204,7 +255,8 @@
         return beat.store_age_s < LEADER_STALE_S and not replaced
 
     async def _replace_stale(self, leader: Leader) -> None:
-        await self._parts.timers.sleep(CLAIM_JITTER_S * self._parts.chance.random())
+        jitter_s = CLAIM_JITTER_S * self._parts.chance.random()
+        await self._parts.timers.sleep(self._claim_delay_s() + jitter_s)
         stored = await self._load()
         if stored is None:
             await self._parts.timers.sleep(POLL_INTERVAL_S)
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -41,6 +41,9 @@
 LINK_SILENCE_S = 0.95
 # Load reports keep pace with the leader's rounds of placement.
 REPORT_INTERVAL_S = 0.25
+# Reports that a leader takes in a second, over all instances. A small one takes 0.08 ms to read,
+# beside the cost of its arrival; four a second of each of 195 instances would delay beats.
+REPORTS_PER_S = 160
 CONNECT_TIMEOUT_S = 0.6
 # Instances that the leader before knew have so long to link to a new one before they count as gone.
 RELINK_S = 2.0
@@ -81,6 +84,11 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
 
 
+def report_interval_s(instances: int) -> float:
+    """Return how often each of so many instances reports."""
+    return max(REPORT_INTERVAL_S, instances / REPORTS_PER_S)
+
+
 @frozen
 class LeaderView:
     """Say what the leader puts into its beats; None while this instance doesn't lead."""
@@ -121,6 +129,8 @@
     _told: Suspects = field(factory=Suspects, init=False)
     # Instances that have lost their link, or never had one, and when they were missed first.
     _missing: dict[str, tuple[InstanceRecord, float]] = field(factory=dict, init=False)
+    # Instances that changed since the last beat; None for those that left.
+    _changed: dict[str, InstanceRecord | None] = field(factory=dict, init=False)
     _leading_since: float | None = field(default=None, init=False)
     _recent: deque[PlanChange] = field(factory=lambda: deque(maxlen=KEPT_CHANGES), init=False)
     _owed: dict[asyncio.StreamWriter, Resync] = field(factory=dict, init=False)
@@ -162,6 +172,10 @@
             self._broadcast(view.beat())
             self._tell_suspects()
         self._prune(view is not None)
+        if view is not None:
+            self._tell_instances()
+        else:
+            self._changed.clear()
 
     def _tell_suspects(self) -> None:
         suspects = self._suspects()
@@ -194,8 +208,22 @@
             self._change_instances(InstanceUpdate((), unlinked))
 
     def _change_instances(self, update: InstanceUpdate) -> None:
-        if self._instances.apply(update):
-            self._broadcast(update)
+        """Take a change; linked instances learn of it with the next beat."""
+        if not self._instances.apply(update):
+            return
+        for name in update.removed:
+            self._changed[name] = None
+        for record in update.present:
+            self._changed[record.instance] = record
+
+    def _tell_instances(self) -> None:
+        """Send what has changed since the last beat, once for all that joined or left."""
+        if not self._changed:
+            return
+        present = tuple(record for record in self._changed.values() if record is not None)
+        removed = tuple(name for name, record in self._changed.items() if record is None)
+        self._changed.clear()
+        self._broadcast(InstanceUpdate(present, removed))
 
     def publish_server(self, record: ServerRecord, removed: bool) -> None:
         """Send a changed registration to every linked instance."""
@@ -284,6 +312,7 @@
     _pause: Callable[[RangePause], None]
     _take_instances: Callable[[InstanceUpdate], object]
     _take_suspects: Callable[[Suspects], None] = lambda suspects: None
+    _instance_count: Callable[[], int] = lambda: 1
     _beat: Beat | None = field(default=None, init=False)
     _beat_at: float = field(default=float("-inf"), init=False)
     _beaten: asyncio.Event = field(factory=asyncio.Event, init=False)
@@ -375,7 +404,8 @@
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
         _write(writer, self._recent_report())
-        async for _ in self._timers.subscribe(REPORT_INTERVAL_S):
+        while True:
+            await self._timers.sleep(report_interval_s(self._instance_count()))
             report = self._next_report()
-            if report.keys or report.times:
+            if not report.empty:
                 _write(writer, report)
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -44,6 +44,11 @@
     times: dict[tuple[str, int], float]
     crashes: CrashReport = CrashReport()
 
+    @property
+    def empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (self.keys or self.times or self.crashes.lost or self.crashes.cleared)
+
 
 @frozen
 class PlanUpdate:
@@ -221,10 +226,11 @@
     row.instance = record.instance
     row.address = record.address
     row.failureDomain = record.failure_domain
+    row.capacity = record.capacity
 
 
 def _read_instance(row: Any) -> InstanceRecord:
-    return InstanceRecord(row.instance, row.address, row.failureDomain)
+    return InstanceRecord(row.instance, row.address, row.failureDomain, row.capacity)
 
 
 def _read_instances(update: Any) -> InstanceUpdate:
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -17,6 +17,10 @@
 
 # The deploy file names the same port.
 METRICS_PORT = 9464
+# Mbit/s of a machine's link that go with one core; a leader's beats and changes at 200 instances
+# take about 2 Mbit/s, and requests need the rest.
+LINK_MBPS_PER_CORE = 20.0
+THOUSANDTHS = 1000
 
 
 @frozen
@@ -32,7 +36,9 @@
             self.faults.append(Fault(name, "nothing", "a value"))
         return value
 
-    def number(self, name: str) -> float:
+    def number(self, name: str, default: float | None = None) -> float:
+        if default is not None and name not in self.values:
+            return default
         value = self.values.get(name, "")
         try:
             return float(value)
@@ -84,9 +90,18 @@
         "peer_address": f"{ip}:{first_port}",
         "metrics_address": f"{ip}:{METRICS_PORT}",
         "store_address": lines.text("platform.address"),
+        "capacity": _capacity(lines),
     }
 
 
+def _capacity(lines: _Lines) -> int:
+    """Return the processor time of a machine, or what its link leaves useful of it."""
+    # "cpu_cores" is the speed of the one core that "cpu_share" is a part of.
+    cores = lines.number("limits.cpu_share", 1.0) * lines.number("limits.cpu_cores", 1.0)
+    link_mbps = lines.number("limits.link_mbps", LINK_MBPS_PER_CORE * cores)
+    return int(THOUSANDTHS * min(cores, link_mbps / LINK_MBPS_PER_CORE))
+
+
 def _bounds_values(lines: _Lines) -> dict[str, float]:
     # "grace_s" is the time between the request to stop and the kill.
     names = {
