Log and count what is sent to servers that name a request limit

Cause: neither logs nor metrics tell whether an instance knows a server's limit, what it sends under it, or how much of that is key commands, so the three hypotheses on the incident can't be told apart. Change: Server-Limit is decoded (a bad value is ignored and counted), E512 and E513 say when an instance learns of a limit and what it sent until its end, hyssopwood_limited_server_sends counts requests and commands. What is sent doesn't change. Before: no line and no counter names a limit.

--- a/features/gateway_server_wishes.feature
+++ b/features/gateway_server_wishes.feature
@@ -108,3 +108,31 @@
       | 503    | retry-after: .                      | no      | 0       | 1       |
       | 503    | retry-after: 99999999999999999999   | no      | 0       | 1       |
       | 503    | retry-after: 3,retry-after: 4       | no      | 0       | 1       |
+
+  Scenario Outline: A server's limit in an answer header is read only if it is a decimal number
+    Guards against a bad header that stops all requests to a server or makes the reader fail.
+    When a server answers 200 with "<headers>"
+    Then its limit is <limit> requests a second, and <ignored> headers are ignored
+
+    Examples:
+      | headers                              | limit | ignored |
+      | instance-id: s1                      | no    | 0       |
+      | server-limit: 5.4                    | 5.4   | 0       |
+      | server-limit: 12                     | 12    | 0       |
+      | server-limit: 0                      | 0     | 0       |
+      | server-limit: -1                     | no    | 1       |
+      | server-limit: 1e9                    | no    | 1       |
+      | server-limit: nan                    | no    | 1       |
+      | server-limit: .                      | no    | 1       |
+      | server-limit: 11111111111111111      | no    | 1       |
+      | server-limit: 5,server-limit: 6      | no    | 1       |
+
+  Scenario: The logs and metrics tell what was sent to a server with a limit
+    Guards against an incident whose logs don't show whether a limit was known and kept.
+    Given a dispatcher with servers "s1" of a keyless service
+    And the log is recorded
+    When a request to route "idempotent" is sent and the servers answer "limited"
+    And 3 further requests are sent and the servers answer "limited,limited,ok"
+    Then the log has E512 for server "s1" with 5.4 requests a second
+    And the log has E513 for server "s1" with 3 requests and 0 commands
+    And the metrics count 3 requests and 0 commands to limited servers
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -29,6 +29,7 @@
 )
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Plan
 from hyssopwood.keyspace.plan_view import PlanView, RangePause
@@ -89,6 +90,8 @@
     elif entry == "busy":
         status = 503
         headers = [*headers[:1], (b"not-executed", b"1"), (b"retry-after", b"0.6")]
+    elif entry == "limited":
+        headers.append((b"server-limit", b"5.4"))
     elif entry == "failed":
         status = 500
     return ServerAnswer(status, tuple(headers), b"body")
@@ -166,8 +169,9 @@
     tables.offer(_table(kind == "sharded"))
     context.dispatch_tables = tables
     context.sharded = kind == "sharded"
-    metrics = Metrics()
+    context.metrics = metrics = Metrics()
     health = ServerHealth(context.system_timers)
+    context.limits = ServerLimits(context.system_timers, metrics)
     context.keeper = QueueKeeper(context.directory, health, context.system_timers)
     own = InstanceRecord("i1", "127.0.0.1:1", "a")
     queues = QueueLink(
@@ -186,6 +190,7 @@
             plan=context.plan,
             pool=context.pool,
             health=health,
+            limits=context.limits,
             header_codec=PlatformHeaderCodec(),
             timers=context.system_timers,
             metrics=metrics,
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -27,6 +27,7 @@
 )
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.plan_view import PlanView
@@ -188,6 +189,7 @@
             plan=PlanView(timers),
             pool=ServerPool(timers, b"request-id"),
             health=health,
+            limits=ServerLimits(timers, metrics),
             header_codec=PlatformHeaderCodec(),
             timers=timers,
             metrics=metrics,
--- a/features/steps/gateway_wish_steps.py
+++ b/features/steps/gateway_wish_steps.py
@@ -4,7 +4,9 @@
 
 from attrs import evolve
 from behave import given, then, when
+from loguru import logger
 
+from hyssopwood.events import Event
 from hyssopwood.gateway.exchange import ServerAnswer
 from hyssopwood.gateway.load_reports import LoadReports
 from hyssopwood.gateway.queue_link import Admission
@@ -113,6 +115,13 @@
     context.answer = context.run(leave())
 
 
+@given("the log is recorded")
+def step_record_log(context):
+    context.log_records = []
+    handler = logger.add(lambda message: context.log_records.append(message.record))
+    context.add_cleanup(logger.remove, handler)
+
+
 class _Keeper:
     """A keeper that offers servers in a fixed order, except those that the ask excludes."""
 
@@ -235,3 +244,39 @@
     assert context.head.leaving is (leaving == "yes"), context.head
     assert (context.head.back_off_s or 0) == seconds, context.head
     assert len(context.head.ignored) == count, context.head
+
+
+@then("its limit is {limit} requests a second, and {count:d} headers are ignored")
+def step_limit(context, limit, count):
+    expected = None if limit == "no" else float(limit)
+    assert context.head.limit_per_s == expected, context.head
+    assert len(context.head.ignored) == count, context.head
+
+
+def _logged(context, event):
+    return [
+        record["extra"]["fields"]
+        for record in context.log_records
+        if record["extra"].get("event") == event.value.number
+    ]
+
+
+@then('the log has E512 for server "{name}" with {per_s:g} requests a second')
+def step_logged_limit(context, name, per_s):
+    (fields,) = _logged(context, Event.SERVER_LIMIT_NAMED)
+    assert (fields["server"], fields["per_s"]) == (name, per_s), fields
+
+
+@then('the log has E513 for server "{name}" with {requests:d} requests and {commands:d} commands')
+def step_logged_end(context, name, requests, commands):
+    (fields,) = _logged(context, Event.SERVER_LIMIT_ENDED)
+    sent = fields["requests"], fields["commands"]
+    assert (fields["server"], *sent) == (name, requests, commands), fields
+
+
+@then("the metrics count {requests:d} requests and {commands:d} commands to limited servers")
+def step_counted(context, requests, commands):
+    text = context.metrics.exposition().decode()
+    for label, count in (("request", requests), ("command", commands)):
+        line = f'hyssopwood_limited_server_sends_total{{label="{label}"}} {count:.1f}'
+        assert (line in text) == bool(count), text
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -12,6 +12,7 @@
 from hyssopwood.errors import AppendConflictError, AppendUnconfirmedError
 from hyssopwood.gateway.route_table import RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.authority import Authority
 from hyssopwood.keyspace.key_load import KeyLoad
@@ -277,6 +278,7 @@
         tables=RouteTables(),
         directory=directory,
         load=KeyLoad(timers),
+        limits=ServerLimits(timers, Metrics()),
         timers=timers,
         metrics=Metrics(),
         publish=lambda plan, change: published.append((timers.now(), plan, store.writes)),
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -15,6 +15,7 @@
 )
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables, ServiceSpec
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import CommandAnswer, KeyManager, KeyManagerDependencies
@@ -368,6 +369,7 @@
                 tables=self.tables,
                 directory=self.directory,
                 load=self.load,
+                limits=ServerLimits(self.process, Metrics()),
                 timers=self.process,
                 metrics=Metrics(),
                 publish=lambda plan, change: self.view.offer(plan, "own"),
--- a/scripts/measure_streams.py
+++ b/scripts/measure_streams.py
@@ -90,10 +90,14 @@
     )
     optional_parts = {}
     if "crashes" in DispatcherDependencies.__annotations__:
-        # Checkouts without the crash monitor, but with the other names, can be measured too.
+        # Checkouts without these parts, but with the other names, can be measured too.
         from hyssopwood.gateway.crash_suspects import CrashMonitor
 
         optional_parts["crashes"] = CrashMonitor(timers)
+    if "limits" in DispatcherDependencies.__annotations__:
+        from hyssopwood.gateway.server_limits import ServerLimits
+
+        optional_parts["limits"] = ServerLimits(timers, metrics)
     parts = DispatcherDependencies(
         tables=tables,
         directory=directory,
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -88,6 +88,8 @@
     SERVER_SUSPECTED = EventSpec(509, "WARNING", "backend server is temporarily avoided")
     CALLER_REFUSED = EventSpec(510, "INFO", "caller's input was rejected")
     SERVER_BACKED_OFF = EventSpec(511, "INFO", "backend server asked for a back-off")
+    SERVER_LIMIT_NAMED = EventSpec(512, "INFO", "backend server named a request limit")
+    SERVER_LIMIT_ENDED = EventSpec(513, "INFO", "request limit of backend server ended")
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -30,6 +30,7 @@
 from hyssopwood.gateway.route_table import CallerLimits, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.key_load import KeyLoad
@@ -120,6 +121,7 @@
         self._pool = ServerPool(timers, adapters.id_header)
         self._command_pool = ServerPool(timers, None)
         self._health = ServerHealth(timers)
+        self._limits = ServerLimits(timers, metrics)
         self._key_commands = adapters.key_commands(self._command_pool)
         self._identity = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
         self._record = InstanceRecord(
@@ -289,6 +291,7 @@
             for pool in (self._pool, self._command_pool):
                 pool.expire()
             self._health.retain(incarnations)
+            self._limits.retain(incarnations)
             self._load.retain(incarnations)
             self._report_readiness()
 
@@ -320,6 +323,7 @@
             plan=self._view,
             pool=self._pool,
             health=self._health,
+            limits=self._limits,
             header_codec=self._adapters.header_codec,
             timers=self._timers,
             metrics=self._metrics,
@@ -339,6 +343,7 @@
                 tables=self._tables,
                 directory=self._directory,
                 load=self._load,
+                limits=self._limits,
                 timers=self._timers,
                 metrics=self._metrics,
                 publish=self._publish,
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -39,6 +39,7 @@
 from hyssopwood.gateway.route_table import RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import Sent, ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.server_selector import Selection, ServerSelector
 from hyssopwood.gateway.shared_queue import service_sample_s
@@ -65,6 +66,7 @@
     plan: PlanView
     pool: ServerPool
     health: ServerHealth
+    limits: ServerLimits
     header_codec: HeaderCodec
     timers: Timers
     metrics: Metrics
@@ -234,6 +236,7 @@
             return Refused(Cause.DEADLINE, "the deadline of the request has passed"), Done()
         routed.tried.add(server.server)
         routed.server = server.server
+        self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
                 answer = await self._deps.pool.exchange(
@@ -285,7 +288,7 @@
             )
         else:
             self._deps.health.record_success(server.incarnation)
-            self._apply_server_notices(server, head)
+            self._apply_server_notices(server, head, started_at)
         routed.refused = head.not_run
         if head.not_run:
             detail = f"status {answer.status} from {server.server}"
@@ -303,8 +306,11 @@
         self._deps.crashes.record_success(routed.request)
         return Answered(answer), done
 
-    def _apply_server_notices(self, server: ServerRecord, head: AnswerHead) -> None:
-        """Apply the server's notice that it leaves or that this instance must back off."""
+    def _apply_server_notices(
+        self, server: ServerRecord, head: AnswerHead, started_at: float
+    ) -> None:
+        """Apply the server's notices: that it leaves, its limit, and the back-off it asks for."""
+        self._deps.limits.record_answer(server.incarnation, head.limit_per_s, started_at)
         if head.leaving and self._deps.directory.mark_leaving(server.incarnation):
             self._deps.reports.record_leaving(server.incarnation)
         if head.back_off_s:
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -150,6 +150,8 @@
     leaving: bool = False
     # Time for which a server that refused the request asks this instance to send nothing.
     back_off_s: float | None = None
+    # Requests per second that the server takes from all instances together; None for no limit.
+    limit_per_s: float | None = None
     # Names of headers that were ignored because their values are invalid.
     ignored: tuple[str, ...] = ()
 
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -11,6 +11,7 @@
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.route_table import RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_limits import Sent, ServerLimits
 from hyssopwood.keyspace.authority import AUTHORITY_S, Authority
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.leases import RangeLease, lease_end, merge_adjacent_leases
@@ -86,6 +87,7 @@
     tables: RouteTables
     directory: ServerDirectory
     load: KeyLoad
+    limits: ServerLimits
     timers: Timers
     metrics: Metrics
     publish: Callable[[Plan, PlanChange], None]
@@ -313,6 +315,7 @@
                 return True
             grant = _SentGrant(lease.keys, now, self._lease_s, lease.leased_until)
             lease.record_grant_sent(now, grant.lease_s)
+            self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
             answer = await self._deps.commands.grant(
                 record, grant.keys, grant.lease_s, lease.handover
             )
@@ -562,6 +565,7 @@
                 keys = lease.keys
                 self._deps.pause(RangePause(lease.service, keys.first, keys.last, keys.fence))
                 limit_s = max(lease.leased_until, lease.inherited_until) - now
+                self._deps.limits.record_sent(last_record.incarnation, Sent.COMMAND)
                 answer = await self._deps.commands.release(last_record, lease.keys, limit_s)
                 if answer.done:
                     return answer.handover
--- a/src/hyssopwood/platform/names.py
+++ b/src/hyssopwood/platform/names.py
@@ -26,6 +26,8 @@
 SERVER_LOAD: Final = b"server-load"
 # "1" in the answers of a server that is leaving.
 SERVER_LEAVING: Final = b"server-leaving"
+# Requests per second that the answering server takes from all instances together.
+SERVER_LIMIT: Final = b"server-limit"
 # Counter in the store's answers that rises by one with each restore from an older copy.
 STORE_ERA: Final = "Store-Era"
 NOT_EXECUTED: Final = b"not-executed"
--- a/src/hyssopwood/platform/request_headers.py
+++ b/src/hyssopwood/platform/request_headers.py
@@ -18,6 +18,7 @@
     NOT_EXECUTED,
     REQUEST_ID,
     SERVER_LEAVING,
+    SERVER_LIMIT,
     SERVER_LOAD,
     SHARD_KEY,
     SIGNATURE,
@@ -32,8 +33,8 @@
 MAX_ID_BYTES = 256
 # Limit on the time for which a server may ask an instance to stay away; longer times are cut to it.
 MAX_BACK_OFF_S = 60.0
-# Maximum length of a number of seconds as text.
-MAX_SECONDS_BYTES = 16
+# Maximum length of a decimal number as text.
+MAX_DECIMAL_BYTES = 16
 _REPLACED_HEADERS = frozenset({DEADLINE, TARGET, REQUEST_ID, SHARD_KEY})
 
 
@@ -68,14 +69,14 @@
     return True if values == {b"1"} else None
 
 
-def _parse_back_off(headers: Headers) -> float | None:
-    """Return the back-off time up to its limit, or None if the header is invalid."""
-    values = [value for name, value in headers if name == RETRY_AFTER]
-    if len(values) != 1 or len(values[0]) > MAX_SECONDS_BYTES:
+def _parse_decimal(headers: Headers, wanted: bytes) -> float | None:
+    """Return the value of a header that occurs once and is a decimal number, or None."""
+    values = [value for name, value in headers if name == wanted]
+    if len(values) != 1 or len(values[0]) > MAX_DECIMAL_BYTES:
         return None
     if not values[0].replace(b".", b"", 1).isdigit():
         return None
-    return min(MAX_BACK_OFF_S, float(values[0]))
+    return float(values[0])
 
 
 class PlatformHeaderCodec:
@@ -118,8 +119,13 @@
         ignored = () if leaving is not None else (SERVER_LEAVING.decode(),)
         back_off_s = None
         if answer.status == UNAVAILABLE_STATUS and answer.header(RETRY_AFTER) is not None:
-            back_off_s = _parse_back_off(answer.headers)
+            seconds = _parse_decimal(answer.headers, RETRY_AFTER)
+            back_off_s = None if seconds is None else min(MAX_BACK_OFF_S, seconds)
             ignored += () if back_off_s is not None else (RETRY_AFTER.decode(),)
+        limit_per_s = None
+        if answer.header(SERVER_LIMIT) is not None:
+            limit_per_s = _parse_decimal(answer.headers, SERVER_LIMIT)
+            ignored += () if limit_per_s is not None else (SERVER_LIMIT.decode(),)
         return AnswerHead(
             request_id=answer.header(REQUEST_ID),
             signed=answer.header(SIGNATURE) is not None,
@@ -130,6 +136,7 @@
             encoded=answer.header(b"content-encoding") not in (None, b"identity"),
             leaving=bool(leaving),
             back_off_s=back_off_s,
+            limit_per_s=limit_per_s,
             ignored=ignored,
         )
 
