--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -4,8 +4,10 @@
 import itertools
 import json
 import socket
+from collections.abc import Mapping
 
 import aiohttp
+from attrs import frozen
 
 from hyssopwood.gateway.daemon import GatewayDaemon
 from hyssopwood.gateway.gateway_settings import Bounds, GatewaySettings
@@ -75,6 +77,15 @@
             await self.client.close()
 
 
+@frozen
+class Answer:
+    """The answer to a caller's request."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: str
+
+
 class Deployment:
     """A store, servers and instances, and the answers that callers received."""
 
@@ -139,6 +150,12 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     async def send(self, instance, key, path="/pigs/x", method="GET", request_id=None):
+        """Send a request and return the status of its answer."""
+        return (await self.send_for_answer(instance, key, path, method, request_id)).status
+
+    async def send_for_answer(
+        self, instance, key, path="/pigs/x", method="GET", request_id=None, deadline_ms=2000
+    ):
         """Send a request and record its id, key, status and the answering server.
 
         The client retries a GET itself when its connection is closed, but not a POST.
@@ -147,14 +164,14 @@
         headers = {
             "Host": "shop.example",
             "Request-Id": request_id,
-            "Deadline-Ms": "2000",
+            "Deadline-Ms": str(deadline_ms),
             "Shard-Key": str(key),
         }
         url = f"http://{instance.settings.caller_address}{path}"
         async with self.session.request(method, url, headers=headers) as answer:
             body = (await answer.read()).decode()
             self.answers.append((request_id, key, answer.status, body.split(" ")[0]))
-            return answer.status
+            return Answer(answer.status, answer.headers, body)
 
     async def ready_status(self, instance):
         url = f"http://{instance.settings.readiness_address}{READY_PATH}"
--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from attrs import define, field
@@ -31,6 +32,10 @@
     sharded: bool = True
     born_ms: int = 1
     address: str = ""
+    # Requests per second that the server states in its answers that it takes; None for no limit.
+    limit_per_s: float | None = None
+    # Times at which requests and key commands arrived, on the monotonic clock.
+    arrived_at: list[float] = field(factory=list)
     executed_request_ids: list[str] = field(factory=list)
     _leases: list[_Lease] = field(factory=list, init=False)
     _running: int = field(default=0, init=False)
@@ -39,7 +44,7 @@
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._state_limit])
         app.router.add_post("/hyssopwood/grant", self._grant)
         app.router.add_post("/hyssopwood/release", self._release)
         app.router.add_route("*", "/{path:.*}", self._execute)
@@ -79,6 +84,17 @@
             lease.first <= key <= lease.last and lease.expires_at > now for lease in self._leases
         )
 
+    @web.middleware
+    async def _state_limit(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> web.Response:
+        """Count an arrival and state the limit in the answer."""
+        self.arrived_at.append(time.monotonic())
+        answer = await handler(request)
+        if self.limit_per_s is not None:
+            answer.headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        return answer
+
     async def _grant(self, request: web.Request) -> web.Response:
         command = await request.json()
         first, last, fence = command["from_revision"], command["to"], command["fence"]
