Keep the limit that a server names in the queue that all instances share

Cause: no instance read the limit. A limit that each instance keeps by itself would not have helped, as it is for all together, and neither would one for requests alone: the leader's renewals are requests to the server too (3 of each range in 4 s). Change: the keeper of a server's queue admits at the rate of a token bucket. It learns the limit from its own answers, from the releases of the other instances' admissions and from their asks, so a new keeper knows it with the first ask of an instance that was told. Each instance passes on only what it has read itself, with its age; the newest statement counts, an answer to a request that was sent before the limit doesn't end it, and a limit that nobody has named for 10 s has ended. An instance that keeps a queue in place of silent ones uses an equal part. Renewals are counted, and made less often if they take more than half of a limit. What the limit doesn't admit before its target latency is refused at once, the most urgent requests go first, and Retry-After is the time until the limit admits the request, whatever time the caller has left (cause at-limit).

--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -172,7 +172,13 @@
     context.metrics = metrics = Metrics()
     health = ServerHealth(context.system_timers)
     context.limits = ServerLimits(context.system_timers, metrics)
-    context.keeper = QueueKeeper(context.directory, health, context.system_timers)
+    context.keeper = QueueKeeper(
+        context.directory,
+        health,
+        context.limits,
+        context.plan.range_count,
+        context.system_timers,
+    )
     own = InstanceRecord("i1", "127.0.0.1:1", "a")
     queues = QueueLink(
         own.address,
--- a/features/steps/gateway_queue_steps.py
+++ b/features/steps/gateway_queue_steps.py
@@ -17,6 +17,7 @@
 from hyssopwood.gateway.queue_messages import Ask, Done, Leads, QueueName, decode
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.shared_queue import (
     Granted,
     Queued,
@@ -215,7 +216,10 @@
         self.directory = ServerDirectory()
         self.directory.put(_record("s1", slots))
         health = ServerHealth(self.timers)
-        self.keeper = QueueKeeper(self.directory, health, self.timers)
+        self.limits = ServerLimits(self.timers, Metrics())
+        self.keeper = QueueKeeper(
+            self.directory, health, self.limits, lambda incarnation: 0, self.timers
+        )
         self.instances = InstanceList(self.record)
         self.announcements = []
         self.link = QueueLink(
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -177,7 +177,8 @@
     tables.offer(_table(timeout_s))
     metrics, health = Metrics(), ServerHealth(timers)
     own = InstanceRecord("i1", "127.0.0.1:1", "a")
-    keeper = QueueKeeper(directory, health, timers)
+    limits = ServerLimits(timers, metrics)
+    keeper = QueueKeeper(directory, health, limits, lambda incarnation: 0, timers)
     context.queues = _RecordingLink(
         own.address, own.instance, InstanceList(own), keeper, timers, metrics, lambda leads: None
     )
@@ -189,7 +190,7 @@
             plan=PlanView(timers),
             pool=ServerPool(timers, b"request-id"),
             health=health,
-            limits=ServerLimits(timers, metrics),
+            limits=limits,
             header_codec=PlatformHeaderCodec(),
             timers=timers,
             metrics=metrics,
--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -1,6 +1,7 @@
 """A small deployment in one process, with stand-ins of store and servers and real daemons."""
 
 import asyncio
+import copy
 import itertools
 import json
 import socket
@@ -23,6 +24,7 @@
 SERVICE = "portal"
 HEARTBEAT_S = 0.2
 SETTLE_LIMIT_S = 8.0
+TARGET_LATENCY_S = 0.6
 # Time within which every instance has started to listen.
 START_S = 0.1
 
@@ -132,7 +134,9 @@
         await self.session.close()
 
     def publish(self, version, with_route=True):
-        document = configuration(version)
+        document = copy.deepcopy(configuration(version))
+        for rule in document["listeners"][0]["route_rules"]:
+            rule.setdefault("target_latency_s", TARGET_LATENCY_S)
         if not with_route:
             document["listeners"] = []
         self.store.put("keyed.op", "config", json.dumps(document).encode())
--- a/scripts/measure_streams.py
+++ b/scripts/measure_streams.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 MIB = 1_048_576
 SMALL_BYTES = 400
@@ -84,20 +85,22 @@
     tables.offer(_route_table("photos"))
     health = ServerHealth(timers)
     own = InstanceRecord("i", "127.0.0.1:1", "a")
-    keeper = QueueKeeper(directory, health, timers)
+    keeper_parts: list[Any] = [directory, health]
+    optional_parts: dict[str, Any] = {}
+    if "limits" in DispatcherDependencies.__annotations__:
+        # Checkouts without these parts, but with the other names, can be measured too.
+        from hyssopwood.gateway.server_limits import ServerLimits
+
+        optional_parts["limits"] = ServerLimits(timers, metrics)
+        keeper_parts += [optional_parts["limits"], lambda incarnation: 0]
+    keeper = QueueKeeper(*keeper_parts, timers)
     queues = QueueLink(
         own.address, own.instance, InstanceList(own), keeper, timers, metrics, lambda leads: None
     )
-    optional_parts = {}
     if "crashes" in DispatcherDependencies.__annotations__:
-        # Checkouts without these parts, but with the other names, can be measured too.
         from hyssopwood.gateway.crash_suspects import CrashMonitor
 
         optional_parts["crashes"] = CrashMonitor(timers)
-    if "limits" in DispatcherDependencies.__annotations__:
-        from hyssopwood.gateway.server_limits import ServerLimits
-
-        optional_parts["limits"] = ServerLimits(timers, metrics)
     parts = DispatcherDependencies(
         tables=tables,
         directory=directory,
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -131,7 +131,9 @@
             settings.capacity,
         )
         self._instances = InstanceList(self._record)
-        self._keeper = QueueKeeper(self._directory, self._health, timers)
+        self._keeper = QueueKeeper(
+            self._directory, self._health, self._limits, self._view.range_count, timers
+        )
         self._queues = QueueLink(
             settings.peer_address,
             settings.instance,
@@ -415,10 +417,15 @@
             self._reports.collect_recent(),
             crashes=self._crashes.recent_report(),
             leaving=self._directory.leaving(),
+            limits=self._limits.notices(),
         )
 
     def _next_report(self) -> InstanceReport:
-        return evolve(self._reports.collect(), crashes=self._crashes.next_report())
+        return evolve(
+            self._reports.collect(),
+            crashes=self._crashes.next_report(),
+            limits=self._limits.take_new_notices(),
+        )
 
     def _find_suspects(self) -> Suspects:
         suspects = self._crash_counter.suspects()
@@ -429,6 +436,8 @@
         self._crash_counter.add_report(report.crashes)
         for incarnation in report.leaving:
             self._directory.mark_leaving(incarnation)
+        for notice in report.limits:
+            self._limits.apply(notice)
         for service, counts in report.keys.items():
             for key, count in counts.items():
                 self._load.record_requests(service, key, count)
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -88,6 +88,7 @@
             deps.directory,
             deps.plan,
             deps.health,
+            deps.limits,
             deps.queues,
             deps.timers,
             deps.failure_domain,
@@ -204,7 +205,7 @@
             return outcome
         finally:
             if stream is None:
-                self._deps.queues.release(selected.admission, done)
+                self._release(selected, done)
             else:
                 self._watch_stream(routed, selected, stream, done)
 
@@ -225,10 +226,14 @@
             if result is not StreamEnd.WHOLE:
                 self._log(Event.ANSWER_CUT, routed, cause=result.value)
             reported = evolve(done, failure=Failure.UNCERTAIN) if failed else done
-            self._deps.queues.release(selected.admission, reported)
+            self._release(selected, reported)
 
         stream.ended.add_done_callback(end)
 
+    def _release(self, selected: Selection, done: Done) -> None:
+        limit = self._deps.limits.notice(selected.server.incarnation)
+        self._deps.queues.release(selected.admission, evolve(done, limit=limit))
+
     async def _exchange(self, routed: RoutedRequest, server: ServerRecord) -> tuple[Outcome, Done]:
         started_at = self._deps.timers.now()
         remaining_s = routed.deadline - started_at
@@ -364,13 +369,14 @@
         if isinstance(outcome, Refused):
             timeout_s = routed.head.timeout_s or routed.route.timeout_s
             remaining_s = max(0.0, routed.request.arrived + timeout_s - now)
-            capped = evolve(
-                outcome, retry_after_s=min(outcome.retry_after_s, remaining_s * RETRY_AFTER_SHARE)
-            )
+            retry_after_s = outcome.retry_after_s
+            if outcome.cause is not Cause.AT_LIMIT:
+                # A limited server takes nothing sooner, whatever time the caller has left.
+                retry_after_s = min(retry_after_s, remaining_s * RETRY_AFTER_SHARE)
             self._log(
                 Event.REQUEST_REFUSED, routed, cause=outcome.cause.value, detail=outcome.detail
             )
-            return self._unavailable_answer(capped)
+            return self._unavailable_answer(evolve(outcome, retry_after_s=retry_after_s))
         self._log(Event.REQUEST_UNKNOWN, routed, cause=outcome.cause.value, detail=outcome.detail)
         late = outcome.cause is Cause.DEADLINE
         status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -23,6 +23,7 @@
     NO_SERVER = "no-server"
     SERVER_REFUSED = "server-refused"
     SERVER_BUSY = "server-busy"
+    AT_LIMIT = "at-limit"
     SERVER_UNREACHABLE = "server-unreachable"
     PREDICTED_LATE = "predicted-late"
     DEADLINE = "deadline"
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -1,4 +1,6 @@
 @0xd3a1f0b7c4e85526;
+using Limits = import "limits.capnp";
+
 # Datagrams between an instance that has a request and the instance that keeps the servers' queue.
 
 struct QueueMessage {
@@ -27,6 +29,8 @@
   # any.
   mostWaitMs @7 :UInt32;
   tried @8 :List(Text);
+  # Limits of the queue's servers, as the sender has read them in answers.
+  limits @9 :List(Limits.LimitNotice);
 }
 
 enum State {
@@ -42,6 +46,8 @@
   waitMs @1 :UInt32;
   server @2 :Text;
   bornMs @3 :UInt64;
+  # The servers' own limits determine the wait of a rejected request.
+  limited @4 :Bool;
 }
 
 enum Failure {
@@ -69,4 +75,6 @@
   failure @5 :Failure;
   # Time for which the server told the sender to back off; 0 if none.
   backOffMs @6 :UInt32;
+  # Limit of the server, if the sender has read one; no server name if not.
+  limit @7 :Limits.LimitNotice;
 }
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -12,6 +12,7 @@
 from hyssopwood.gateway.queue_messages import Ask, Done, Failure, QueueName, Reply, ReplyState
 from hyssopwood.gateway.server_directory import ServerDirectory
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.shared_queue import (
     Decision,
     Granted,
@@ -20,7 +21,8 @@
     QueueServer,
     SharedQueue,
 )
-from hyssopwood.timers import Timers
+from hyssopwood.keyspace.renewals import request_rate_per_s
+from hyssopwood.timers import TimerHandle, Timers
 
 # Interval at which queued requests that can no longer start in time are rejected and expired
 # admissions are removed.
@@ -41,7 +43,7 @@
         return Reply(ReplyState.GRANTED, 0.0, record.server, record.born_ms)
     if isinstance(decision, Queued):
         return Reply(ReplyState.QUEUED, decision.wait_s)
-    return Reply(ReplyState.REJECTED, decision.wait_s)
+    return Reply(ReplyState.REJECTED, decision.wait_s, limited=decision.limited)
 
 
 @define
@@ -53,9 +55,16 @@
 
     _directory: ServerDirectory
     _health: ServerHealth
+    _limits: ServerLimits
+    # Number of key ranges of a server incarnation; each must be renewed by requests.
+    _range_count: Callable[[tuple[str, int]], int]
     _timers: Timers
     _queues: dict[QueueName, SharedQueue] = field(factory=dict, init=False)
     _requesters: dict[Hashable, _Requester] = field(factory=dict, init=False)
+    # Share of the servers' limits that this keeper of a queue may use.
+    _shares: dict[QueueName, float] = field(factory=dict, init=False)
+    # Pending advances of queues whose servers' limits delay requests.
+    _wakeups: dict[QueueName, TimerHandle] = field(factory=dict, init=False)
     # Set while any request is admitted or queued.
     _has_requests: asyncio.Event = field(factory=asyncio.Event, init=False)
 
@@ -73,15 +82,21 @@
                 self._advance(name)
                 if queue.idle and not self._candidates(name):
                     del self._queues[name]
+                    self._shares.pop(name, None)
             if not self._requesters:
                 self._has_requests.clear()
 
-    def ask(self, ticket: Hashable, ask: Ask, on_reply: ReplyCallback) -> None:
+    def ask(
+        self, ticket: Hashable, ask: Ask, on_reply: ReplyCallback, limit_share: float = 1.0
+    ) -> None:
         """Accept a request; call `on_reply` now and whenever the request's state changes.
 
-        A repeated ask is answered with the request's current state.
+        A repeated ask is answered with the request's current state. `limit_share` is the part of
+        the servers' limits that this instance may use for the queue from now on.
         """
         now = self._timers.now()
+        for notice in ask.limits:
+            self._limits.apply(notice)
         existing = self._requesters.get(ticket)
         if existing is not None:
             decision = self._queues[existing.queue].decision(ticket, now)
@@ -96,6 +111,7 @@
         if queue is None:
             queue = SharedQueue(partial(self._candidates, ask.queue))
             self._queues[ask.queue] = queue
+        self._shares[ask.queue] = limit_share
         request = QueuedRequest(
             ticket=ticket,
             priority=ask.priority,
@@ -109,6 +125,7 @@
             self._requesters[ticket] = _Requester(ask.queue, on_reply)
             self._has_requests.set()
         on_reply(_reply(decision))
+        self._schedule_advance(ask.queue)
 
     def release(self, ticket: Hashable, done: Done) -> None:
         """Release an admission, or remove a queued request."""
@@ -117,6 +134,8 @@
             return
         queue = self._queues[requester.queue]
         now = self._timers.now()
+        if done.limit is not None:
+            self._limits.apply(done.limit)
         incarnation = queue.release(ticket, done.sample_s, done.load, now, done.back_off_s)
         queue.withdraw(ticket)
         if incarnation is not None and done.failure is not Failure.NONE:
@@ -141,6 +160,28 @@
             if not isinstance(decision, Granted):
                 del self._requesters[ticket]
             requester.on_reply(_reply(decision))
+        self._schedule_advance(name)
+
+    def _schedule_advance(self, name: QueueName) -> None:
+        """Advance the queue again as soon as a server's limit admits a request."""
+        if name in self._wakeups:
+            return
+        wait_s = self._queues[name].next_token_s(self._timers.now())
+        if wait_s is not None:
+            self._wakeups[name] = self._timers.call_later(wait_s, partial(self._wake, name))
+
+    def _wake(self, name: QueueName) -> None:
+        del self._wakeups[name]
+        if name in self._queues:
+            self._advance(name)
+
+    def _rate_per_s(self, name: QueueName, incarnation: tuple[str, int]) -> float | None:
+        """Return how many requests per second the queue may send to a server, None for any."""
+        limit_per_s = self._limits.get(incarnation)
+        if limit_per_s is None:
+            return None
+        rate_per_s = request_rate_per_s(self._range_count(incarnation), limit_per_s)
+        return rate_per_s * self._shares.get(name, 1.0)
 
     def _candidates(self, name: QueueName) -> list[QueueServer]:
         if name.server:
@@ -154,7 +195,11 @@
                 if record.failure_domain == name.failure_domain
             ]
         return [
-            QueueServer(record, self._health.is_suspect(record.incarnation))
+            QueueServer(
+                record,
+                self._health.is_suspect(record.incarnation),
+                self._rate_per_s(name, record.incarnation),
+            )
             for record in records
             if not record.draining
         ]
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -201,7 +201,10 @@
                 final.set_result(reply)
 
         self._keeper.ask(
-            (self._instance, ticket), _subtract_elapsed(ask, self._elapsed_s(asked_at)), on_reply
+            (self._instance, ticket),
+            _subtract_elapsed(ask, self._elapsed_s(asked_at)),
+            on_reply,
+            self._limit_share(ask),
         )
         reply: Reply | None = None
         try:
@@ -215,6 +218,14 @@
             return Admission(reply.server, reply.born_ms, None, ticket)
         return reply
 
+    def _limit_share(self, ask: Ask) -> float:
+        """Return the part of the servers' limits that this instance may use as keeper.
+
+        If it isn't the first in rank, other instances may be keeping the same queue as well.
+        """
+        first = self._instances.ranked(str(ask.queue), ask.queue.failure_domain)[0]
+        return 1.0 if first.instance == self._instance else 1 / self._instances.count
+
     async def _acquire_from(
         self,
         keeper: InstanceRecord,
@@ -332,6 +343,7 @@
         deadline_s=max(0.0, ask.deadline_s - elapsed_s),
         max_wait_s=ask.max_wait_s,
         tried=ask.tried,
+        limits=tuple(evolve(item, age_s=item.age_s + elapsed_s) for item in ask.limits),
     )
 
 
--- a/src/hyssopwood/gateway/queue_messages.py
+++ b/src/hyssopwood/gateway/queue_messages.py
@@ -12,6 +12,8 @@
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.exchange import ServerLoad
+from hyssopwood.gateway.limit_codec import fill_limit, read_limit
+from hyssopwood.gateway.server_limits import LimitNotice
 from hyssopwood.keyspace.plan import Leader
 
 capnp.remove_import_hook()
@@ -64,6 +66,8 @@
     deadline_s: float
     max_wait_s: float = float("inf")
     tried: frozenset[str] = frozenset()
+    # Limits of the queue's servers, as the asking instance has read them in answers.
+    limits: tuple[LimitNotice, ...] = ()
 
 
 @frozen
@@ -74,6 +78,8 @@
     wait_s: float = 0.0
     server: str = ""
     born_ms: int = 0
+    # The servers' own limits determine the wait of a rejected request.
+    limited: bool = False
 
 
 @frozen
@@ -85,6 +91,7 @@
     failure: Failure = field(default=Failure.NONE)
     # Time for which the server told the sending instance to back off.
     back_off_s: float | None = None
+    limit: LimitNotice | None = None
 
 
 @frozen
@@ -128,6 +135,10 @@
         tried = ask.init("tried", len(message.tried))
         for index, server in enumerate(sorted(message.tried)):
             tried[index] = server
+    if message.limits:
+        limits = ask.init("limits", len(message.limits))
+        for row, notice in zip(limits, message.limits, strict=True):
+            fill_limit(row, notice)
 
 
 @_fill.register
@@ -137,6 +148,7 @@
     reply.waitMs = _to_milliseconds(message.wait_s)
     reply.server = message.server
     reply.bornMs = message.born_ms
+    reply.limited = message.limited
 
 
 @_fill.register
@@ -150,6 +162,8 @@
         done.running = min(MAX_COUNT, message.load.running)
         done.waiting = min(MAX_COUNT, message.load.waiting)
         done.slots = min(MAX_COUNT, message.load.slots)
+    if message.limit is not None:
+        fill_limit(done.init("limit"), message.limit)
 
 
 @_fill.register
@@ -175,6 +189,7 @@
         deadline_s=ask.deadlineMs / MS_PER_S,
         max_wait_s=float("inf") if max_wait_ms == MAX_MS else max_wait_ms / MS_PER_S,
         tried=frozenset(ask.tried),
+        limits=tuple(read_limit(row) for row in ask.limits),
     )
 
 
@@ -182,7 +197,8 @@
     load = ServerLoad(done.running, done.waiting, done.slots) if done.hasLoad else None
     sample_s = done.sampleMs / MS_PER_S if done.sampleMs > 0 else None
     back_off_s = done.backOffMs / MS_PER_S if done.backOffMs else None
-    return Done(sample_s, load, Failure(str(done.failure)), back_off_s)
+    limit = read_limit(done.limit) if done.limit.server else None
+    return Done(sample_s, load, Failure(str(done.failure)), back_off_s, limit)
 
 
 def encode(ticket: int, message: QueueMessage) -> bytes:
@@ -205,7 +221,8 @@
         if kind == "reply":
             reply = wire.reply
             state = ReplyState(str(reply.state))
-            return wire.ticket, Reply(state, reply.waitMs / MS_PER_S, reply.server, reply.bornMs)
+            wait_s = reply.waitMs / MS_PER_S
+            return wire.ticket, Reply(state, wait_s, reply.server, reply.bornMs, reply.limited)
         if kind == "leads":
             leads = wire.leads
             leader = Leader(leads.instance, leads.incarnation, leads.address)
--- a/src/hyssopwood/gateway/server_selector.py
+++ b/src/hyssopwood/gateway/server_selector.py
@@ -16,6 +16,7 @@
 from hyssopwood.gateway.queue_messages import Ask, Done, QueueName, Reply, ReplyState
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_limits import LimitNotice, ServerLimits
 from hyssopwood.keyspace.plan_view import PlanView
 from hyssopwood.timers import Timers
 
@@ -51,6 +52,7 @@
     _directory: ServerDirectory
     _plan: PlanView
     _health: ServerHealth
+    _limits: ServerLimits
     _queues: QueueLink
     _timers: Timers
     _failure_domain: str
@@ -185,8 +187,23 @@
             deadline_s=max(0.0, routed.deadline - now),
             max_wait_s=max_wait_s,
             tried=self._excluded_servers(routed) if not queue.server else frozenset(),
+            limits=self._limit_notices(queue),
         )
 
+    def _limit_notices(self, queue: QueueName) -> tuple[LimitNotice, ...]:
+        """Return what this instance has read of the limits of the queue's servers."""
+        if not self._limits.has_notices:
+            return ()
+        if queue.server:
+            notices = [self._limits.notice((queue.server, queue.born_ms))]
+        else:
+            notices = [
+                self._limits.notice(record.incarnation)
+                for record in self._directory.of_service(queue.service)
+                if record.failure_domain == queue.failure_domain
+            ]
+        return tuple(notice for notice in notices if notice is not None)
+
     def _excluded_servers(self, routed: RoutedRequest) -> frozenset[str]:
         """Return the servers already tried for the request or backed off by this instance."""
         if not self._health.has_back_offs:
@@ -259,5 +276,8 @@
 
 
 def _refuse_late(reply: Reply) -> Refused:
+    if reply.limited:
+        detail = f"the server's limit admits the request in {reply.wait_s * MS_PER_S:.0f} ms"
+        return Refused(Cause.AT_LIMIT, detail, reply.wait_s)
     detail = f"the predicted wait of {reply.wait_s * MS_PER_S:.0f} ms is too long"
     return Refused(Cause.PREDICTED_LATE, detail, max(DEFAULT_RETRY_AFTER_S, reply.wait_s / 2))
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -17,6 +17,7 @@
 
 from hyssopwood.gateway.exchange import ServerLoad
 from hyssopwood.gateway.server_directory import ServerRecord
+from hyssopwood.gateway.token_bucket import TokenBucket
 
 # Maximum requests in flight at a server while an instance must back off from it. It may still serve
 # the other instances, but together they must not overload it again.
@@ -32,6 +33,8 @@
 INITIAL_SERVICE_TIME_S = 0.1
 # Extra time expected of a server that has just started, which runs at about half of its speed.
 WARMUP_PENALTY_S = 0.10
+# Timers fire late: a request that a server's limit would admit at the last moment isn't queued.
+LIMITED_WAIT_MARGIN_S = 0.02
 # An admission that its sender never released expires this long after the request's deadline.
 ADMISSION_GRACE_S = 0.5
 NEVER_S = float("inf")
@@ -59,6 +62,8 @@
 
     record: ServerRecord
     suspect: bool = False
+    # Requests per second that the server's limit leaves to this queue; None for no limit.
+    rate_per_s: float | None = None
 
 
 @frozen
@@ -80,6 +85,8 @@
     """The request is rejected: its predicted wait is too long, or there is no server for it."""
 
     wait_s: float
+    # The servers' own limits determine the wait.
+    limited: bool = False
 
 
 Decision: TypeAlias = Granted | Queued | Rejected
@@ -95,14 +102,40 @@
     reported_at: float = float("-inf")
     # End of the latest back-off that the server asked any instance for.
     backed_off_until: float = float("-inf")
+    # Admissions while the server names a limit.
+    bucket: TokenBucket | None = None
+
+    def set_rate(self, rate_per_s: float | None, now: float) -> None:
+        """Admit at most this many requests per second, or any number if it is None."""
+        if rate_per_s is None:
+            self.bucket = None
+        elif self.bucket is None:
+            self.bucket = TokenBucket(rate_per_s, now)
+        else:
+            self.bucket.set_rate(rate_per_s, now)
 
     def slots(self, now: float) -> int:
         """Return how many requests the server processes at a time."""
         backed_off = now < self.backed_off_until
         return REQUESTS_WHILE_BACKED_OFF if backed_off else self.record.slots
 
-    def free_capacity(self, now: float) -> int:
-        """Return how many more requests may be sent now."""
+    def rate_per_s(self, now: float) -> float:
+        """Return how many requests per second the server is expected to serve."""
+        rate_per_s = self.slots(now) / self.service_time_s
+        return rate_per_s if self.bucket is None else min(rate_per_s, self.bucket.rate_per_s)
+
+    def free_capacity(self, now: float) -> float:
+        """Return how many more requests may be sent now; a part of one may not be sent yet."""
+        free = self._free_slots(now)
+        return free if self.bucket is None else min(free, self.bucket.tokens(now))
+
+    def next_token_s(self, now: float) -> float | None:
+        """Return when the limit next admits a request, or None if it isn't what delays one."""
+        if self.bucket is None or self._free_slots(now) < 1:
+            return None
+        return self.bucket.next_token_s(now)
+
+    def _free_slots(self, now: float) -> int:
         if now < self.backed_off_until:
             return REQUESTS_WHILE_BACKED_OFF - self.in_flight
         external = self.external if now - self.reported_at < REPORT_TTL_S else 0
@@ -151,7 +184,7 @@
 
     def enter(self, request: QueuedRequest, now: float) -> Decision:
         """Admit, queue or reject a new request."""
-        usable = self._usable()
+        usable = self._usable(now)
         if all(server.record.server in request.tried for server, _ in usable):
             return Rejected(NEVER_S)
         if not self._waiting:
@@ -164,8 +197,11 @@
             _urgency(item.request, now + mean_s) <= urgency for item in self._waiting.values()
         )
         wait_s = self._wait_s(ahead, usable, now)
-        if wait_s > request.max_wait_s or now + wait_s > request.deadline - mean_s:
-            return Rejected(wait_s)
+        limited = _all_limited(usable)
+        margin_s = LIMITED_WAIT_MARGIN_S if limited else 0.0
+        latest = _latest_start(request, mean_s, limited)
+        if wait_s > request.max_wait_s or now + wait_s + margin_s > latest:
+            return Rejected(wait_s, limited)
         self._waiting[request.ticket] = _Waiting(request, next(self._order))
         return Queued(wait_s)
 
@@ -177,7 +213,7 @@
         waiting = self._waiting.get(ticket)
         if waiting is None:
             return None
-        usable = self._usable()
+        usable = self._usable(now)
         ahead = self._sorted(now + self._mean_service_time_s(usable)).index(waiting)
         return Queued(self._wait_s(ahead, usable, now))
 
@@ -227,16 +263,17 @@
         """Admit queued requests to free servers and reject those that can't start in time."""
         if not self._waiting:
             return []
-        usable = self._usable()
+        usable = self._usable(now)
         mean_s = self._mean_service_time_s(usable)
+        limited = _all_limited(usable)
         decided: list[tuple[Hashable, Granted | Rejected]] = []
         ahead = 0
         for item in self._sorted(now + mean_s):
             decision: Granted | Rejected | None = self._admit(item.request, usable, now)
             if decision is None:
                 wait_s = self._wait_s(ahead, usable, now)
-                if now + wait_s > item.request.deadline - mean_s:
-                    decision = Rejected(wait_s)
+                if now + wait_s > _latest_start(item.request, mean_s, limited):
+                    decision = Rejected(wait_s, limited)
             if decision is None:
                 ahead += 1
                 continue
@@ -244,7 +281,14 @@
             decided.append((item.request.ticket, decision))
         return decided
 
-    def _usable(self) -> list[tuple[_Server, bool]]:
+    def next_token_s(self, now: float) -> float | None:
+        """Return when a server's limit next admits a queued request, or None if none waits."""
+        if not self._waiting:
+            return None
+        waits = (server.next_token_s(now) for server, _ in self._usable(now))
+        return min((wait_s for wait_s in waits if wait_s is not None), default=None)
+
+    def _usable(self, now: float) -> list[tuple[_Server, bool]]:
         usable = []
         incarnations = set()
         for candidate in self._candidates():
@@ -253,6 +297,7 @@
             if server is None:
                 server = self._servers[record.incarnation] = _Server(record)
             server.record = record
+            server.set_rate(candidate.rate_per_s, now)
             incarnations.add(record.incarnation)
             usable.append((server, candidate.suspect))
         for incarnation in self._servers.keys() - incarnations:
@@ -267,11 +312,13 @@
         healthy = [server for server, suspect in untried if not suspect]
         # Suspect servers are used only if there are no others.
         group = healthy or [server for server, _ in untried]
-        free = [server for server in group if server.free_capacity(now) > 0]
+        free = [server for server in group if server.free_capacity(now) >= 1]
         if not free:
             return None
         server = min(free, key=lambda item: (item.expected_time_s(), item.record.server))
         server.in_flight += 1
+        if server.bucket is not None:
+            server.bucket.take(now)
         self._admissions[request.ticket] = _Admission(server, request.deadline + ADMISSION_GRACE_S)
         return Granted(server.record)
 
@@ -283,7 +330,7 @@
 
     def _wait_s(self, ahead: int, usable: list[tuple[_Server, bool]], now: float) -> float:
         """Return the predicted wait of a request with `ahead` others before it."""
-        rate = sum(server.slots(now) / server.service_time_s for server, _ in usable)
+        rate = sum(server.rate_per_s(now) for server, _ in usable)
         free_capacity = sum(server.free_capacity(now) for server, _ in usable)
         return max(0, ahead + 1 - free_capacity) / rate if rate else NEVER_S
 
@@ -299,5 +346,18 @@
         )
 
 
+def _all_limited(usable: list[tuple[_Server, bool]]) -> bool:
+    return all(server.bucket is not None for server, _ in usable)
+
+
+def _latest_start(request: QueuedRequest, mean_s: float, limited: bool) -> float:
+    """Return when a request must start to be of use.
+
+    While all servers are limited, one that would miss its target is refused: later requests that
+    can still meet theirs would go first, and it would wait until its deadline.
+    """
+    return (request.target if limited else request.deadline) - mean_s
+
+
 def _urgency(request: QueuedRequest, answered_at: float) -> tuple[bool, int]:
     return request.target < answered_at, request.priority
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -1,4 +1,7 @@
 @0xb2f6c8e0d5a14973;
+
+using Limits = import "../gateway/limits.capnp";
+
 # Messages between the leader and the other instances.
 
 struct LinkMessage {
@@ -77,6 +80,8 @@
   cleared @3 :List(UInt64);
   # Server incarnations that have announced in an answer that they are leaving.
   leaving @4 :List(ServerStart);
+  # Limits that servers have named, or no longer name, in their answers.
+  limits @5 :List(Limits.LimitNotice);
 }
 
 struct ServerStart {
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Protocol
 
@@ -19,12 +20,11 @@
 from hyssopwood.keyspace.plan import KeyRange, Plan, PlanChange, divide_evenly, merge_adjacent
 from hyssopwood.keyspace.plan_view import RangePause
 from hyssopwood.keyspace.plan_writer import PlanWriter
+from hyssopwood.keyspace.renewals import renew_interval_s
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import Timers
 
-# Two renewals may be lost before a lease expires.
 LEASE_S = 4.5
-RENEW_INTERVAL_S = 1.4
 # A failed renewal is retried sooner, so that a lost server is detected within a second.
 RENEW_RETRY_S = 0.4
 # The store counts as reachable for this long after it confirmed the leader: two confirmation
@@ -117,7 +117,7 @@
     # Owners that changed since the last publication.
     _unpublished: list[tuple[str, KeyRange]] = field(factory=list, init=False)
     _failed_renewals: dict[tuple[str, int], int] = field(factory=dict, init=False)
-    _renewed_at: dict[tuple[str, int], float] = field(factory=dict, init=False)
+    _renewal_due: dict[tuple[str, int], float] = field(factory=dict, init=False)
     _tasks: set[asyncio.Future[None]] = field(factory=set, init=False)
     _writing: asyncio.Future[None] | None = field(default=None, init=False)
     # Last registered address of each incarnation of a server.
@@ -267,20 +267,21 @@
 
     def _start_renewals(self, now: float) -> None:
         """Start the due renewals, at most one at a time for each server."""
-        incarnations = dict.fromkeys(
+        range_counts = Counter(
             lease.keys.incarnation for lease in self._all_leases() if not lease.moving
         )
-        for incarnation in incarnations:
+        for incarnation, range_count in range_counts.items():
             record = self._deps.directory.get(incarnation[0])
             if record is None or record.incarnation != incarnation or incarnation in self._renewing:
                 continue
-            due = self._renewed_at.get(incarnation, float("-inf")) + RENEW_INTERVAL_S
-            if now >= due:
-                self._spawn(self._renew_server(record))
+            if now >= self._renewal_due.get(incarnation, float("-inf")):
+                limit_per_s = self._deps.limits.get(incarnation)
+                interval_s = renew_interval_s(range_count, limit_per_s)
+                self._spawn(self._renew_server(record, interval_s))
 
-    async def _renew_server(self, record: ServerRecord) -> None:
+    async def _renew_server(self, record: ServerRecord, interval_s: float) -> None:
         self._renewing.add(record.incarnation)
-        self._renewed_at[record.incarnation] = self._deps.timers.now()
+        self._renewal_due[record.incarnation] = self._deps.timers.now() + interval_s
         try:
             await self._grant_all(record)
         finally:
@@ -295,9 +296,7 @@
                 self._failed_renewals[record.incarnation] = (
                     self._failed_renewals.get(record.incarnation, 0) + 1
                 )
-                self._renewed_at[record.incarnation] = (
-                    self._deps.timers.now() - RENEW_INTERVAL_S + RENEW_RETRY_S
-                )
+                self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
                 return
         self._failed_renewals.pop(record.incarnation, None)
 
@@ -374,7 +373,7 @@
         for lease in doubtful:
             if id(lease) in renewed_keys and not lease.moving and not lease.replaced:
                 lease.replace_token(renewed_keys[id(lease)])
-                self._renewed_at.pop(lease.keys.incarnation, None)
+                self._renewal_due.pop(lease.keys.incarnation, None)
         # Only tokens change, so the published change has no owners.
         self._record_written(plan, ())
         self._publish()
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -12,7 +12,9 @@
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.crash_suspects import CrashReport, Suspects
 from hyssopwood.gateway.instance_list import InstanceRecord, InstanceUpdate
+from hyssopwood.gateway.limit_codec import fill_limit, read_limit
 from hyssopwood.gateway.server_directory import ServerRecord
+from hyssopwood.gateway.server_limits import LimitNotice
 from hyssopwood.keyspace.plan import KeyRange, PlanChange
 from hyssopwood.keyspace.plan_view import RangePause
 
@@ -45,12 +47,14 @@
     crashes: CrashReport = CrashReport()
     # Server incarnations that have announced in an answer that they are leaving.
     leaving: tuple[tuple[str, int], ...] = ()
+    # Limits that servers have named, or no longer name, in answers to the instance.
+    limits: tuple[LimitNotice, ...] = ()
 
     @property
     def empty(self) -> bool:
         """Return whether there is nothing to report."""
         crashes = self.crashes.lost or self.crashes.cleared
-        return not (self.keys or self.times or crashes or self.leaving)
+        return not (self.keys or self.times or crashes or self.leaving or self.limits)
 
 
 @frozen
@@ -145,6 +149,10 @@
         item.server = server
         item.bornMs = born_ms
 
+    limits = report.init("limits", len(message.limits))
+    for item, notice in zip(limits, message.limits, strict=True):
+        fill_limit(item, notice)
+
 
 @_fill.register
 def _(message: PlanUpdate, wire: Any) -> None:
@@ -258,7 +266,8 @@
     times = {(item.server, item.bornMs): item.meanMs / 1000 for item in report.servers}
     lost = tuple((item.fingerprint, (item.server, item.bornMs)) for item in report.lost)
     leaving = tuple((item.server, item.bornMs) for item in report.leaving)
-    return InstanceReport(keys, times, CrashReport(lost, tuple(report.cleared)), leaving)
+    limits = tuple(read_limit(item) for item in report.limits)
+    return InstanceReport(keys, times, CrashReport(lost, tuple(report.cleared)), leaving, limits)
 
 
 def _read_change(change: Any) -> PlanChange:
--- a/src/hyssopwood/keyspace/plan_view.py
+++ b/src/hyssopwood/keyspace/plan_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from attrs import define, field, frozen
@@ -42,6 +43,8 @@
     _changed: asyncio.Event = field(factory=asyncio.Event, init=False)
     _paused: list[_ActivePause] = field(factory=list, init=False)
     _listeners: list[Callable[[], None]] = field(factory=list, init=False)
+    # Number of ranges by owner in the newest plan; None until it is asked for.
+    _range_counts: Counter[tuple[str, int]] | None = field(default=None, init=False)
 
     @property
     def plan(self) -> Plan | None:
@@ -62,6 +65,7 @@
         if plan.version <= self.version:
             return False
         self._plan = plan
+        self._range_counts = None
         self._paused = [item for item in self._paused if self._still_paused(item)]
         emit(Event.PLAN_TAKEN, version=plan.version, source=source)
         self._notify()
@@ -101,6 +105,14 @@
             for item in self._paused
         )
 
+    def range_count(self, incarnation: tuple[str, int]) -> int:
+        """Return the number of ranges that the newest plan gives to a server incarnation."""
+        if self._plan is None:
+            return 0
+        if self._range_counts is None:
+            self._range_counts = Counter(keys.incarnation for _, keys in self._plan.ranges())
+        return self._range_counts[incarnation]
+
     async def wait_changed(self) -> None:
         """Wait for the next newer plan or pause."""
         await self._changed.wait()
--- a/src/hyssopwood/queue_experiment.py
+++ b/src/hyssopwood/queue_experiment.py
@@ -414,7 +414,7 @@
         decision = super().enter(request, now)
         if not isinstance(decision, Queued):
             return decision
-        usable = self._usable()
+        usable = self._usable(now)
         expected_answer_at = now + decision.wait_s + self._mean_service_time_s(usable)
         rate = sum(server.slots(now) / server.service_time_s for server, _ in usable)
         if (
