Move keys off servers until their load fits the limit that they name

Cause: the leader divides keys by slots and speed, so a server with a limit keeps keys for several times of what it takes, and their requests are refused while other servers have room. The load that a server's limit leaves, less a fifth, counts as its capacity if that is lower. Each round takes at most one part from such a server, as each release is a request to it.

--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -112,6 +112,14 @@
       | 0      | 5     | 1.4      | 5        |
       | 1      | 0     | 2.2      | 0.025    |
 
+  Scenario: Keys move off a server with a limit until the rest fits it, one part at a time
+    Guards against requests that are refused for a limit while other servers have room, and against
+    releases that exceed the limit.
+    Given 6 servers with 12 requests a second each, one of which has a limit that leaves 3
+    When moves are planned until none is left
+    Then each round took at most one part from the limited server
+    And the limited server has 1.5 to 4 requests a second left, and no other has more than 18
+
   Scenario: The leader learns a limit from the reports of the other instances
     Guards against a leader that gives a server more keys than its limit allows because the server
     hasn't answered the leader itself.
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -20,7 +20,7 @@
 from hyssopwood.keyspace.plan import KeyRange, Plan, PlanChange, divide_evenly, merge_adjacent
 from hyssopwood.keyspace.plan_view import RangePause
 from hyssopwood.keyspace.plan_writer import PlanWriter
-from hyssopwood.keyspace.renewals import renew_interval_s
+from hyssopwood.keyspace.renewals import renew_interval_s, request_rate_per_s
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import Timers
 
@@ -43,6 +43,9 @@
 MAX_SETTLE_S = 4.0
 # Consecutive failed renewals before a still registered server's keys are moved to others.
 FAILED_RENEWALS_TO_REPLACE = 2
+# Part of the requests that a server's limit allows which its keys may get: at a full load a queue
+# of requests would build up.
+LIMITED_LOAD_SHARE = 0.8
 # Concurrent moves of one service: at least MIN_CONCURRENT_MOVES, more in proportion to its servers.
 # Requests for the moving keys wait meanwhile.
 MIN_CONCURRENT_MOVES = 24
@@ -453,6 +456,7 @@
             rate_by_incarnation[lease.keys.incarnation] = (
                 rate_by_incarnation.get(lease.keys.incarnation, 0.0) + rate
             )
+        range_counts = Counter(lease.keys.incarnation for lease in ranges)
         return tuple(
             CandidateServer(
                 record.incarnation,
@@ -463,10 +467,18 @@
                     for lease in ranges
                     if lease.keys.incarnation == record.incarnation
                 ),
+                self._max_rate(record.incarnation, range_counts[record.incarnation]),
             )
             for record in self._usable_servers(service)
         )
 
+    def _max_rate(self, incarnation: tuple[str, int], range_count: int) -> float | None:
+        """Return the load that a server's limit allows, or None if it names none."""
+        limit_per_s = self._deps.limits.get(incarnation)
+        if limit_per_s is None:
+            return None
+        return LIMITED_LOAD_SHARE * request_rate_per_s(range_count, limit_per_s)
+
     def _balance(self, now: float) -> None:
         if now - self._balanced_at < BALANCE_INTERVAL_S:
             return
--- a/src/hyssopwood/keyspace/placement.py
+++ b/src/hyssopwood/keyspace/placement.py
@@ -48,6 +48,8 @@
     rate: float
     capacity: float
     keys: int
+    # Load that the server's own limit allows; None for no limit.
+    max_rate: float | None = None
 
 
 @frozen
@@ -66,6 +68,9 @@
     capacity: float
     # Owns no key yet; a server that has just joined is given keys without waiting for a peak.
     idle: bool
+    limited: bool = False
+    # May lose no more keys in this round: each release is a request to a server with a limit.
+    settled: bool = False
 
     @property
     def ratio(self) -> float:
@@ -73,12 +78,32 @@
 
 
 def _servers(candidates: Sequence[CandidateServer]) -> list[_Server]:
+    unlimited = [candidate for candidate in candidates if candidate.max_rate is None]
+    spare = sum(candidate.capacity for candidate in unlimited)
+    # Load of the other servers in relation to their capacity once each limit is kept.
+    rest = sum(candidate.rate for candidate in candidates) - sum(
+        candidate.max_rate for candidate in candidates if candidate.max_rate is not None
+    )
+    mean = rest / spare if spare else 0.0
     return [
-        _Server(candidate.incarnation, candidate.rate, candidate.capacity, not candidate.keys)
+        _Server(
+            candidate.incarnation,
+            candidate.rate,
+            _limited_capacity(candidate, mean),
+            not candidate.keys,
+            candidate.max_rate is not None,
+        )
         for candidate in candidates
     ]
 
 
+def _limited_capacity(candidate: CandidateServer, mean: float) -> float:
+    """Return the capacity at which a server's share of the mean load is within its limit."""
+    if candidate.max_rate is None or mean <= 0:
+        return candidate.capacity
+    return min(candidate.capacity, candidate.max_rate / mean)
+
+
 def distribute_lost_ranges(
     lost: Sequence[KeyRange], candidates: Sequence[CandidateServer], load: LoadMap
 ) -> Iterator[Move]:
@@ -142,7 +167,8 @@
     movable: list[KeyRange], servers: list[_Server], mean: float, load: LoadMap
 ) -> tuple[KeyRange, Move] | None:
     target = min(servers, key=lambda server: (not server.idle, server.ratio))
-    for source in sorted(servers, key=lambda server: server.ratio, reverse=True):
+    sources = [server for server in servers if not server.settled]
+    for source in sorted(sources, key=lambda server: server.ratio, reverse=True):
         if not target.idle and not _is_uneven(source, target, mean, load):
             return None
         excess = _excess(source, target, mean)
@@ -156,6 +182,7 @@
         source.rate -= rate
         target.rate += rate
         target.idle = False
+        source.settled = source.limited
         return keys, Move(first, last, target.incarnation)
     return None
 
