Wake a queue only for requests that a server's limit delays

Cause: a queue with a request that waits for another server than the limited one was advanced again at once for as long as the limit would have admitted a request, a loop at full processor time. Found by reading; the scenario on it fails without the change (a wait of 0 s instead of none). Change: a limit with a whole token delays nothing; the wake-up waits for the timers' resolution too, and requests to a server with a limit near 0 stay at one in 10 s, the time after which a limit that nobody names ends.

--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -28,6 +28,14 @@
     When 20 requests a second enter for 6 s, each with 0.5 s to live
     Then none was refused, and at most 27 were sent to the limited server
 
+  Scenario: A request that waits for another server than the limited one doesn't wake the queue
+    Guards against a timer that fires again and again because the limit would admit a request.
+    Given a queue of a server with 3 slots that takes 4 requests a second, and of one without a limit
+    When requests that exclude the limited server fill the other one and one more waits
+    Then the limit is not what delays it
+    When the limited server has admitted 1 request and another one waits for it
+    Then the limit delays it for 0.25 s
+
   Scenario Outline: The newest statement about a server's limit counts, whoever read it
     Guards against limits that a late message or an answer on its way ends or restores, and against
     limits that are believed forever.
@@ -110,7 +118,7 @@
       | 5      | 5     | 2.0      | 2.5      |
       | 9      | 5     | 2.2      | 1.25     |
       | 0      | 5     | 1.4      | 5        |
-      | 1      | 0     | 2.2      | 0.025    |
+      | 1      | 0     | 2.2      | 0.1      |
 
   Scenario: Keys move off a server with a limit until the rest fits it, one part at a time
     Guards against requests that are refused for a limit while other servers have room, and against
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -14,6 +14,7 @@
 from hyssopwood.gateway.server_limits import LimitNotice, ServerLimits
 from hyssopwood.gateway.shared_queue import (
     Granted,
+    Queued,
     QueuedRequest,
     QueueServer,
     Rejected,
@@ -219,6 +220,36 @@
     assert 0 < sent.count("s1") <= most, sent.count("s1")
 
 
+def _enter_excluding(context, ticket, tried):
+    request = QueuedRequest(
+        ticket=ticket, priority=0, target=2000.0, deadline=2000.0, tried=frozenset(tried)
+    )
+    return context.queue.enter(request, 1000.0)
+
+
+@when("requests that exclude the limited server fill the other one and one more waits")
+def step_fill_other(context):
+    decisions = [_enter_excluding(context, f"a{number}", {"s1"}) for number in range(5)]
+    assert [type(item) for item in decisions] == [Granted] * 4 + [Queued], decisions
+
+
+@then("the limit is not what delays it")
+def step_not_delayed(context):
+    assert context.queue.next_token_s(1000.0) is None
+
+
+@when("the limited server has admitted 1 request and another one waits for it")
+def step_wait_for_limited(context):
+    context.queue.withdraw("a4")
+    assert isinstance(_enter_excluding(context, "b0", {"s2"}), Granted)
+    assert isinstance(_enter_excluding(context, "b1", {"s2"}), Queued)
+
+
+@then("the limit delays it for {seconds:g} s")
+def step_delayed(context, seconds):
+    assert abs(context.queue.next_token_s(1000.0) - seconds) < 0.001
+
+
 @when('an instance learns "{statements}"')
 def step_learns(context, statements):
     context.limits = ServerLimits(context.timers, Metrics())
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -27,6 +27,8 @@
 # Interval at which queued requests that can no longer start in time are rejected and expired
 # admissions are removed.
 REVIEW_INTERVAL_S = 0.1
+# Resolution of timers; one that fires early finds no token yet.
+TIMER_RESOLUTION_S = 0.002
 
 ReplyCallback: TypeAlias = Callable[[Reply], None]
 
@@ -168,7 +170,8 @@
             return
         wait_s = self._queues[name].next_token_s(self._timers.now())
         if wait_s is not None:
-            self._wakeups[name] = self._timers.call_later(wait_s, partial(self._wake, name))
+            delay_s = wait_s + TIMER_RESOLUTION_S
+            self._wakeups[name] = self._timers.call_later(delay_s, partial(self._wake, name))
 
     def _wake(self, name: QueueName) -> None:
         del self._wakeups[name]
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -131,7 +131,7 @@
 
     def next_token_s(self, now: float) -> float | None:
         """Return when the limit next admits a request, or None if it isn't what delays one."""
-        if self.bucket is None or self._free_slots(now) < 1:
+        if self.bucket is None or self._free_slots(now) < 1 or self.bucket.tokens(now) >= 1:
             return None
         return self.bucket.next_token_s(now)
 
--- a/src/hyssopwood/keyspace/renewals.py
+++ b/src/hyssopwood/keyspace/renewals.py
@@ -13,20 +13,20 @@
 RENEWAL_SHARE = 0.5
 # Share of a limit that requests may use whatever the renewals take.
 MIN_REQUEST_SHARE = 0.25
-# A lower limit is raised to this, as only an answer shows that it has ended.
-MIN_LIMIT_PER_S = 0.1
+# Requests that are sent however low the limit is, as only an answer shows that it has ended.
+MIN_REQUESTS_PER_S = 0.1
 
 
 def renew_interval_s(range_count: int, limit_per_s: float | None) -> float:
     """Return the interval for a server with `range_count` ranges, each renewed by a request."""
     if limit_per_s is None:
         return RENEW_INTERVAL_S
-    wanted_s = range_count / (max(MIN_LIMIT_PER_S, limit_per_s) * RENEWAL_SHARE)
+    wanted_s = range_count / (max(MIN_REQUESTS_PER_S, limit_per_s) * RENEWAL_SHARE)
     return min(MAX_LIMITED_RENEW_INTERVAL_S, max(RENEW_INTERVAL_S, wanted_s))
 
 
 def request_rate_per_s(range_count: int, limit_per_s: float) -> float:
     """Return how many requests per second a server's limit leaves beside the renewals."""
-    limit_per_s = max(MIN_LIMIT_PER_S, limit_per_s)
     renewals_per_s = range_count / renew_interval_s(range_count, limit_per_s)
-    return max(limit_per_s * MIN_REQUEST_SHARE, limit_per_s - renewals_per_s)
+    left = max(limit_per_s * MIN_REQUEST_SHARE, limit_per_s - renewals_per_s)
+    return max(MIN_REQUESTS_PER_S, left)
