Apply a server's limit to the queue only where it is below what the slots serve

Cause: while a server named any limit, requests that would miss their target latency were refused with the cause at-limit, also where its slots, not the limit, made them wait. Found by reading. Change: the limit decides on refusals only if it is the lower rate; the queue isn't looked at for wake-ups while no server has a limit. Test: 'A limit above what a server's slots serve doesn't change who is queued'; without the change the request is rejected.

--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -28,6 +28,12 @@
     When 20 requests a second enter for 6 s, each with 0.5 s to live
     Then none was refused, and at most 27 were sent to the limited server
 
+  Scenario: A limit above what a server's slots serve doesn't change who is queued
+    Guards against requests that are refused for a limit while the server is just busy.
+    Given a queue of a server with 3 slots that takes 1000 requests a second
+    When 4 requests run, and one enters that would miss its target but not its deadline
+    Then it is queued
+
   Scenario: A request that waits for another server than the limited one doesn't wake the queue
     Guards against a timer that fires again and again because the limit would admit a request.
     Given a queue of a server with 3 slots that takes 4 requests a second, and of one without a limit
--- a/features/steps/gateway_server_limit_steps.py
+++ b/features/steps/gateway_server_limit_steps.py
@@ -220,6 +220,23 @@
     assert 0 < sent.count("s1") <= most, sent.count("s1")
 
 
+@when("4 requests run, and one enters that would miss its target but not its deadline")
+def step_late_request(context):
+    _enter_excluding(context, "first", ())
+    context.queue.withdraw("first")
+    requests = [
+        QueuedRequest(ticket=number, priority=0, target=1001.05, deadline=1010.0)
+        for number in range(5)
+    ]
+    *running, context.decision = [context.queue.enter(request, 1001.0) for request in requests]
+    assert all(isinstance(decision, Granted) for decision in running), running
+
+
+@then("it is queued")
+def step_is_queued(context):
+    assert isinstance(context.decision, Queued), context.decision
+
+
 def _enter_excluding(context, ticket, tried):
     request = QueuedRequest(
         ticket=ticket, priority=0, target=2000.0, deadline=2000.0, tried=frozenset(tried)
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -166,7 +166,7 @@
 
     def _schedule_advance(self, name: QueueName) -> None:
         """Advance the queue again as soon as a server's limit admits a request."""
-        if name in self._wakeups:
+        if name in self._wakeups or not self._limits.any_named:
             return
         wait_s = self._queues[name].next_token_s(self._timers.now())
         if wait_s is not None:
--- a/src/hyssopwood/gateway/server_limits.py
+++ b/src/hyssopwood/gateway/server_limits.py
@@ -112,6 +112,11 @@
         elif limit is not None:
             self._end(incarnation, stated_at, "another instance's answer did not name it")
 
+    @property
+    def any_named(self) -> bool:
+        """Return whether any server has a limit."""
+        return bool(self._limits)
+
     @property
     def has_notices(self) -> bool:
         """Return whether this instance has read any limit in recent answers."""
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -121,9 +121,13 @@
 
     def rate_per_s(self, now: float) -> float:
         """Return how many requests per second the server is expected to serve."""
-        rate_per_s = self.slots(now) / self.service_time_s
+        rate_per_s = self._slot_rate_per_s(now)
         return rate_per_s if self.bucket is None else min(rate_per_s, self.bucket.rate_per_s)
 
+    def limited(self, now: float) -> bool:
+        """Return whether the server's limit is below what its slots serve."""
+        return self.bucket is not None and self.bucket.rate_per_s < self._slot_rate_per_s(now)
+
     def free_capacity(self, now: float) -> float:
         """Return how many more requests may be sent now; a part of one may not be sent yet."""
         free = self._free_slots(now)
@@ -135,6 +139,9 @@
             return None
         return self.bucket.next_token_s(now)
 
+    def _slot_rate_per_s(self, now: float) -> float:
+        return self.slots(now) / self.service_time_s
+
     def _free_slots(self, now: float) -> int:
         if now < self.backed_off_until:
             return REQUESTS_WHILE_BACKED_OFF - self.in_flight
@@ -197,7 +204,7 @@
             _urgency(item.request, now + mean_s) <= urgency for item in self._waiting.values()
         )
         wait_s = self._wait_s(ahead, usable, now)
-        limited = _all_limited(usable)
+        limited = _all_limited(usable, now)
         margin_s = LIMITED_WAIT_MARGIN_S if limited else 0.0
         latest = _latest_start(request, mean_s, limited)
         if wait_s > request.max_wait_s or now + wait_s + margin_s > latest:
@@ -265,7 +272,7 @@
             return []
         usable = self._usable(now)
         mean_s = self._mean_service_time_s(usable)
-        limited = _all_limited(usable)
+        limited = _all_limited(usable, now)
         decided: list[tuple[Hashable, Granted | Rejected]] = []
         ahead = 0
         for item in self._sorted(now + mean_s):
@@ -346,8 +353,8 @@
         )
 
 
-def _all_limited(usable: list[tuple[_Server, bool]]) -> bool:
-    return all(server.bucket is not None for server, _ in usable)
+def _all_limited(usable: list[tuple[_Server, bool]], now: float) -> bool:
+    return all(server.limited(now) for server, _ in usable)
 
 
 def _latest_start(request: QueuedRequest, mean_s: float, limited: bool) -> float:
