--- a/features/gateway_server_limit.feature
+++ b/features/gateway_server_limit.feature
@@ -6,7 +6,14 @@
     Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1,i2,i3"
     When server "s1" names a limit of 4 requests a second and gets 10 a second by each instance
     Then from 3 s on it got in each 4 s at most half as much again and 5 requests and commands
-    And what it didn't run was refused with a Retry-After, 9 in 10 within 0.2 s and all within 0.6 s
+    And what it didn't run was refused with a Retry-After
+
+  Scenario: Requests that a server's limit doesn't admit are refused by their target latency
+    Guards against requests that wait for a limited server until they are of no use.
+    Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1,i2,i3"
+    When server "s1" names a limit of 4 requests a second and gets 10 a second by each instance
+    Then what it didn't run was refused with a Retry-After
+    And 9 in 10 of them within 0.2 s and all within 0.6 s
 
   Scenario: A queue admits requests at the rate that a server's limit leaves and refuses the rest
     Guards against a limit that only bounds how many requests run at a time, and against requests
