Log when the renewals of a server's leases fail and when they succeed again

The logs of the incident on two owners can't tell whether the leader sent a grant to the address of a crashed server again (hypothesis 1) or an earlier one arrived late (hypothesis 2), as neither a failed renewal nor an answered grant leaves a line. E418 is logged at the first failure of a series, E419 with server, address and number of failures once an answer arrives. Under hypothesis 1 an E419 for the crashed server follows the start of its successor; under 2 there is none.

Bounded: one line a change of state of a server.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -84,6 +84,8 @@
     CLAIM_LOST = EventSpec(312, "INFO", "another instance claimed the plan first")
     GRANT_FENCED = EventSpec(416, "WARNING", "server has seen a higher fencing token")
     RANGE_RELEASED = EventSpec(417, "INFO", "owner released a key range")
+    RENEWAL_FAILED = EventSpec(418, "WARNING", "renewal of leases failed")
+    RENEWAL_RECOVERED = EventSpec(419, "INFO", "renewals succeed again")
     REQUEST_ANSWERED = EventSpec(508, "INFO", "request was answered")
     SERVER_SUSPECTED = EventSpec(509, "WARNING", "backend server is temporarily avoided")
     CALLER_REFUSED = EventSpec(510, "INFO", "caller's input was rejected")
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -296,12 +296,24 @@
             if lease.keys.incarnation != record.incarnation or lease.moving:
                 continue
             if not await self._grant(lease, record):
-                self._failed_renewals[record.incarnation] = (
-                    self._failed_renewals.get(record.incarnation, 0) + 1
-                )
-                self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+                self._record_failed_renewal(record)
                 return
-        self._failed_renewals.pop(record.incarnation, None)
+        failures = self._failed_renewals.pop(record.incarnation, 0)
+        if failures:
+            emit(
+                Event.RENEWAL_RECOVERED,
+                server=record.server,
+                address=record.address,
+                failures=failures,
+            )
+
+    def _record_failed_renewal(self, record: ServerRecord) -> None:
+        failures = self._failed_renewals.get(record.incarnation, 0) + 1
+        self._failed_renewals[record.incarnation] = failures
+        self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+        if failures == 1:
+            # Later failures follow every RENEW_RETRY_S and tell nothing new.
+            emit(Event.RENEWAL_FAILED, server=record.server, address=record.address)
 
     async def _grant(self, lease: RangeLease, record: ServerRecord) -> bool:
         """Grant one range; return whether the server answered."""
