Add failing schedules in which a server follows another one at its address

They now receive the bytes that the real PlatformKeyCommands sends, at the address it sends them to. Two new faults: a server is followed at its address by another id, or by a later start of its own, 0.05 to 2 s after its crash and before the store shows it.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -72,6 +72,22 @@
     Then its keys have an owner again within 6.5 s
     And no key had two owners and no token decreased
 
+  Scenario: A server at the address of a crashed one gets none of its keys
+    Guards against grants that are carried out by another process than the one they are meant for
+    (incident inc1 of musgo-limpio: two owners under one token).
+    When a server crashes and another server follows at its address, with the store, with seeds from 1 to 20
+    Then no key had two owners and no token decreased
+
+  Scenario: A server at the address of a crashed one gets none of its keys while the store is away
+    Guards against grants to the address of a server whose end the store can't show.
+    When a server crashes and another server follows at its address, without the store for 8 s, with seeds from 1 to 20
+    Then no key had two owners and no token decreased
+
+  Scenario: A later start of a server gets its keys under a higher token only
+    Guards against renewals that reach the next process of a server before the store shows it.
+    When a server crashes and a later start of it follows at its address, with the store, with seeds from 1 to 20
+    Then no key had two owners and no token decreased
+
   Scenario: The leases of the previous leader matter
     Guards against a directed schedule that passes without the guard.
     Given the key cluster runs without "leases of the previous leader"
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -33,6 +33,7 @@
 from hyssopwood.metrics import Metrics
 from support.key_cluster import (
     SERVICE,
+    crash_server,
     explore,
     explore_restores,
     isolate_leader,
@@ -136,6 +137,18 @@
     context.recovery_s = max(elapsed_s for _, elapsed_s in results)
 
 
+@when(
+    "a server crashes and {successor} follows at its address, {store}, "
+    "with seeds from {first:d} to {last:d}"
+)
+def step_crash_server(context, successor, store, first, last):
+    outage_s = {"with the store": 0.0, "without the store for 8 s": 8.0}[store]
+    results = [crash_server(seed, successor, outage_s) for seed in range(first, last + 1)]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.recovery_s = max(elapsed_s for _, elapsed_s in results)
+    context.grants = 1
+
+
 @then("its keys have an owner again within {seconds:g} s")
 def step_recovered(context, seconds):
     assert context.recovery_s <= seconds, context.recovery_s
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -5,29 +5,39 @@
 """
 
 import asyncio
+import json
 import random
 
+from attrs import frozen
+
 from hyssopwood.errors import (
     AppendConflictError,
     AppendUnconfirmedError,
     LogUnavailableError,
     PeerUnavailableError,
 )
+from hyssopwood.gateway.exchange import (
+    ExchangeBrokenError,
+    NotSentError,
+    ServerAnswer,
+    find_header,
+)
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables, ServiceSpec
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.key_load import KeyLoad
-from hyssopwood.keyspace.key_manager import CommandAnswer, KeyManager, KeyManagerDependencies
+from hyssopwood.keyspace.key_manager import KeyManager, KeyManagerDependencies
 from hyssopwood.keyspace.leadership import Leadership, LeadershipDependencies
-from hyssopwood.keyspace.leases import COMMAND_TIMEOUT_S
 from hyssopwood.keyspace.link_codec import Heartbeat
-from hyssopwood.keyspace.plan import KEY_COUNT, Leader
+from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Leader
 from hyssopwood.keyspace.plan_codec import decode_leader, decode_plan, encode_leader, encode_plan
 from hyssopwood.keyspace.plan_store import StoredPlan
 from hyssopwood.keyspace.plan_view import PlanView
 from hyssopwood.keyspace.position import era_of, offset_of, position_at
 from hyssopwood.metrics import Metrics
+from hyssopwood.platform.key_commands import PlatformKeyCommands
+from hyssopwood.platform.names import RELEASE_PATH
 from hyssopwood.supervisor import Child, Supervisor
 from support.virtual_time import SimulatedProcess, VirtualLoop
 
@@ -59,13 +69,16 @@
         self.cluster = cluster
         self.name = name
         self.address = address or f"10.0.0.1:{8000 + int(name[1:])}"
-        # A crashed server's registration remains for some time.
+        # A crashed server's registration remains for some time, and a started server's appears
+        # after some.
         self.listed_until = 0.0
+        self.listed_from = 0.0
         self.lost_permanently = False
         self.slow = SLOW_CLOCK if slow else 1.0
         self.alive = True
         self.draining = False
         self.born_ms = 1
+        self.registered_born_ms = 1
         self.leases = []
         self.granted_tokens = []
 
@@ -82,33 +95,48 @@
             slots=2,
             draining=self.draining,
             warmup_left_s=0.0,
-            born_ms=self.born_ms,
+            born_ms=self.listed_born_ms,
             sequence=sequence,
         )
 
-    def restart(self):
-        if self.lost_permanently:
+    @property
+    def listed(self):
+        """Return whether the store has a registration of the server."""
+        now = self.now
+        return (self.alive and now >= self.listed_from) or now < self.listed_until
+
+    @property
+    def listed_born_ms(self):
+        """Return the start time in the registration, which may be that of an earlier process."""
+        if self.alive and self.now >= self.listed_from:
+            self.registered_born_ms = self.born_ms
+        return self.registered_born_ms
+
+    def restart(self, registers_after_s=0.0):
+        if self.lost_permanently or self.alive:
             # Another server may have its address now.
             return
         self.born_ms += 1
         self.alive = True
         self.leases, self.granted_tokens = [], []
+        self.listed_from = self.now + registers_after_s
 
     def crash(self):
         self.alive = False
         self.leases = []
 
-    def grant(self, keys, lease_s, arrived, ignored):
+    def grant(self, command):
         """Carry out a grant; its lease starts at its arrival."""
+        keys = command.keys
         for first, last, fence in self.granted_tokens:
             if first <= keys.last and keys.first <= last and fence > keys.fence:
                 return False
-        until = arrived + lease_s * self.slow
+        until = command.arrived + command.lease_s * self.slow
         self.granted_tokens = [item for item in self.granted_tokens if not _inside(item, keys)]
         self.granted_tokens.append((keys.first, keys.last, keys.fence))
         if until > self.now:
             self.drop_leases(keys)
-            if not ignored:
+            if not command.ignored:
                 self.leases.append((keys.first, keys.last, keys.fence, until))
                 self.cluster.check(self, keys)
         return True
@@ -228,60 +256,110 @@
         return end
 
 
-class _CommandClient:
-    """Commands of one instance, which may be delayed, lost or carried out late."""
+class _FakePool:
+    """Exchanges of one instance with whoever listens at a server's address.
+
+    Servers receive the bytes that the gateway sends, so a command that isn't addressed to the
+    listening process is carried out by it. Commands may be delayed, lost or carried out late.
+    """
 
     def __init__(self, cluster, process):
         self._cluster, self._process = cluster, process
 
-    async def grant(self, server, keys, lease_s, handover):
-        return await self._send(server, "grant", COMMAND_TIMEOUT_S, keys, lease_s)
-
-    async def release(self, server, keys, limit_s):
-        return await self._send(server, "release", limit_s, keys, 0.0)
-
-    async def _send(self, record, kind, limit_s, keys, lease_s):
+    async def exchange(self, record, request):
         cluster, rng = self._cluster, self._cluster.rng
         await self._process.wait_while_paused()
         if (self._process.name, record.server) in cluster.cut_links:
-            await asyncio.sleep(limit_s)
-            return CommandAnswer(done=False, sent=rng.random() < 0.5)
+            return await self._fail_after(MAX_LEASE_S)
         # A grant that arrives this soon after a pause of its sender creates no lease; the platform
         # doesn't count such grants.
         ignored = cluster.loop.time() - self._process.resumed_at < RESUME_SLACK_S
         await asyncio.sleep(rng.uniform(0.0005, 0.003))
-        server = cluster.servers[record.server]
-        if not self._process.alive or not server.alive or server.born_ms != record.born_ms:
-            return CommandAnswer(done=False, sent=rng.random() < 0.5)
-        arrived = cluster.loop.time()
-        late = rng.random() < cluster.late_commands
-        if late:
-            born_ms = server.born_ms
+        server = cluster.listener(record.address)
+        if server is None or not self._process.alive:
+            return await self._fail_after(0.0)
+        command = _decode_command(request, ignored, cluster.loop.time())
+        if command.addressee not in (None, server.name):
+            return ServerAnswer(421, ((b"instance-id", server.name.encode()),), b"")
+        if rng.random() < cluster.late_commands:
             delay = rng.uniform(2.0, 12.0)
-            work = (server, born_ms, kind, keys, lease_s, arrived, ignored)
-            cluster.later(delay, self._carry_out, *work)
-            await asyncio.sleep(min(limit_s, COMMAND_TIMEOUT_S))
-            return CommandAnswer(done=False)
-        if kind == "release":
-            server.drop_leases(keys)
+            cluster.later(delay, self._carry_out, server, server.born_ms, command)
+            return await self._fail_after(MAX_LEASE_S)
+        if command.path == RELEASE_PATH:
+            server.drop_leases(command.keys)
             await asyncio.sleep(rng.choice((0.001, 0.2)))
-            answer = CommandAnswer(done=True, handover="h")
+            answer = ServerAnswer(200, ((b"handover", b"h"),), b"")
         else:
-            done = server.grant(keys, lease_s, arrived, ignored)
-            answer = CommandAnswer(done=done, fenced=not done)
+            done = server.grant(command)
+            answer = ServerAnswer(200 if done else 409, (), b"")
         if rng.random() < cluster.lost_commands:
-            await asyncio.sleep(min(limit_s, COMMAND_TIMEOUT_S))
-            return CommandAnswer(done=False)
+            return await self._fail_after(MAX_LEASE_S)
         await self._process.wait_while_paused()
         return answer
 
-    def _carry_out(self, server, born_ms, kind, keys, lease_s, arrived, ignored):
+    def abort_idle(self, record):
+        """Reset the idle connections to a server."""
+
+    async def _fail_after(self, seconds):
+        await asyncio.sleep(seconds)
+        if self._cluster.rng.random() < 0.5:
+            raise NotSentError("refused")
+        raise ExchangeBrokenError("reset")
+
+    def _carry_out(self, server, born_ms, command):
         if not server.alive or server.born_ms != born_ms:
             return
-        if kind == "release":
-            server.drop_leases(keys)
+        if command.path == RELEASE_PATH:
+            server.drop_leases(command.keys)
         else:
-            server.grant(keys, lease_s, arrived, ignored)
+            server.grant(command)
+
+
+@frozen
+class _Command:
+    """A command as a server reads it."""
+
+    path: str
+    keys: KeyRange
+    lease_s: float
+    addressee: str | None
+    arrived: float
+    # The command creates no lease, as its sender has just resumed.
+    ignored: bool
+
+
+def _decode_command(request, ignored, arrived):
+    body = json.loads(request.body)
+    addressee = find_header(
+        tuple((name.lower(), value) for name, value in request.headers), b"target-instance"
+    )
+    return _Command(
+        path=request.target.decode(),
+        keys=KeyRange(body["from_revision"], body["to"], "", 0, body["fence"]),
+        lease_s=body.get("hold_s", 0.0),
+        addressee=None if addressee is None else addressee.decode(),
+        arrived=arrived,
+        ignored=ignored,
+    )
+
+
+class _CommandClient:
+    """The real commands of one instance, whose answers wait while the instance is paused."""
+
+    def __init__(self, cluster, process):
+        self._commands = PlatformKeyCommands(_FakePool(cluster, process))
+        self._process = process
+
+    async def grant(self, server, keys, lease_s, handover):
+        return await self._finish(self._commands.grant(server, keys, lease_s, handover))
+
+    async def release(self, server, keys, limit_s):
+        return await self._finish(self._commands.release(server, keys, limit_s))
+
+    async def _finish(self, command):
+        answer = await command
+        await self._process.wait_while_paused()
+        return answer
 
 
 class _FakeLink:
@@ -388,8 +466,7 @@
             self.sequence += 1
             present = []
             for server in self.cluster.servers.values():
-                listed = server.alive or server.listed_until > self.cluster.loop.time()
-                if listed and server.name not in self.cluster.unregistered:
+                if server.listed and server.name not in self.cluster.unregistered:
                     self.directory.put(server.record(self.sequence))
                     present.append(server.name)
             self.directory.retain(present, now, with_grace=False)
@@ -423,6 +500,13 @@
     def later(self, delay, work, *arguments):
         self.loop.call_later(delay, work, *arguments)
 
+    def listener(self, address):
+        """Return the live server that listens at an address, or None."""
+        for server in self.servers.values():
+            if server.alive and server.address == address:
+                return server
+        return None
+
     def at_address(self, address):
         for instance in self.instances:
             if instance.address == address:
@@ -548,10 +632,28 @@
         server.listed_until = self.loop.time() + 4.5
         self.later(2.0, self._add_server, server.address)
 
-    def _add_server(self, address):
+    async def _server_succeeded(self, instance, server):
+        """Lose a server; another one starts at its address soon, and registers after that."""
+        if not server.alive or len(self.servers) >= 8:
+            return
+        server.crash()
+        server.lost_permanently = True
+        server.listed_until = self.loop.time() + self.rng.uniform(2.0, 3.5)
+        self.later(self.rng.uniform(0.05, 2.0), self._add_server, server.address, 1.5)
+
+    async def _server_reborn(self, instance, server):
+        """Crash a server that soon starts again under its id, and registers after that."""
+        if not server.alive:
+            return
+        server.crash()
+        server.listed_until = self.loop.time() + self.rng.uniform(2.0, 3.5)
+        self.later(self.rng.uniform(0.05, 2.0), server.restart, self.rng.uniform(0.0, 1.5))
+
+    def _add_server(self, address, max_registration_delay_s=0.0):
         name = f"s{len(self.servers) + 1}"
         server = FakeServer(self, name, self.rng.random() < 0.5, address)
-        server.born_ms = int(self.loop.time() * 1000)
+        server.born_ms = server.registered_born_ms = int(self.loop.time() * 1000)
+        server.listed_from = self.loop.time() + self.rng.uniform(0.0, max_registration_delay_s)
         self.servers[name] = server
 
     async def _server_drains(self, instance, server):
@@ -649,6 +751,37 @@
         await self.stop()
         return elapsed_s
 
+    async def crash_server(self, successor, outage_s):
+        """Crash a server; return how long some of the keys have no owner.
+
+        Its successor starts at its address 0.2 to 1.5 s later and registers after another 0.7 s: a
+        server with another id, or a later start of the same one, or there is none. The store may be
+        unavailable from shortly before the crash on.
+        """
+        await self.start()
+        await asyncio.sleep(6.0)
+        server = self.servers["s1"]
+        if outage_s:
+            self.store.down = True
+            self.later(outage_s, setattr, self.store, "down", False)
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.4))
+        server.crash()
+        server.listed_until = self.loop.time() + 2.6
+        started_s = self.rng.uniform(0.2, 1.5)
+        if successor == "another server":
+            server.lost_permanently = True
+            self.later(started_s, self._add_server, server.address, 0.7)
+        elif successor == "a later start of it":
+            self.later(started_s, server.restart, 0.7)
+        crashed_at = self.loop.time()
+        while self.owned_share() < 0.999:
+            await asyncio.sleep(0.05)
+        elapsed_s = self.loop.time() - crashed_at
+        await asyncio.sleep(10.0)
+        await self.stop()
+        return elapsed_s
+
     async def lose_rival_claim(self):
         """Let a rival move keys, and the store lose its claim; the previous leader continues."""
         await self.start()
@@ -718,6 +851,8 @@
     "server-crash",
     "server-drains",
     "server-reuse",
+    "server-succeeded",
+    "server-reborn",
     "instance-cut",
     "instance-pause",
     "instance-kill",
@@ -773,6 +908,13 @@
     return cluster.violations, elapsed_s
 
 
+def crash_server(seed, successor, outage_s):
+    """Simulate a server's crash; return violations and the time without an owner."""
+    cluster = KeyCluster(seed)
+    elapsed_s = cluster.run(cluster.crash_server(successor, outage_s))
+    return cluster.violations, elapsed_s
+
+
 def lose_rival_claim(seed):
     """Simulate a rival claim that the store loses.
 
