Bind each grant to the server that it names and each token to one connection

Cause: a grant names a range and a token, no server, and goes to the address of a registration. When a server crashes and another one starts at its address before its entry expires, the leader's retried renewals and releases reach the new process. It takes the keys under the crashed server's token, and its answers count as the crashed server's.

Change: - Grants and releases carry Target-Instance. A connection belongs to one process, so a token is sent over one connection only; over another one the leader uses the next token. It has 256 for each fencing token of the plan, so that needs no write. Only a leader that the store confirms may do so: a process that has just started accepts tokens below those of a rival. - A later start of the owner counts as a possible holder: it is asked to release the range, or gets the range itself, and its lease isn't forgotten with the change of owner. - An answer that another server gives never marks the addressed one as leaving.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -25,18 +25,39 @@
       | seed  |
       | 19658 |
 
+    Examples: a server kept an earlier lease when its keys were moved to its later start
+      | seed |
+      | 257  |
+
+    Examples: a leader without the store sent a token to a server's later start, below its rival's
+      | seed |
+      | 259  |
+      | 298  |
+
   Scenario Outline: Each guard of ownership matters
     Guards against a schedule that would pass without the guard.
     Given the key cluster runs without "<guard>"
-    When key cluster schedules are played from seed 1 until one breaks ownership, at most <most>
+    When key cluster schedules are played from seed <first> until one breaks ownership, at most <most>
     Then one of them broke ownership
 
     Examples:
-      | guard                                 | most |
-      | wait for the end of leases            | 20   |
-      | slow clocks and late arrivals         | 20   |
-      | unanswered grants                     | 20   |
-      | order of registrations at one address | 20   |
+      | guard                                  | first | most |
+      | wait for the end of leases             | 1     | 20   |
+      | slow clocks and late arrivals          | 1     | 20   |
+      | unanswered grants                      | 1     | 20   |
+      | order of registrations at one address  | 1     | 20   |
+      | names of servers in commands           | 1     | 20   |
+      | one connection for each token          | 1     | 20   |
+      | confirmed leader for another connection | 259  | 1    |
+      | leases of the next process             | 21    | 2    |
+
+  Scenario: Ranges that have used up their tokens get a higher fencing token of the plan
+    Guards against ranges that can't be renewed any more, or that are renewed under an old token.
+    Given the key cluster runs without "spare tokens"
+    And the key cluster schedules with seeds from 1 to 15
+    When each key cluster schedule is played
+    Then no key had two owners and no token decreased
+    And every key has an owner at the end of each schedule
 
   Scenario: A server's loss while the store is unavailable leaves the other keys owned
     Guards against a leader that waits for the store and renews no leases meanwhile.
@@ -77,6 +98,7 @@
     (incident inc1 of musgo-limpio: two owners under one token).
     When a server crashes and another server follows at its address, with the store, with seeds from 1 to 20
     Then no key had two owners and no token decreased
+    And its keys have an owner again within 6.5 s
 
   Scenario: A server at the address of a crashed one gets none of its keys while the store is away
     Guards against grants to the address of a server whose end the store can't show.
@@ -87,6 +109,12 @@
     Guards against renewals that reach the next process of a server before the store shows it.
     When a server crashes and a later start of it follows at its address, with the store, with seeds from 1 to 20
     Then no key had two owners and no token decreased
+    And its keys have an owner again within 6.5 s
+
+  Scenario: A later start of a server gets its keys under a higher token only while the store is away
+    Guards against renewals that reach the next process of a server before the store shows it.
+    When a server crashes and a later start of it follows at its address, without the store for 8 s, with seeds from 1 to 20
+    Then no key had two owners and no token decreased
 
   Scenario: The leases of the previous leader matter
     Guards against a directed schedule that passes without the guard.
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -23,7 +23,7 @@
     KeyManagerDependencies,
 )
 from hyssopwood.keyspace.leadership import Leadership, LeadershipDependencies
-from hyssopwood.keyspace.leases import COMMAND_TIMEOUT_S
+from hyssopwood.keyspace.leases import COMMAND_TIMEOUT_S, fence_of
 from hyssopwood.keyspace.placement import Move
 from hyssopwood.keyspace.plan import Leader, Plan, divide_evenly
 from hyssopwood.keyspace.plan_store import StoredPlan
@@ -267,7 +267,7 @@
         self.timers = timers
         self.grants = []
 
-    async def grant(self, server, keys, lease_s, handover):
+    async def grant(self, server, keys, lease_s, handover, channel):
         self.grants.append((self.timers.now(), server.server, keys))
         if server.server == self.silent:
             await asyncio.sleep(COMMAND_TIMEOUT_S)
@@ -471,14 +471,14 @@
     renewed = _grants_since_restore(context, "s2")
     times = [0.0, *(at for at, _ in renewed)]
     assert max(after - at for at, after in itertools.pairwise(times)) < LEASE_S / 2, times
-    assert {era_of(keys.fence) for _, keys in renewed} == {0}
+    assert {era_of(fence_of(keys.fence)) for _, keys in renewed} == {0}
 
 
 @then("the next owner is granted its keys after {least_s:g} to {most_s:g} s, by a token of the era")
 def step_granted_after(context, least_s, most_s):
     at, keys = _grants_since_restore(context, "s60")[0]
     assert least_s <= at <= most_s, at
-    assert era_of(keys.fence) == 1
+    assert era_of(fence_of(keys.fence)) == 1
     assert not context.has_unrecorded_leases
 
 
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -23,9 +23,11 @@
     find_header,
 )
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables, ServiceSpec
+from hyssopwood.gateway.server_connection import CONNECT_TIMEOUT_S
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.store_availability import StoreAvailability
+from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import KeyManager, KeyManagerDependencies
 from hyssopwood.keyspace.leadership import Leadership, LeadershipDependencies
@@ -266,24 +268,44 @@
     def __init__(self, cluster, process):
         self._cluster, self._process = cluster, process
 
+    async def connect(self, address):
+        """Open a connection to the process that listens at an address."""
+        await self._process.wait_while_paused()
+        await asyncio.sleep(self._cluster.rng.uniform(0.0005, 0.003))
+        server = self._cluster.listener(address)
+        if server is None or not self._process.alive:
+            raise NotSentError("refused")
+        if self._is_cut(server):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise NotSentError("no connection in time")
+        return _FakeConnection(self, server, silent_end=self._cluster.rng.random() < 0.3)
+
     async def exchange(self, record, request):
+        """Send a command over a new connection."""
+        connection = await self.connect(record.address)
+        return await connection.exchange(record.address, request, None)
+
+    def _is_cut(self, server):
+        return (self._process.name, server.name) in self._cluster.cut_links
+
+    async def send(self, server, born_ms, request):
+        """Send a command to the process that a connection belongs to."""
         cluster, rng = self._cluster, self._cluster.rng
         await self._process.wait_while_paused()
-        if (self._process.name, record.server) in cluster.cut_links:
+        if self._is_cut(server):
             return await self._fail_after(MAX_LEASE_S)
         # A grant that arrives this soon after a pause of its sender creates no lease; the platform
         # doesn't count such grants.
         ignored = cluster.loop.time() - self._process.resumed_at < RESUME_SLACK_S
         await asyncio.sleep(rng.uniform(0.0005, 0.003))
-        server = cluster.listener(record.address)
-        if server is None or not self._process.alive:
+        if not server.alive or server.born_ms != born_ms or not self._process.alive:
             return await self._fail_after(0.0)
         command = _decode_command(request, ignored, cluster.loop.time())
         if command.addressee not in (None, server.name):
             return ServerAnswer(421, ((b"instance-id", server.name.encode()),), b"")
         if rng.random() < cluster.late_commands:
             delay = rng.uniform(2.0, 12.0)
-            cluster.later(delay, self._carry_out, server, server.born_ms, command)
+            cluster.later(delay, self._carry_out, server, born_ms, command)
             return await self._fail_after(MAX_LEASE_S)
         if command.path == RELEASE_PATH:
             server.drop_leases(command.keys)
@@ -302,8 +324,6 @@
 
     async def _fail_after(self, seconds):
         await asyncio.sleep(seconds)
-        if self._cluster.rng.random() < 0.5:
-            raise NotSentError("refused")
         raise ExchangeBrokenError("reset")
 
     def _carry_out(self, server, born_ms, command):
@@ -315,6 +335,33 @@
             server.grant(command)
 
 
+class _FakeConnection:
+    """A connection to one process of a server, which breaks it when it ends, or doesn't."""
+
+    def __init__(self, pool, server, silent_end):
+        self._pool, self._server, self._silent_end = pool, server, silent_end
+        self._born_ms = server.born_ms
+        self._aborted = False
+
+    @property
+    def ended(self):
+        return self._aborted or (not self._silent_end and not self._reaches_process)
+
+    @property
+    def _reaches_process(self):
+        return self._server.alive and self._server.born_ms == self._born_ms
+
+    async def exchange(self, address, request, id_header):
+        try:
+            return await self._pool.send(self._server, self._born_ms, request)
+        except (ExchangeBrokenError, asyncio.CancelledError):
+            self._aborted = True
+            raise
+
+    def close(self):
+        self._aborted = True
+
+
 @frozen
 class _Command:
     """A command as a server reads it."""
@@ -347,11 +394,12 @@
     """The real commands of one instance, whose answers wait while the instance is paused."""
 
     def __init__(self, cluster, process):
-        self._commands = PlatformKeyCommands(_FakePool(cluster, process))
+        pool = _FakePool(cluster, process)
+        self._commands = PlatformKeyCommands(pool, GrantChannels(pool.connect))
         self._process = process
 
-    async def grant(self, server, keys, lease_s, handover):
-        return await self._finish(self._commands.grant(server, keys, lease_s, handover))
+    async def grant(self, server, keys, lease_s, handover, channel):
+        return await self._finish(self._commands.grant(server, keys, lease_s, handover, channel))
 
     async def release(self, server, keys, limit_s):
         return await self._finish(self._commands.release(server, keys, limit_s))
@@ -802,6 +850,8 @@
         self.store.restore(before)
         self.store.disconnected.discard(leader.name)
         self.cut_links -= {(leader.name, name) for name in self.servers}
+        # The leader has to move the keys of a server from which the rival has moved them already.
+        self.servers["s1"].draining = True
         await asyncio.sleep(4.0)
         resumed = leader.leadership.leading and self.store.era == 2
         self.store.disconnected.clear()
--- a/features/support/key_guards.py
+++ b/features/support/key_guards.py
@@ -7,10 +7,13 @@
 
 from hyssopwood.keyspace import key_manager, leases, plan_writer
 from hyssopwood.keyspace.authority import Authority
+from hyssopwood.keyspace.grant_channels import GrantChannels
+from hyssopwood.keyspace.key_manager import KeyManager
 from hyssopwood.keyspace.leadership import Leadership
 from hyssopwood.keyspace.leases import RangeLease
 from hyssopwood.keyspace.plan import Plan
 from hyssopwood.keyspace.position import offset_of
+from hyssopwood.platform import key_commands
 
 
 def _patches(guard):
@@ -20,10 +23,19 @@
         end = lambda sent, lease_s: sent + lease_s * 0.9  # noqa: E731
         return [patch.object(leases, "lease_end", end), patch.object(key_manager, "lease_end", end)]
     if guard == "unanswered grants":
-        return [
-            patch.object(RangeLease, "may_release", lambda self, now: True),
-            patch.object(RangeLease, "needs_new_token", lambda self, now: False),
-        ]
+        return [patch.object(RangeLease, "may_release", lambda self, now: True)]
+    if guard == "names of servers in commands":
+        return [patch.object(key_commands, "_encode_command", _encode_for_anyone)]
+    if guard == "one connection for each token":
+        return [patch.object(GrantChannels, "exchange", _exchange_over_any)]
+    if guard == "confirmed leader for another connection":
+        return [patch.object(key_manager, "STORE_REACHABLE_S", 1000.0)]
+    if guard == "answers confirm their own token":
+        return [patch.object(KeyManager, "_handle_grant_answer", _confirm_any_token)]
+    if guard == "leases of the next process":
+        return [patch.object(KeyManager, "_wait_for_release", _forget_restarted)]
+    if guard == "leases that the next process keeps":
+        return [patch.object(RangeLease, "set_owner", _set_owner_without_lease)]
     if guard == "leases of the previous leader":
         return [patch.object(key_manager, "AUTHORITY_S", -100.0)]
     if guard == "end of authority":
@@ -31,11 +43,17 @@
     if guard == "new token at a claim":
         return [patch.object(Plan, "with_fence", lambda self, fence: Plan(fence, self.services))]
     if guard == "order of registrations at one address":
-        return [patch.object(key_manager.KeyManager, "_address_reused", _shares_address)]
+        return [patch.object(KeyManager, "_address_reused", _shares_address)]
     if guard == "disputes after a restore":
         return [patch.object(plan_writer, "NO_RIVAL_WINDOW_S", 1000.0)]
     if guard == "disputed ranges stay where they are":
-        return [patch.object(RangeLease, "is_disputed", lambda self, now: False)]
+        # A range without spare tokens needs a fence of the restored era, above those of a rival.
+        return [
+            patch.object(RangeLease, "is_disputed", lambda self, now: False),
+            *_patches("spare tokens"),
+        ]
+    if guard == "spare tokens":
+        return [patch.object(leases, "TOKENS_PER_FENCE", 1)]
     if guard == "doubtful claims":
         return [patch.object(Leadership, "_may_lack_writes", lambda self, stored: False)]
     if guard == "eras in tokens":
@@ -43,6 +61,40 @@
     raise ValueError(guard)
 
 
+_encode_command = key_commands._encode_command
+_exchange = GrantChannels.exchange
+_handle_grant_answer = KeyManager._handle_grant_answer
+_wait_for_release = KeyManager._wait_for_release
+_set_owner = RangeLease.set_owner
+
+
+def _encode_for_anyone(server, path, keys, **more):
+    command = _encode_command(server, path, keys, **more)
+    headers = tuple(item for item in command.headers if item[0] != b"Target-Instance")
+    return evolve(command, headers=headers)
+
+
+def _exchange_over_any(channels, server, request, wanted, timeout_s):
+    return _exchange(channels, server, request, None, timeout_s)
+
+
+def _confirm_any_token(manager, lease, record, grant, answer):
+    sent = evolve(grant, keys=evolve(grant.keys, fence=lease.token))
+    return _handle_grant_answer(manager, lease, record, sent, answer)
+
+
+async def _forget_restarted(manager, lease, target):
+    record = manager._deps.directory.get(lease.keys.server)
+    if record is not None and record.born_ms > lease.keys.born_ms:
+        return key_manager._Released(target, None)
+    return await _wait_for_release(manager, lease, target)
+
+
+def _set_owner_without_lease(lease, keys, handover):
+    lease.leased_until = lease.inherited_until = 0.0
+    _set_owner(lease, keys, handover)
+
+
 def _with_offset_as_fence(plan, position):
     services = {
         service: tuple(evolve(part, fence=offset_of(position)) for part in parts)
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -33,6 +33,7 @@
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
+from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import KeyCommands, KeyManager, KeyManagerDependencies
 from hyssopwood.keyspace.leadership import Claim, Leadership, LeadershipDependencies
@@ -70,7 +71,7 @@
     configuration: ConfigurationFeed
     servers: ServerFeed
     plan_store: PlanStore
-    key_commands: Callable[[ServerPool], KeyCommands]
+    key_commands: Callable[[ServerPool, GrantChannels], KeyCommands]
     header_codec: HeaderCodec
     id_header: bytes
     ready_path: bytes
@@ -122,7 +123,8 @@
         self._command_pool = ServerPool(timers, None)
         self._health = ServerHealth(timers)
         self._limits = ServerLimits(timers, metrics)
-        self._key_commands = adapters.key_commands(self._command_pool)
+        self._grant_channels = GrantChannels()
+        self._key_commands = adapters.key_commands(self._command_pool, self._grant_channels)
         self._identity = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
         self._record = InstanceRecord(
             settings.instance,
@@ -290,6 +292,7 @@
             incarnations = {record.incarnation for record in records}
             self._pool.retain({record.incarnation for record in records if not record.draining})
             self._command_pool.retain(incarnations)
+            self._grant_channels.retain(incarnations if self._leadership.leading else set())
             for pool in (self._pool, self._command_pool):
                 pool.expire()
             self._health.retain(incarnations)
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -63,6 +63,11 @@
         """Return whether the connection may carry another exchange."""
         return self._usable and self._result is None and self._stream is None
 
+    @property
+    def ended(self) -> bool:
+        """Return whether the connection carries no further exchange."""
+        return not self._usable
+
     @property
     def idle_limit_s(self) -> float:
         """Return how long the connection may stay idle before it must not be reused."""
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from enum import Enum
 from typing import Protocol
 
 from attrs import define, evolve, field, frozen
@@ -15,7 +16,12 @@
 from hyssopwood.gateway.server_limits import Sent, ServerLimits
 from hyssopwood.keyspace.authority import AUTHORITY_S, Authority
 from hyssopwood.keyspace.key_load import KeyLoad
-from hyssopwood.keyspace.leases import RangeLease, lease_end, merge_adjacent_leases
+from hyssopwood.keyspace.leases import (
+    NO_CHANNEL,
+    RangeLease,
+    lease_end,
+    merge_adjacent_leases,
+)
 from hyssopwood.keyspace.placement import CandidateServer, Move, distribute_lost_ranges, plan_moves
 from hyssopwood.keyspace.plan import KeyRange, Plan, PlanChange, divide_evenly, merge_adjacent
 from hyssopwood.keyspace.plan_view import RangePause
@@ -64,15 +70,29 @@
     handover: str | None = None
     # The server has announced in the answer that it is leaving.
     leaving: bool = False
+    # Number of the channel that carried a grant; None for other commands and without an answer.
+    channel: int | None = None
+    # Nothing was sent because the wanted channel has ended; the server accepts another one.
+    channel_ended: bool = False
+    # Id of the server that answered because it has the address of the addressed one, or None.
+    replaced_by: str | None = None
 
 
 class KeyCommands(Protocol):
     """Send commands that grant and release key ranges to servers."""
 
     async def grant(
-        self, server: ServerRecord, keys: KeyRange, lease_s: float, handover: str | None
+        self,
+        server: ServerRecord,
+        keys: KeyRange,
+        lease_s: float,
+        handover: str | None,
+        channel: int | None,
     ) -> CommandAnswer:
-        """Grant or renew a range; reset the connection if no answer arrives in time."""
+        """Grant or renew a range, over the given channel only unless that is None.
+
+        The channel is reset if no answer arrives in time.
+        """
         ...
 
     async def release(self, server: ServerRecord, keys: KeyRange, limit_s: float) -> CommandAnswer:
@@ -108,6 +128,21 @@
     leased_until_before: float
 
 
+@frozen
+class _Released:
+    """The next owner of a range, and the previous owner's handover if it sent one."""
+
+    target: ServerRecord
+    handover: str | None
+
+
+class _GrantResult(Enum):
+    ANSWERED = "answered"
+    FAILED = "failed"
+    # Nothing was sent, as the token is bound to a channel that has ended.
+    CHANNEL_ENDED = "channel ended"
+
+
 @define
 class KeyManager:
     """Grant, renew and move the ranges of the plan while this instance leads."""
@@ -125,6 +160,8 @@
     _writing: asyncio.Future[None] | None = field(default=None, init=False)
     # Last registered address of each incarnation of a server.
     _addresses: dict[tuple[str, int], str] = field(factory=dict, init=False)
+    # Incarnations at whose addresses other servers answer, so that they have ended.
+    _ended: set[tuple[str, int]] = field(factory=set, init=False)
     _renewing: set[tuple[str, int]] = field(factory=set, init=False)
     _pending: list[tuple[RangeLease, ServerRecord, str | None]] = field(factory=list, init=False)
     _committing: bool = field(default=False, init=False)
@@ -206,7 +243,7 @@
     async def _write_changes(self, now: float) -> None:
         """Write the pending changes of the plan one after the other."""
         await self._plan_new_services(now)
-        await self._renew_tokens(now)
+        await self._renew_fences(now)
         await self._commit()
 
     def _raise_failures(self) -> None:
@@ -255,6 +292,7 @@
             record
             for record in self._deps.directory.of_service(service)
             if not record.draining
+            and record.incarnation not in self._ended
             and self._failed_renewals.get(record.incarnation, 0) < FAILED_RENEWALS_TO_REPLACE
         ]
 
@@ -275,7 +313,9 @@
         )
         for incarnation, range_count in range_counts.items():
             record = self._deps.directory.get(incarnation[0])
-            if record is None or record.incarnation != incarnation or incarnation in self._renewing:
+            if record is None or record.incarnation != incarnation:
+                continue
+            if incarnation in self._renewing or incarnation in self._ended:
                 continue
             if now >= self._renewal_due.get(incarnation, float("-inf")):
                 limit_per_s = self._deps.limits.get(incarnation)
@@ -292,12 +332,18 @@
 
     async def _grant_all(self, record: ServerRecord) -> None:
         """Grant or renew every range of a server."""
+        results = set()
         for lease in list(self._all_leases()):
             if lease.keys.incarnation != record.incarnation or lease.moving:
                 continue
-            if not await self._grant(lease, record):
+            result = await self._grant(lease, record)
+            if result is _GrantResult.FAILED:
                 self._record_failed_renewal(record)
                 return
+            results.add(result)
+        if _GrantResult.CHANNEL_ENDED in results:
+            self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+            return
         failures = self._failed_renewals.pop(record.incarnation, 0)
         if failures:
             emit(
@@ -315,8 +361,8 @@
             # Later failures follow every RENEW_RETRY_S and tell nothing new.
             emit(Event.RENEWAL_FAILED, server=record.server, address=record.address)
 
-    async def _grant(self, lease: RangeLease, record: ServerRecord) -> bool:
-        """Grant one range; return whether the server answered."""
+    async def _grant(self, lease: RangeLease, record: ServerRecord) -> _GrantResult:
+        """Grant one range over the channel that its token is bound to."""
         async with lease.lock:
             now = self._deps.timers.now()
             current = (
@@ -326,58 +372,105 @@
             )
             allowed = self._deps.authority.is_valid(now) and lease.may_grant(now)
             if not current or not allowed:
-                return True
-            grant = _SentGrant(lease.keys, now, self._lease_s, lease.leased_until)
-            lease.record_grant_sent(now, grant.lease_s)
-            self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
-            answer = await self._deps.commands.grant(
-                record, grant.keys, grant.lease_s, lease.handover
-            )
-            return self._handle_grant_answer(lease, record, grant, answer)
+                return _GrantResult.ANSWERED
+            result = await self._send_grant(lease, record)
+            if result is not _GrantResult.CHANNEL_ENDED:
+                return result
+            lease.channel = NO_CHANNEL
+            if not self._may_use_next_token(lease):
+                return result
+            lease.use_next_token()
+            return await self._send_grant(lease, record)
+
+    def _may_use_next_token(self, lease: RangeLease) -> bool:
+        """Return whether a higher token of this leader may reach another process.
+
+        A process that has just started accepts any token, also one that is below those of a leader
+        which has claimed the plan since the store last confirmed this one.
+        """
+        now = self._deps.timers.now()
+        confirmed = self._deps.authority.age_s(now) <= STORE_REACHABLE_S
+        return confirmed and not lease.tokens_exhausted and not lease.is_disputed(now)
+
+    async def _send_grant(self, lease: RangeLease, record: ServerRecord) -> _GrantResult:
+        now = self._deps.timers.now()
+        grant = _SentGrant(lease.sent_keys, now, self._lease_s, lease.leased_until)
+        lease.record_grant_sent(now, grant.lease_s)
+        self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
+        answer = await self._deps.commands.grant(
+            record, grant.keys, grant.lease_s, lease.handover, lease.channel
+        )
+        return self._handle_grant_answer(lease, record, grant, answer)
 
     def _handle_grant_answer(
         self, lease: RangeLease, record: ServerRecord, grant: _SentGrant, answer: CommandAnswer
-    ) -> bool:
-        """Record the result of a grant; return whether the server answered."""
+    ) -> _GrantResult:
+        """Record the result of a grant."""
         if answer.leaving:
             self._deps.directory.mark_leaving(record.incarnation)
         keys = {"first": lease.keys.first, "last": lease.keys.last, "fence": lease.keys.fence}
         if answer.done:
             # The token may have been replaced meanwhile; the answer confirms the granted one only.
-            if lease.keys.fence == grant.keys.fence:
+            if lease.token == grant.keys.fence:
                 answered = self._deps.timers.now()
                 lease.record_grant_answered(
-                    grant.sent, answered, grant.lease_s, grant.leased_until_before
+                    grant.sent,
+                    answered,
+                    grant.lease_s,
+                    grant.leased_until_before,
+                    answer.channel,
                 )
-            return True
+            return _GrantResult.ANSWERED
         if answer.fenced:
             emit(Event.GRANT_FENCED, server=record.server, **keys)
             # Another leader may be active; only a write to the store shows it.
             self._deps.authority.revoke()
             lease.record_grant_unanswered(grant.sent, grant.lease_s)
-            return True
+            return _GrantResult.ANSWERED
+        if answer.replaced_by is not None:
+            self._record_replaced(record, answer.replaced_by)
+            lease.undo_grant_sent(grant.leased_until_before)
+            return _GrantResult.FAILED
+        if answer.channel_ended:
+            lease.undo_grant_sent(grant.leased_until_before)
+            return _GrantResult.CHANNEL_ENDED
         if not answer.sent:
             lease.undo_grant_sent(grant.leased_until_before)
-            return False
+            return _GrantResult.FAILED
         lease.record_grant_unanswered(grant.sent, grant.lease_s)
         emit(Event.GRANT_UNCERTAIN, server=record.server, **keys)
-        return False
+        return _GrantResult.FAILED
+
+    def _record_replaced(self, record: ServerRecord, replaced_by: str) -> None:
+        """Record that a server has ended, as another one answers at its address.
+
+        The other one has refused the command, so it has no lease of the first one's keys.
+        """
+        if record.incarnation in self._ended:
+            return
+        self._ended.add(record.incarnation)
+        emit(
+            Event.SERVER_REPLACED,
+            server=record.server,
+            address=record.address,
+            replaced_by=replaced_by,
+        )
 
-    async def _renew_tokens(self, now: float) -> None:
-        """Set a higher token for ranges with unanswered grants, which voids these grants."""
-        doubtful = [
+    async def _renew_fences(self, now: float) -> None:
+        """Set a higher fencing token in the plan for ranges that have used up their tokens."""
+        exhausted = [
             lease
             for lease in self._all_leases()
-            if lease.needs_new_token(now) and not lease.moving and not lease.lock.locked()
+            if lease.needs_new_fence(now) and not lease.moving and not lease.lock.locked()
         ]
-        if not doubtful:
+        if not exhausted:
             return
         renewed_keys: dict[int, KeyRange] = {}
 
         def build(version: int) -> Plan:
             renewed_keys.clear()
             due = self._deps.timers.now()
-            for lease in doubtful:
+            for lease in exhausted:
                 # A move that began meanwhile sets a new token itself. A disputed range keeps its
                 # token, as only that one shows whether its owner still has it.
                 if not lease.moving and not lease.replaced and not lease.is_disputed(due):
@@ -385,9 +478,9 @@
             return self._build_plan(version, renewed_keys)
 
         plan = await self._deps.writer.change(build)
-        for lease in doubtful:
+        for lease in exhausted:
             if id(lease) in renewed_keys and not lease.moving and not lease.replaced:
-                lease.replace_token(renewed_keys[id(lease)])
+                lease.replace_fence(renewed_keys[id(lease)])
                 self._renewal_due.pop(lease.keys.incarnation, None)
         # Only tokens change, so the published change has no owners.
         self._record_written(plan, ())
@@ -423,6 +516,8 @@
         record = self._deps.directory.get(lease.keys.server)
         if record is None or record.draining or record.incarnation != lease.keys.incarnation:
             return True
+        if record.incarnation in self._ended:
+            return True
         return self._failed_renewals.get(lease.keys.incarnation, 0) >= FAILED_RENEWALS_TO_REPLACE
 
     def _replace_lost(self, now: float) -> None:
@@ -442,6 +537,13 @@
             ):
                 self._start_move(service, move)
 
+    def _restarted(self, lease: RangeLease) -> ServerRecord | None:
+        """Return the record of a later, usable incarnation of the range's owner, or None."""
+        record = self._deps.directory.get(lease.keys.server)
+        if record is None or record.born_ms <= lease.keys.born_ms:
+            return None
+        return record if record in self._usable_servers(lease.service) else None
+
     def _may_move(self, lease: RangeLease, now: float) -> bool:
         """Return whether a move may start.
 
@@ -453,6 +555,7 @@
         answers = (
             record is not None
             and record.incarnation == lease.keys.incarnation
+            and record.incarnation not in self._ended
             and self._failed_renewals.get(record.incarnation, 0) < FAILED_RENEWALS_TO_REPLACE
         )
         return not answers or lease.may_release(now) or lease.has_expired(now)
@@ -549,55 +652,69 @@
         """Move a range: wait for its release, store the new owner and grant it the range."""
         started_at = self._deps.timers.now()
         async with lease.lock:
-            handover = await self._wait_for_release(lease)
-        self._pending.append((lease, target, handover))
+            released = await self._wait_for_release(lease, target)
+        self._pending.append((lease, released.target, released.handover))
         emit(
             Event.RANGE_RELEASED,
             service=lease.service,
             first=lease.keys.first,
             last=lease.keys.last,
             server=lease.keys.server,
-            warm=handover is not None,
+            warm=released.handover is not None,
             waited_ms=round((self._deps.timers.now() - started_at) * 1000),
         )
         await self._commit()
 
-    async def _wait_for_release(self, lease: RangeLease) -> str | None:
-        """Wait until the owner's lease has ended; return its handover if it sent one."""
+    async def _wait_for_release(self, lease: RangeLease, target: ServerRecord) -> _Released:
+        """Wait until no server but the next owner can have a lease of the range.
+
+        The next owner is the target, or a later incarnation of the owner: it may have carried out
+        grants that were meant for the earlier one, so only it can get the range without a wait.
+        """
         while True:
             now = self._deps.timers.now()
             if lease.is_disputed(now):
                 # Another server may own the range, so an answer of this owner proves nothing.
                 await self._deps.timers.sleep(COMMAND_RETRY_S)
                 continue
-            record = self._deps.directory.get(lease.keys.server)
-            if record is not None and record.born_ms > lease.keys.born_ms:
-                # A later incarnation of the server has no leases of the earlier one.
-                return None
-            if lease.has_expired(now) or self._address_reused(lease):
-                return None
+            restarted = self._restarted(lease)
+            if restarted is not None and not lease.may_release(now):
+                return _Released(restarted, None)
+            if lease.has_expired(now) or self._has_ended(lease):
+                return _Released(target, None)
             if not self._deps.authority.is_valid(now):
                 await self._deps.timers.sleep(COMMAND_RETRY_S)
                 continue
-            last_record = self._deps.directory.get_recent(lease.keys.server, now)
-            if (
-                last_record is not None
-                and last_record.incarnation == lease.keys.incarnation
-                and lease.may_release(now)
-            ):
-                keys = lease.keys
-                self._deps.pause(RangePause(lease.service, keys.first, keys.last, keys.fence))
-                limit_s = max(lease.leased_until, lease.inherited_until) - now
-                self._deps.limits.record_sent(last_record.incarnation, Sent.COMMAND)
-                answer = await self._deps.commands.release(last_record, lease.keys, limit_s)
+            # A later incarnation of the owner may have carried out a grant that was meant for it.
+            record = self._deps.directory.get_recent(lease.keys.server, now)
+            if record is not None and record.born_ms >= lease.keys.born_ms:
+                answer = await self._release(lease, record, now)
                 if answer.done:
-                    return answer.handover
+                    return _Released(target, answer.handover)
+                if answer.replaced_by is not None:
+                    self._record_replaced(record, answer.replaced_by)
+                    return _Released(target, None)
             await self._deps.timers.sleep(COMMAND_RETRY_S)
 
+    async def _release(self, lease: RangeLease, record: ServerRecord, now: float) -> CommandAnswer:
+        """Release a range unless an unanswered grant could take effect after it."""
+        if not lease.may_release(now):
+            return CommandAnswer(done=False, sent=False)
+        keys = lease.keys
+        self._deps.pause(RangePause(lease.service, keys.first, keys.last, keys.fence))
+        limit_s = max(lease.leased_until, lease.inherited_until) - now
+        self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
+        return await self._deps.commands.release(record, lease.sent_keys, limit_s)
+
+    def _has_ended(self, lease: RangeLease) -> bool:
+        """Return whether the owner has ended and no other server can have its lease."""
+        return lease.keys.incarnation in self._ended or self._address_reused(lease)
+
     def _address_reused(self, lease: RangeLease) -> bool:
         """Return whether a later server has the owner's address.
 
         An address is reassigned only after its server has ended, so the owner has no lease then.
+        The later one refuses what is addressed to the owner, so it has none either.
         An earlier server's registration at the address may still exist; it proves nothing.
         """
         address = self._addresses.get(lease.keys.incarnation)
--- a/src/hyssopwood/keyspace/leases.py
+++ b/src/hyssopwood/keyspace/leases.py
@@ -9,7 +9,7 @@
 
 import asyncio
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from hyssopwood.keyspace.plan import KeyRange
 
@@ -20,6 +20,23 @@
 COMMAND_TIMEOUT_S = 0.8
 # Covers the timers' resolution and the last packet of a reset connection.
 LEASE_END_MARGIN_S = 0.35
+# Number of no channel: the token can't be sent again.
+NO_CHANNEL = 0
+# Tokens that a leader may use for one fencing token of the plan, without a write to the store. With
+# 256, tokens stay below 2**53, which every JSON parser reads exactly, for the first 31 eras.
+TOKENS_PER_FENCE = 256
+
+
+def first_token(fence: int) -> int:
+    """Return the first token that is sent to servers for a fencing token of the plan."""
+    return fence * TOKENS_PER_FENCE
+
+
+def fence_of(token: int) -> int:
+    """Return the fencing token of the plan to which a sent token belongs."""
+    return token // TOKENS_PER_FENCE
+
+
 # Margin where the answer shows that the grant had arrived; it covers the timers' resolution only.
 ANSWERED_LEASE_END_MARGIN_S = 0.1
 
@@ -49,6 +66,11 @@
     confirmed: bool = False
     # Until then an unanswered grant of the current token may still be carried out.
     uncertain_until: float = 0.0
+    # Tokens that were used before the current one under the plan's fencing token.
+    token_step: int = 0
+    # Number of the channel that carried the current token; None before its first grant. Over
+    # another one the token could reach another process.
+    channel: int | None = None
     # Until then another leader, whose writes the restored store has lost, may have granted the
     # range to another server. An answered renewal rules that out: the owner would reject one under
     # an outdated token.
@@ -63,6 +85,16 @@
     # Serializes the commands for the range.
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
+    @property
+    def token(self) -> int:
+        """Return the fencing token that is sent to the owner."""
+        return first_token(self.keys.fence) + self.token_step
+
+    @property
+    def sent_keys(self) -> KeyRange:
+        """Return the range with the fencing token that is sent to the owner."""
+        return evolve(self.keys, fence=self.token)
+
     def record_grant_sent(self, now: float, lease_s: float) -> None:
         """Extend the latest expiry before a grant is sent."""
         self.leased_until = max(self.leased_until, lease_end(now, lease_s))
@@ -72,10 +104,16 @@
         self.leased_until = leased_until
 
     def record_grant_answered(
-        self, sent: float, answered: float, lease_s: float, leased_until_before: float
+        self,
+        sent: float,
+        answered: float,
+        lease_s: float,
+        leased_until_before: float,
+        channel: int | None,
     ) -> None:
         """Record that the owner carried out a grant; set the expiry from the time of its answer."""
         self.confirmed = True
+        self.channel = channel
         self.handover = None
         self.inherited_until = 0.0
         self.leased_until = max(leased_until_before, answered_lease_end(answered, lease_s))
@@ -86,6 +124,7 @@
     def record_grant_unanswered(self, now: float, lease_s: float) -> None:
         """Record that a grant got no answer, so that it may still be carried out."""
         self.uncertain_until = max(self.uncertain_until, lease_end(now, lease_s))
+        self.channel = NO_CHANNEL
 
     def handle_predecessor_ended(self, now: float, lease_s: float) -> None:
         """Limit the inherited lease, as the ended previous leader can send no more renewals."""
@@ -112,27 +151,41 @@
         """Return whether every lease that the owner may have has expired."""
         return now >= max(self.leased_until, self.inherited_until)
 
-    def needs_new_token(self, now: float) -> bool:
-        """Return whether a higher token is needed to void an unanswered grant."""
-        return now < self.uncertain_until and not self.is_disputed(now)
+    @property
+    def tokens_exhausted(self) -> bool:
+        """Return whether a further token needs a higher fencing token in the plan."""
+        return self.token_step == TOKENS_PER_FENCE - 1
+
+    def needs_new_fence(self, now: float) -> bool:
+        """Return whether the range can't be renewed without a higher fencing token in the plan."""
+        return self.tokens_exhausted and self.channel == NO_CHANNEL and not self.is_disputed(now)
 
-    def replace_token(self, keys: KeyRange) -> None:
-        """Set a higher token for the same owner.
+    def use_next_token(self) -> None:
+        """Use a higher token for the same owner.
 
         Grants under lower tokens are void as soon as the owner has answered one under this token.
         """
+        self._start_token(self.token_step + 1)
+
+    def replace_fence(self, keys: KeyRange) -> None:
+        """Set a higher fencing token of the plan for the same owner."""
         self.keys = keys
+        self._start_token(0)
+
+    def _start_token(self, step: int) -> None:
+        self.token_step = step
         self.confirmed = False
         self.uncertain_until = 0.0
+        self.channel = None
 
     def set_owner(self, keys: KeyRange, handover: str | None) -> None:
         """Set a new owner after the previous one's lease has ended."""
+        if keys.server != self.keys.server:
+            # A later incarnation of the owner may have taken what was sent to the earlier one.
+            self.leased_until = self.inherited_until = 0.0
         self.keys = keys
-        self.inherited_until = 0.0
         self.not_granted_before = max(self.not_granted_before, self.disputed_until)
-        self.leased_until = 0.0
-        self.uncertain_until = 0.0
-        self.confirmed = False
+        self._start_token(0)
         self.handover = handover
         self.moving = False
 
@@ -146,6 +199,8 @@
             self.inherited_until,
             self.confirmed,
             self.uncertain_until,
+            self.token_step,
+            self.channel,
             self.disputed_until,
             self.disputed_from,
             self.not_granted_before,
@@ -161,7 +216,8 @@
             and not other.lock.locked()
             and self.keys.last + 1 == other.keys.first
             and self.keys.incarnation == other.keys.incarnation
-            and self.keys.fence == other.keys.fence
+            and self.token == other.token
+            and self.channel == other.channel
             and self.handover is None
             and other.handover is None
         )
