Count only a refusal with the request's id as "not run"

Cause: servers may write an earlier refusal once more on a kept connection. One with the earlier request's id was discarded, but one without an id was taken for the answer to the next request, as the dispatcher decided on Not-Executed and status 421 before it compared the ids. Its notices (leaving, back-off, limit, load) were applied too.

Change: an answer without the request's id leaves the outcome unknown, and nothing in it is applied. The 421 of another server at the address needs no id: that server runs nothing that names the addressed one.

--- a/features/gateway_dispatch.feature
+++ b/features/gateway_dispatch.feature
@@ -9,35 +9,39 @@
     And the answer <retry> a Retry-After header
 
     Examples: idempotent requests
-      | servers | kind    | route      | script         | status | sends | retry |
-      | s1,s2   | keyless | idempotent | ok             | 200    | 1     | lacks |
-      | s1,s2   | keyless | idempotent | broken,ok      | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | broken,broken  | 502    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | shed,ok        | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | shed,shed      | 503    | 2     | has   |
-      | s1,s2   | keyless | idempotent | broken,shed    | 502    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | unsigned,ok    | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | encoded,ok     | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | foreign,ok     | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | unsent,ok      | 200    | 2     | lacks |
-      | s1,s2   | keyless | idempotent | failed         | 500    | 1     | lacks |
-      | s1      | keyless | idempotent | unsent         | 503    | 1     | has   |
-      | s1      | sharded | idempotent | ok             | 200    | 1     | lacks |
-      | s1      | sharded | idempotent | misdirected,ok | 200    | 2     | lacks |
+      | servers | kind    | route      | script               | status | sends | retry |
+      | s1,s2   | keyless | idempotent | ok                   | 200    | 1     | lacks |
+      | s1,s2   | keyless | idempotent | broken,ok            | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | broken,broken        | 502    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | shed,ok              | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | shed,shed            | 503    | 2     | has   |
+      | s1,s2   | keyless | idempotent | broken,shed          | 502    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | unsigned,ok          | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | encoded,ok           | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | foreign,ok           | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | shed-without-id,ok   | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | shed-without-id,shed | 502    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | unsent,ok            | 200    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | failed               | 500    | 1     | lacks |
+      | s1      | keyless | idempotent | unsent               | 503    | 1     | has   |
+      | s1      | sharded | idempotent | ok                   | 200    | 1     | lacks |
+      | s1      | sharded | idempotent | misdirected,ok       | 200    | 2     | lacks |
 
     Examples: requests that must run at most once
-      | servers | kind    | route          | script         | status | sends | retry |
-      | s1,s2   | keyless | non-idempotent | ok             | 200    | 1     | lacks |
-      | s1,s2   | keyless | non-idempotent | broken,ok      | 502    | 1     | lacks |
-      | s1,s2   | keyless | non-idempotent | unsigned,ok    | 502    | 1     | lacks |
-      | s1,s2   | keyless | non-idempotent | late           | 504    | 1     | lacks |
-      | s1,s2   | keyless | non-idempotent | shed,ok        | 200    | 2     | lacks |
-      | s1,s2   | keyless | non-idempotent | shed,broken    | 502    | 2     | lacks |
-      | s1,s2   | keyless | non-idempotent | shed,shed      | 503    | 2     | has   |
-      | s1,s2   | keyless | non-idempotent | unsent,ok      | 200    | 2     | lacks |
-      | s1,s2   | keyless | non-idempotent | failed         | 500    | 1     | lacks |
-      | s1      | sharded | non-idempotent | misdirected,ok | 200    | 2     | lacks |
-      | -       | keyless | non-idempotent | ok             | 503    | 0     | has   |
+      | servers | kind    | route          | script               | status | sends | retry |
+      | s1,s2   | keyless | non-idempotent | ok                   | 200    | 1     | lacks |
+      | s1,s2   | keyless | non-idempotent | broken,ok            | 502    | 1     | lacks |
+      | s1,s2   | keyless | non-idempotent | unsigned,ok          | 502    | 1     | lacks |
+      | s1,s2   | keyless | non-idempotent | late                 | 504    | 1     | lacks |
+      | s1,s2   | keyless | non-idempotent | shed,ok              | 200    | 2     | lacks |
+      | s1,s2   | keyless | non-idempotent | shed,broken          | 502    | 2     | lacks |
+      | s1,s2   | keyless | non-idempotent | shed,shed            | 503    | 2     | has   |
+      | s1,s2   | keyless | non-idempotent | shed-without-id,ok   | 502    | 1     | lacks |
+      | s1,s2   | keyless | non-idempotent | shed,shed-without-id | 502    | 2     | lacks |
+      | s1,s2   | keyless | non-idempotent | unsent,ok            | 200    | 2     | lacks |
+      | s1,s2   | keyless | non-idempotent | failed               | 500    | 1     | lacks |
+      | s1      | sharded | non-idempotent | misdirected,ok       | 200    | 2     | lacks |
+      | -       | keyless | non-idempotent | ok                   | 503    | 0     | has   |
 
   Scenario Outline: A request that can't be routed is answered without a server
     Guards against requests that are sent to a server under an older configuration or none.
--- /dev/null
+++ b/features/steps/gateway_answer_origin_steps.py
@@ -0,0 +1,48 @@
+"""Steps for answers that don't come from the addressed server or not for its request."""
+
+import asyncio
+from unittest.mock import patch
+
+from behave import then, when
+
+from hyssopwood.gateway.queue_keeper import QueueKeeper
+from steps.gateway_dispatch_steps import _request
+
+# A server with the limit of the tests admits another request after this time.
+ADMISSION_S = 0.3
+
+
+@when('requests are sent and the answers are "{answers}"')
+def step_answers(context, answers):
+    context.pool.script = answers.split(",")
+    context.released = []
+    release = QueueKeeper.release
+
+    def record(keeper, ticket, done):
+        context.released.append(done)
+        release(keeper, ticket, done)
+
+    async def send():
+        for _ in answers.split(","):
+            context.answer = await context.dispatcher.handle(_request(context, "/non-idempotent/x"))
+            await asyncio.sleep(ADMISSION_S)
+
+    with patch.object(QueueKeeper, "release", record):
+        context.run(send())
+    assert len(context.pool.sent) == len(answers.split(",")), context.pool.sent
+
+
+@then('server "{name}" isn\'t leaving, has no back-off and its limit is {limit}')
+def step_state(context, name, limit):
+    record = context.directory.get(name)
+    assert not record.draining
+    assert not context.reports.collect().leaving
+    assert context.health.back_off_left_s(record.incarnation) == 0
+    expected = None if limit == "none" else float(limit)
+    assert context.limits.get(record.incarnation) == expected
+
+
+@then('no load or back-off of server "{name}" was released')
+def step_no_load(context, name):
+    assert context.released
+    assert all(done.load is None and done.back_off_s is None for done in context.released)
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -41,6 +41,15 @@
 SERVICE = "portal"
 
 
+# What a server's refusal may state of the server itself.
+_NOTICES = (
+    (b"not-executed", b"1"),
+    (b"server-leaving", b"1"),
+    (b"server-limit", b"2.5"),
+    (b"server-load", b"9,9,1"),
+)
+
+
 class _Pool:
     """A pool whose servers answer according to a script and then repeat its last entry."""
 
@@ -75,6 +84,14 @@
     status = 200
     if entry == "shed":
         status, headers = 503, [*headers[:1], (b"not-executed", b"1")]
+    elif entry == "shed-without-id":
+        # A refusal without an id; it may be a repeated one of an earlier request.
+        status, headers = 503, [(b"not-executed", b"1")]
+    elif entry == "notices-without-id":
+        status, headers = 503, [*_NOTICES, (b"retry-after", b"0.6")]
+    elif entry == "successor":
+        # The answer of a server that has the address of the one that the request names.
+        status, headers = 421, [*headers[:1], (b"instance-id", b"other"), *_NOTICES]
     elif entry == "misdirected":
         status, headers = 421, headers[:1]
     elif entry == "replaced":
@@ -170,7 +187,7 @@
     context.dispatch_tables = tables
     context.sharded = kind == "sharded"
     context.metrics = metrics = Metrics()
-    health = ServerHealth(context.system_timers)
+    context.health = health = ServerHealth(context.system_timers)
     context.limits = ServerLimits(context.system_timers, metrics)
     context.keeper = QueueKeeper(
         context.directory,
@@ -189,6 +206,8 @@
         metrics,
         lambda leads: None,
     )
+    context.reports = LoadReports(KeyLoad(context.system_timers))
+    context.crashes = CrashMonitor(context.system_timers)
     context.dispatcher = Dispatcher(
         DispatcherDependencies(
             tables=tables,
@@ -203,8 +222,8 @@
             failure_domain="a",
             queues=queues,
             new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
-            reports=LoadReports(KeyLoad(context.system_timers)),
-            crashes=CrashMonitor(context.system_timers),
+            reports=context.reports,
+            crashes=context.crashes,
         )
     )
 
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -283,7 +283,11 @@
         head = self._deps.header_codec.decode_answer_headers(answer)
         for name in head.ignored:
             self._deps.metrics.count("server_headers_ignored", name)
-        if head.misdirected and head.answered_by not in (None, server.server):
+        replaced = head.misdirected and head.answered_by not in (None, server.server)
+        # An answer without the request's id may be a repeated one to an earlier request on the
+        # connection. It shows nothing about this request or the server's present state.
+        identified = head.request_id == routed.head.request_id
+        if replaced:
             self._deps.health.record_replaced(server.incarnation)
             self._deps.pool.abort_idle(server)
             emit(
@@ -291,21 +295,26 @@
                 server=server.server,
                 detail=f"the address now belongs to {head.answered_by}",
             )
-        else:
+        elif identified:
             self._deps.health.record_success(server.incarnation)
             self._apply_server_notices(server, head, started_at)
-        routed.refused = head.not_run
-        if head.not_run:
+        # Another server at the address runs nothing that names this one, so its refusal needs no
+        # id.
+        routed.refused = head.not_run and (identified or replaced)
+        if routed.refused:
             detail = f"status {answer.status} from {server.server}"
             refused = Refused(Cause.SERVER_REFUSED, detail)
             return refused, Done(load=head.load, back_off_s=head.back_off_s)
+        if not identified:
+            detail = "the answer has no request id or the id of another request"
+            return OutcomeUnknown(Cause.BAD_ANSWER, detail), Done()
         sample_s = None
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             elapsed_s = self._deps.timers.now() - started_at
             sample_s = service_sample_s(elapsed_s, head.load, server.slots)
             self._deps.reports.record_service_time(server.incarnation, sample_s)
         done = Done(sample_s, head.load, back_off_s=head.back_off_s)
-        fault = _answer_fault(routed, answer, head)
+        fault = _answer_fault(answer, head)
         if fault:
             return OutcomeUnknown(Cause.BAD_ANSWER, fault), done
         self._deps.crashes.record_success(routed.request)
@@ -439,9 +448,7 @@
         stream.abandon()
 
 
-def _answer_fault(routed: RoutedRequest, answer: ServerAnswer, head: AnswerHead) -> str:
-    if head.request_id != routed.head.request_id:
-        return "the answer has no request id or the id of another request"
+def _answer_fault(answer: ServerAnswer, head: AnswerHead) -> str:
     if head.encoded:
         return "the answer has a content encoding other than identity"
     if answer.status < HTTPStatus.MULTIPLE_CHOICES and not head.signed:
