Send a request that has failed on a connection over another one the next time

Cause: a request that its key's owner refused is sent to this owner again after 0.25 s, mostly over the same kept connection. A repeated copy of the first refusal has the id of the request, so it was taken for the answer to the second sending.

Change: a connection keeps the ids of the requests whose answers reported a failure (status 400 and above) and refuses to carry them again before any byte is sent; the dispatcher then takes another connection. After 64 such answers a connection is not reused, which bounds the list.

It costs one connection for each second sending to the same server, and none for other requests (scenario on sound servers). A copy that a server writes on another connection than the first refusal can't be told apart.

--- a/features/gateway_repeated_refusals.feature
+++ b/features/gateway_repeated_refusals.feature
@@ -33,6 +33,31 @@
       | 421 Misdirected Request | without an id | before the answer       | 502    |
       | 400 Bad Request         | without an id | before the answer       | 502    |
 
+  Scenario Outline: A repeated refusal never counts for a second sending of the same request
+    Guards against "not run" for a request that its key's owner has run after it had refused it: the
+    repeated refusal has the very same id.
+    Given servers "s1" of a sharded service that repeat "<refusal>" with its id <moment>
+    When request "r1" is sent to route "<route>"
+    Then the caller gets status 200
+    And request "r1" ran once
+
+    Examples:
+      | refusal                 | moment                  | route          |
+      | 503 Service Unavailable | in the same packet      | non-idempotent |
+      | 503 Service Unavailable | before the next request | non-idempotent |
+      | 503 Service Unavailable | before the answer       | non-idempotent |
+      | 503 Service Unavailable | with the answer         | non-idempotent |
+      | 503 Service Unavailable | in pieces               | non-idempotent |
+      | 429 Too Many Requests   | before the answer       | non-idempotent |
+      | 421 Misdirected Request | before the answer       | non-idempotent |
+      | 503 Service Unavailable | before the answer       | idempotent     |
+
+  Scenario: A connection is closed after a bounded number of failures
+    Guards against an endless list of the requests that a connection has carried.
+    Given a scripted server that answers "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" and then waits
+    When 64 different requests have failed on one connection to it
+    Then the connection is not reusable
+
   Scenario: Refused requests cost the callers of sound servers no connection
     Guards against a new connection after each refusal.
     Given servers "s1" of a keyless service that repeat "503 Service Unavailable" with its id never
@@ -41,3 +66,10 @@
     When request "r2" is sent to route "non-idempotent"
     Then the caller gets status 200
     And server "s1" got 1 connections
+
+  Scenario: A request that its server refused goes to it again over another connection
+    Guards against more than one new connection for a second sending.
+    Given servers "s1" of a sharded service that repeat "503 Service Unavailable" with its id never
+    When request "r1" is sent to route "non-idempotent"
+    Then the caller gets status 200
+    And server "s1" got 2 connections
--- a/features/steps/gateway_repeated_refusal_steps.py
+++ b/features/steps/gateway_repeated_refusal_steps.py
@@ -6,6 +6,8 @@
 from behave import given, then, when
 
 from hyssopwood.gateway.dispatcher import Dispatcher
+from hyssopwood.gateway.exchange import ServerRequest
+from hyssopwood.gateway.server_connection import connect
 from hyssopwood.gateway.server_pool import ServerPool
 from steps.gateway_dispatch_steps import _request, step_dispatcher
 from support.repeating_server import RepeatingServer
@@ -40,6 +42,20 @@
     context.answer = context.run(send())
 
 
+@when("{count:d} different requests have failed on one connection to it")
+def step_failed(context, count):
+    async def send():
+        context.connection = await connect(context.address)
+        for number in range(count):
+            assert context.connection.usable, number
+            request = ServerRequest(
+                method=b"GET", target=b"/x", headers=(), body=b"", request_id=b"r%d" % number
+            )
+            await context.connection.exchange(context.address, request, None)
+
+    context.run(send())
+
+
 @then("the caller gets status {status:d}")
 def step_status(context, status):
     assert context.answer.status == status, context.answer
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -19,6 +19,7 @@
     ExchangeBrokenError,
     HeaderCodec,
     NotSentError,
+    RepeatedRequestError,
     ServerAnswer,
     ServerRequest,
     StreamEnd,
@@ -244,9 +245,7 @@
         self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
-                answer = await self._deps.pool.exchange(
-                    server, self._server_request(routed, server)
-                )
+                answer = await self._exchange_once(server, self._server_request(routed, server))
         except NotSentError as error:
             self._record_failure(server, str(error), certain=True)
             refused = Refused(Cause.SERVER_UNREACHABLE, str(error))
@@ -272,6 +271,15 @@
             answer.stream.abandon()
         return outcome, done
 
+    async def _exchange_once(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
+        """Exchange a request over a connection on which it has not failed before."""
+        while True:
+            try:
+                return await self._deps.pool.exchange(server, request)
+            except RepeatedRequestError:
+                # The connection was closed, and the pool tries another one or opens a new one.
+                continue
+
     def _count_send(self, routed: RoutedRequest) -> None:
         routed.sends += 1
         if routed.sends == 1:
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -190,6 +190,13 @@
     exit_code = 7
 
 
+class RepeatedRequestError(NotSentError):
+    """Raised when a connection has already carried the request and can't carry it again.
+
+    The connection has been closed; the request can be sent over another one.
+    """
+
+
 class ExchangeBrokenError(HyssopwoodError):
     """Raised when an exchange fails after the request was sent, so that it may have run."""
 
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from http import HTTPStatus
 from typing import Any
 
 from hyssopwood.gateway.answer_reader import AnswerReader
@@ -12,6 +13,7 @@
     AnswerStart,
     ExchangeBrokenError,
     NotSentError,
+    RepeatedRequestError,
     ServerAnswer,
     ServerRequest,
     find_header,
@@ -31,6 +33,8 @@
 STREAM_THRESHOLD_BYTES = 65_536
 # Late answers to other requests that are discarded before an exchange counts as broken.
 MAX_MISMATCHED_ANSWERS = 4
+# Failed requests after which a connection is not reused; it keeps their ids.
+MAX_FAILED_REQUESTS = 64
 
 
 def _idle_limit(value: bytes) -> float | None:
@@ -55,6 +59,8 @@
         self._id_header: bytes | None = None
         self._usable = True
         self._mismatched_answers = 0
+        # Ids of the requests whose answers reported a failure.
+        self._failed_ids: set[bytes] = set()
         self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
         self.idle_since = 0.0
 
@@ -74,10 +80,16 @@
         """Send a request and return its answer; a large answer is returned as a stream.
 
         An answer whose `id_header` contains the id of another request is discarded. Cancelling the
-        call resets the connection.
+        call resets the connection. Raises RepeatedRequestError if the request has failed on this
+        connection before.
         """
         if not self.usable or self._transport is None:
             raise NotSentError("the connection has ended")
+        if request.request_id in self._failed_ids:
+            # Servers may repeat an earlier refusal. It has the same id, so it couldn't be told
+            # from the answer to the second sending.
+            self.close()
+            raise RepeatedRequestError("the request has failed on this connection before")
         self._result = asyncio.get_running_loop().create_future()
         self._id_header = id_header
         self._request_id = request.request_id
@@ -150,6 +162,10 @@
             if self._mismatched_answers > MAX_MISMATCHED_ANSWERS:
                 raise ExchangeBrokenError("too many answers to other requests")
             return
+        if self._request_id and start.status >= HTTPStatus.BAD_REQUEST:
+            self._failed_ids.add(self._request_id)
+            if len(self._failed_ids) >= MAX_FAILED_REQUESTS:
+                self._usable = False
         if start.length is not None and start.length > STREAM_THRESHOLD_BYTES:
             self._begin_stream(start)
 
