Don't reuse a connection on which another answer has begun

Cause: bytes behind a complete answer ended the reuse of the connection only if they contained the whole head of another final answer. A part of a head, or an interim answer, in the same packet left it usable; the next request on it was then answered by what followed.

Change: a connection is usable only while its parser is between two answers.

--- a/features/gateway_repeated_refusals.feature
+++ b/features/gateway_repeated_refusals.feature
@@ -14,6 +14,7 @@
       | refusal                 | copy        | moment                  | status |
       | 503 Service Unavailable | with its id | in the same packet      | 200    |
       | 503 Service Unavailable | with its id | before the next request | 200    |
+      | 503 Service Unavailable | with its id | half in the same packet | 200    |
       | 503 Service Unavailable | with its id | before the answer       | 200    |
       | 503 Service Unavailable | with its id | with the answer         | 200    |
       | 503 Service Unavailable | with its id | in pieces               | 200    |
@@ -25,6 +26,7 @@
       | refusal                 | copy          | moment                  | status |
       | 503 Service Unavailable | without an id | in the same packet      | 200    |
       | 503 Service Unavailable | without an id | before the next request | 200    |
+      | 503 Service Unavailable | without an id | half in the same packet | 200    |
       | 503 Service Unavailable | without an id | before the answer       | 502    |
       | 503 Service Unavailable | without an id | with the answer         | 502    |
       | 503 Service Unavailable | without an id | in pieces               | 502    |
@@ -44,6 +46,7 @@
     Examples:
       | refusal                 | moment                  | route          |
       | 503 Service Unavailable | in the same packet      | non-idempotent |
+      | 503 Service Unavailable | half in the same packet | non-idempotent |
       | 503 Service Unavailable | before the next request | non-idempotent |
       | 503 Service Unavailable | before the answer       | non-idempotent |
       | 503 Service Unavailable | with the answer         | non-idempotent |
--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -62,6 +62,11 @@
         """Return whether the server keeps the connection after this answer."""
         return bool(self._parser.should_keep_alive())
 
+    @property
+    def between_answers(self) -> bool:
+        """Return whether no byte of a further answer, also an interim one, has been read."""
+        return self._message is None and not self._interim
+
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise ExchangeBrokenError if they are malformed or exceed a limit."""
         view = memoryview(data)
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -139,6 +139,10 @@
             self._reader.feed(data)
         except ExchangeBrokenError as error:
             self._fail(str(error))
+            return
+        if not self._expects_bytes() and not self._reader.between_answers:
+            # The beginning of another answer belongs to no request; its rest may follow any time.
+            self._usable = False
 
     def eof_received(self) -> bool:
         self._reader.end()
