Don't reuse a connection after an answer without the request's id

Cause: an answer without an id may be an earlier one that is repeated, and then the true answer follows. The connection went back to the pool, and the true answer arrived in the next exchange.

Change: such an answer ends the reuse of its connection. Key commands have no id and expect none.

Before: gateway_servers.feature 1 of 19 scenarios failed (503 without an id: reusable). After: all pass.

Conclusion: no fault of an answer is known from it, as the true answer has an id and is discarded; it removes a connection with an answer under way from the pool.

--- a/features/gateway_servers.feature
+++ b/features/gateway_servers.feature
@@ -20,6 +20,7 @@
       | HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 503 Serv | waits | 200 ok | not reusable |
       | HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 102 Processing\r\n\r\n | waits | 200 ok | not reusable |
       | HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n | waits | 503 | reusable |
+      | HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n      | waits | 503 | not reusable |
       | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nok | waits | 200 ok | reusable |
       | garbage that is no answer\r\n\r\n                                         | waits  | broken     | not reusable |
       | HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok       | waits  | broken     | not reusable |
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -217,10 +217,16 @@
         answered = find_header(start.headers, self._id_header)
         return answered is not None and answered != self._request_id
 
+    def _lacks_id(self, start: AnswerStart) -> bool:
+        """Return whether an answer lacks its request's id, so that the true one may follow."""
+        if self._id_header is None or not self._request_id:
+            return False
+        return find_header(start.headers, self._id_header) is None
+
     def _update_reuse(self, start: AnswerStart) -> None:
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if not start.framed or unsent or not self._reader.keeps_alive:
+        if not start.framed or unsent or not self._reader.keeps_alive or self._lacks_id(start):
             self._usable = False
         keep_alive = find_header(start.headers, b"keep-alive")
         stated = None if keep_alive is None else _idle_limit(keep_alive)
