Don't count a successor's answer for the server that had its address

Cause: a server at a reused address answers 421 and states its own load. The load was released to the queue of the former server, the request counted as refused by that server in the selection of the next attempt, and the log line named the former server. Any other answer that names another server, which the protocol doesn't foresee, would have counted as the former server's success.

Change: an answer that names another server in Instance-Id counts for none of the former server's load, service times, back-off, limit, leaving or refusals; the address is avoided as before.

Before: gateway_answer_origin.feature 1 of 4 scenarios failed (load 9,9,1 released for the former server). Leaving, limit, back-off, service times and lost requests were right already for 421. After: all pass.

Conclusion: a former server's queue no longer waits for its successor's requests.

--- a/features/steps/gateway_answer_origin_steps.py
+++ b/features/steps/gateway_answer_origin_steps.py
@@ -46,3 +46,15 @@
 def step_no_load(context, name):
     assert context.released
     assert all(done.load is None and done.back_off_s is None for done in context.released)
+
+
+@then('no service time or lost request of server "{name}" was recorded')
+def step_no_reports(context, name):
+    report = context.reports.collect()
+    assert (name, 1) not in report.times, report.times
+    assert not context.crashes.next_report().lost
+
+
+@then('server "{name}" is avoided')
+def step_avoided(context, name):
+    assert context.health.is_suspect((name, 1))
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -291,7 +291,7 @@
         head = self._deps.header_codec.decode_answer_headers(answer)
         for name in head.ignored:
             self._deps.metrics.count("server_headers_ignored", name)
-        replaced = head.misdirected and head.answered_by not in (None, server.server)
+        replaced = head.answered_by not in (None, server.server)
         # An answer without the request's id may be a repeated one to an earlier request on the
         # connection. It shows nothing about this request or the server's present state.
         identified = head.request_id == routed.head.request_id
@@ -306,22 +306,24 @@
         elif identified:
             self._deps.health.record_success(server.incarnation)
             self._apply_server_notices(server, head, started_at)
-        # Another server at the address runs nothing that names this one, so its refusal needs no
-        # id.
-        routed.refused = head.not_run and (identified or replaced)
-        if routed.refused:
-            detail = f"status {answer.status} from {server.server}"
-            refused = Refused(Cause.SERVER_REFUSED, detail)
-            return refused, Done(load=head.load, back_off_s=head.back_off_s)
+        # Another server at the address runs nothing that names this one, so its 421 needs no id.
+        refused = head.not_run and (identified or (replaced and head.misdirected))
+        # Nothing that another server states of itself holds for this one.
+        load, back_off_s = (None, None) if replaced else (head.load, head.back_off_s)
+        routed.refused = refused and not replaced
+        if refused:
+            detail = f"status {answer.status} from {head.answered_by or server.server}"
+            done = Done(load=load, back_off_s=back_off_s)
+            return Refused(Cause.SERVER_REFUSED, detail), done
         if not identified:
             detail = "the answer has no request id or the id of another request"
             return OutcomeUnknown(Cause.BAD_ANSWER, detail), Done()
         sample_s = None
-        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR and not replaced:
             elapsed_s = self._deps.timers.now() - started_at
-            sample_s = service_sample_s(elapsed_s, head.load, server.slots)
+            sample_s = service_sample_s(elapsed_s, load, server.slots)
             self._deps.reports.record_service_time(server.incarnation, sample_s)
-        done = Done(sample_s, head.load, back_off_s=head.back_off_s)
+        done = Done(sample_s, load, back_off_s=back_off_s)
         fault = _answer_fault(answer, head)
         if fault:
             return OutcomeUnknown(Cause.BAD_ANSWER, fault), done
