Don't count a request that is lost at a reused address for the former server

Cause: a server that has the address of a former one may reset connections or stay silent when it is full. A request to the former server that was lost there counted as lost at the former server. That one has ended, so the leader took it for a server that the request had crashed; three of these quarantine the request. The time waited counted as the former server's service time.

Change: if another server that started later has registered the address by the time of sending, neither is recorded.

Before: gateway_answer_origin.feature 2 of 8 scenarios failed (broken and late exchange at an address that a later server has registered). After: all pass.

Conclusion: a request that is sent before this instance knows the successor's registration still counts as lost at the former server; nothing in an exchange without an answer tells the two apart.

--- a/features/gateway_answer_origin.feature
+++ b/features/gateway_answer_origin.feature
@@ -30,3 +30,19 @@
     When a request to route "non-idempotent" is sent and the servers answer "successor,ok"
     Then the caller gets status 200 after 2 sends
     And server "s1" is avoided
+
+  Scenario Outline: A request that is lost at a reused address isn't lost at the former server
+    Guards against quarantine of a request, or a service time, for a server that never got it: its
+    successor may reset connections or stay silent when it is full.
+    Given a dispatcher with servers "s1" of a sharded service
+    And server "s2" of another service has registered <when> with the address of "s1"
+    When requests are sent and the answers are "<answer>"
+    Then a lost request of server "s1" <was> recorded
+    And no load or back-off of server "s1" was released
+
+    Examples:
+      | when    | answer | was    |
+      | later   | broken | wasn't |
+      | later   | late   | wasn't |
+      | earlier | broken | was    |
+      | earlier | late   | was    |
--- a/features/steps/gateway_answer_origin_steps.py
+++ b/features/steps/gateway_answer_origin_steps.py
@@ -3,15 +3,28 @@
 import asyncio
 from unittest.mock import patch
 
-from behave import then, when
+from attrs import evolve
+from behave import given, then, when
 
 from hyssopwood.gateway.queue_keeper import QueueKeeper
-from steps.gateway_dispatch_steps import _request
+from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Plan
+from steps.gateway_dispatch_steps import SERVICE, _request
 
 # A server with the limit of the tests admits another request after this time.
 ADMISSION_S = 0.3
 
 
+@given('server "{name}" of another service has registered {when} with the address of "{former}"')
+def step_reuse(context, name, when, former):
+    record = evolve(context.directory.get(former), born_ms=5, sequence=2)
+    context.directory.put(record)
+    context.plan.offer(
+        Plan(2, {SERVICE: (KeyRange(0, KEY_COUNT - 1, former, record.born_ms, 2),)}), "test"
+    )
+    born_ms = record.born_ms + (1 if when == "later" else -1)
+    context.directory.put(evolve(record, server=name, service="other", born_ms=born_ms))
+
+
 @when('requests are sent and the answers are "{answers}"')
 def step_answers(context, answers):
     context.pool.script = answers.split(",")
@@ -55,6 +68,15 @@
     assert not context.crashes.next_report().lost
 
 
+@then('a lost request of server "{name}" {was} recorded')
+def step_lost(context, name, was):
+    lost = [incarnation for _, incarnation in context.crashes.next_report().lost]
+    times = context.reports.collect().times
+    assert lost == ([(name, 5)] if was == "was" else []), lost
+    samples = [done.sample_s for done in context.released if done.sample_s is not None]
+    assert not (times or samples) or was == "was", (times, samples)
+
+
 @then('server "{name}" is avoided')
 def step_avoided(context, name):
     assert context.health.is_suspect((name, 1))
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -242,6 +242,8 @@
             return Refused(Cause.DEADLINE, "the deadline of the request has passed"), Done()
         routed.tried.add(server.server)
         routed.server = server.server
+        # Another server at the address may break the exchange or stay silent when it is full.
+        reused = self._deps.directory.is_address_reused(server)
         self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
@@ -254,15 +256,18 @@
             self._count_send(routed)
             routed.refused = False
             self._record_failure(server, str(error), certain=False)
-            self._deps.crashes.record_lost(routed.request, server.incarnation)
+            if not reused:
+                self._deps.crashes.record_lost(routed.request, server.incarnation)
             return OutcomeUnknown(Cause.BROKEN, str(error)), Done(failure=Failure.UNCERTAIN)
         except TimeoutError:
             self._count_send(routed)
             self._record_failure(server, "no answer before the deadline", certain=False)
-            self._deps.crashes.record_lost(routed.request, server.incarnation)
-            # The service time is at least the time waited so far.
-            sample_s = self._deps.timers.now() - started_at
-            self._deps.reports.record_service_time(server.incarnation, sample_s)
+            sample_s = None
+            if not reused:
+                self._deps.crashes.record_lost(routed.request, server.incarnation)
+                # The service time is at least the time waited so far.
+                sample_s = self._deps.timers.now() - started_at
+                self._deps.reports.record_service_time(server.incarnation, sample_s)
             unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
             return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
         self._count_send(routed)
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -64,6 +64,8 @@
     _removed: dict[str, _Removal] = field(factory=dict, init=False)
     _listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
     _digest: int | None = field(default=None, init=False)
+    # Latest start time of the servers at each address, or None if a record has changed since.
+    _newest_at: dict[str, int] | None = field(default=None, init=False)
     # Incarnations of servers that have reported in an answer that they are leaving.
     _leaving: set[tuple[str, int]] = field(factory=set, init=False)
 
@@ -88,6 +90,15 @@
         record = self.get(incarnation[0])
         return record is None or record.incarnation != incarnation
 
+    def is_address_reused(self, record: ServerRecord) -> bool:
+        """Return whether a server that started later has registered the server's address."""
+        if self._newest_at is None:
+            self._newest_at = {}
+            for item in self.records():
+                newest = self._newest_at.get(item.address, item.born_ms)
+                self._newest_at[item.address] = max(newest, item.born_ms)
+        return self._newest_at.get(record.address, record.born_ms) > record.born_ms
+
     def digest(self) -> int:
         """Return a digest that two directories share only if they route in the same way."""
         if self._digest is None:
@@ -182,7 +193,7 @@
         self._notify(record, removed=True)
 
     def _notify(self, record: ServerRecord, removed: bool) -> None:
-        self._digest = None
+        self._digest = self._newest_at = None
         for listener in self._listeners:
             listener(record, removed)
 
