Don't pass on a server's 503 that doesn't state that the request was not run

Cause: callers take 408, 429 and 503 as a promise that the request has not run. Servers state that with Not-Executed only; an answer of such a status without it was passed on unchanged, though the request may have run.

Change: the outcome of such an attempt is unknown: 502 for a request that must not repeat, another attempt for others.

Before: gateway_dispatch.feature 2 of 44 scenarios failed (rows unpromised: 503 passed on; expected 502 and a second attempt). After: all pass.

--- a/features/gateway_dispatch.feature
+++ b/features/gateway_dispatch.feature
@@ -21,6 +21,7 @@
       | s1,s2   | keyless | idempotent | foreign,ok           | 200    | 2     | lacks |
       | s1,s2   | keyless | idempotent | shed-without-id,ok   | 200    | 2     | lacks |
       | s1,s2   | keyless | idempotent | shed-without-id,shed | 502    | 2     | lacks |
+      | s1,s2   | keyless | idempotent | unpromised,ok        | 200    | 2     | lacks |
       | s1,s2   | keyless | idempotent | unsent,ok            | 200    | 2     | lacks |
       | s1,s2   | keyless | idempotent | failed               | 500    | 1     | lacks |
       | s1      | keyless | idempotent | unsent               | 503    | 1     | has   |
@@ -38,6 +39,7 @@
       | s1,s2   | keyless | non-idempotent | shed,shed            | 503    | 2     | has   |
       | s1,s2   | keyless | non-idempotent | shed-without-id,ok   | 502    | 1     | lacks |
       | s1,s2   | keyless | non-idempotent | shed,shed-without-id | 502    | 2     | lacks |
+      | s1,s2   | keyless | non-idempotent | unpromised,ok        | 502    | 1     | lacks |
       | s1,s2   | keyless | non-idempotent | unsent,ok            | 200    | 2     | lacks |
       | s1,s2   | keyless | non-idempotent | failed               | 500    | 1     | lacks |
       | s1      | sharded | non-idempotent | misdirected,ok       | 200    | 2     | lacks |
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -87,6 +87,9 @@
     elif entry == "shed-without-id":
         # A refusal without an id; it may be a repeated one of an earlier request.
         status, headers = 503, [(b"not-executed", b"1")]
+    elif entry == "unpromised":
+        # A 503 that doesn't state that the request was not executed.
+        status = 503
     elif entry == "notices-without-id":
         status, headers = 503, [*_NOTICES, (b"retry-after", b"0.6")]
     elif entry == "successor":
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -56,6 +56,14 @@
 # Every Nth answered request is logged; refused and failed ones are always logged.
 ANSWERED_LOG_INTERVAL = 50
 MS_PER_S = 1000
+# Callers take these statuses as a promise that the request was not run.
+_NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 @frozen(kw_only=True)
@@ -468,4 +476,6 @@
         return "the answer has a content encoding other than identity"
     if answer.status < HTTPStatus.MULTIPLE_CHOICES and not head.signed:
         return "the answer reports success without the server's signature"
+    if answer.status in _NOT_RUN_STATUSES:
+        return f"status {answer.status} without the server's statement that it did not run"
     return ""
