--- a/features/support/key_guards.py
+++ b/features/support/key_guards.py
@@ -30,8 +30,6 @@
         return [patch.object(GrantChannels, "exchange", _exchange_over_any)]
     if guard == "confirmed leader for another connection":
         return [patch.object(key_manager, "STORE_REACHABLE_S", 1000.0)]
-    if guard == "answers confirm their own token":
-        return [patch.object(KeyManager, "_handle_grant_answer", _confirm_any_token)]
     if guard == "leases of the next process":
         return [patch.object(KeyManager, "_wait_for_release", _forget_restarted)]
     if guard == "leases that the next process keeps":
@@ -63,7 +61,6 @@
 
 _encode_command = key_commands._encode_command
 _exchange = GrantChannels.exchange
-_handle_grant_answer = KeyManager._handle_grant_answer
 _wait_for_release = KeyManager._wait_for_release
 _set_owner = RangeLease.set_owner
 
@@ -78,11 +75,6 @@
     return _exchange(channels, server, request, None, timeout_s)
 
 
-def _confirm_any_token(manager, lease, record, grant, answer):
-    sent = evolve(grant, keys=evolve(grant.keys, fence=lease.token))
-    return _handle_grant_answer(manager, lease, record, sent, answer)
-
-
 async def _forget_restarted(manager, lease, target):
     record = manager._deps.directory.get(lease.keys.server)
     if record is not None and record.born_ms > lease.keys.born_ms:
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -19,6 +19,7 @@
     ExchangeBrokenError,
     HeaderCodec,
     NotSentError,
+    RepeatedRequestError,
     ServerAnswer,
     ServerRequest,
     StreamEnd,
@@ -55,6 +56,14 @@
 # Every Nth answered request is logged; refused and failed ones are always logged.
 ANSWERED_LOG_INTERVAL = 50
 MS_PER_S = 1000
+# Callers take these statuses as a promise that the request was not run.
+_NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 @frozen(kw_only=True)
@@ -241,12 +250,12 @@
             return Refused(Cause.DEADLINE, "the deadline of the request has passed"), Done()
         routed.tried.add(server.server)
         routed.server = server.server
+        # Another server at the address may break the exchange or stay silent when it is full.
+        reused = self._deps.directory.is_address_reused(server)
         self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
-                answer = await self._deps.pool.exchange(
-                    server, self._server_request(routed, server)
-                )
+                answer = await self._exchange_once(server, self._server_request(routed, server))
         except NotSentError as error:
             self._record_failure(server, str(error), certain=True)
             refused = Refused(Cause.SERVER_UNREACHABLE, str(error))
@@ -255,15 +264,18 @@
             self._count_send(routed)
             routed.refused = False
             self._record_failure(server, str(error), certain=False)
-            self._deps.crashes.record_lost(routed.request, server.incarnation)
+            if not reused:
+                self._deps.crashes.record_lost(routed.request, server.incarnation)
             return OutcomeUnknown(Cause.BROKEN, str(error)), Done(failure=Failure.UNCERTAIN)
         except TimeoutError:
             self._count_send(routed)
             self._record_failure(server, "no answer before the deadline", certain=False)
-            self._deps.crashes.record_lost(routed.request, server.incarnation)
-            # The service time is at least the time waited so far.
-            sample_s = self._deps.timers.now() - started_at
-            self._deps.reports.record_service_time(server.incarnation, sample_s)
+            sample_s = None
+            if not reused:
+                self._deps.crashes.record_lost(routed.request, server.incarnation)
+                # The service time is at least the time waited so far.
+                sample_s = self._deps.timers.now() - started_at
+                self._deps.reports.record_service_time(server.incarnation, sample_s)
             unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
             return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
         self._count_send(routed)
@@ -272,6 +284,15 @@
             answer.stream.abandon()
         return outcome, done
 
+    async def _exchange_once(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
+        """Exchange a request over a connection on which it has not failed before."""
+        while True:
+            try:
+                return await self._deps.pool.exchange(server, request)
+            except RepeatedRequestError:
+                # The connection was closed, and the pool tries another one or opens a new one.
+                continue
+
     def _count_send(self, routed: RoutedRequest) -> None:
         routed.sends += 1
         if routed.sends == 1:
@@ -283,7 +304,11 @@
         head = self._deps.header_codec.decode_answer_headers(answer)
         for name in head.ignored:
             self._deps.metrics.count("server_headers_ignored", name)
-        if head.misdirected and head.answered_by not in (None, server.server):
+        replaced = head.answered_by not in (None, server.server)
+        # An answer without the request's id may be a repeated one to an earlier request on the
+        # connection. It shows nothing about this request or the server's present state.
+        identified = head.request_id == routed.head.request_id
+        if replaced:
             self._deps.health.record_replaced(server.incarnation)
             self._deps.pool.abort_idle(server)
             emit(
@@ -291,21 +316,28 @@
                 server=server.server,
                 detail=f"the address now belongs to {head.answered_by}",
             )
-        else:
+        elif identified:
             self._deps.health.record_success(server.incarnation)
             self._apply_server_notices(server, head, started_at)
-        routed.refused = head.not_run
-        if head.not_run:
-            detail = f"status {answer.status} from {server.server}"
-            refused = Refused(Cause.SERVER_REFUSED, detail)
-            return refused, Done(load=head.load, back_off_s=head.back_off_s)
+        # Another server at the address runs nothing that names this one, so its 421 needs no id.
+        refused = head.not_run and (identified or (replaced and head.misdirected))
+        # Nothing that another server states of itself holds for this one.
+        load, back_off_s = (None, None) if replaced else (head.load, head.back_off_s)
+        routed.refused = refused and not replaced
+        if refused:
+            detail = f"status {answer.status} from {head.answered_by or server.server}"
+            done = Done(load=load, back_off_s=back_off_s)
+            return Refused(Cause.SERVER_REFUSED, detail), done
+        if not identified:
+            detail = "the answer has no request id or the id of another request"
+            return OutcomeUnknown(Cause.BAD_ANSWER, detail), Done()
         sample_s = None
-        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR and not replaced:
             elapsed_s = self._deps.timers.now() - started_at
-            sample_s = service_sample_s(elapsed_s, head.load, server.slots)
+            sample_s = service_sample_s(elapsed_s, load, server.slots)
             self._deps.reports.record_service_time(server.incarnation, sample_s)
-        done = Done(sample_s, head.load, back_off_s=head.back_off_s)
-        fault = _answer_fault(routed, answer, head)
+        done = Done(sample_s, load, back_off_s=back_off_s)
+        fault = _answer_fault(answer, head)
         if fault:
             return OutcomeUnknown(Cause.BAD_ANSWER, fault), done
         self._deps.crashes.record_success(routed.request)
@@ -439,11 +471,11 @@
         stream.abandon()
 
 
-def _answer_fault(routed: RoutedRequest, answer: ServerAnswer, head: AnswerHead) -> str:
-    if head.request_id != routed.head.request_id:
-        return "the answer has no request id or the id of another request"
+def _answer_fault(answer: ServerAnswer, head: AnswerHead) -> str:
     if head.encoded:
         return "the answer has a content encoding other than identity"
     if answer.status < HTTPStatus.MULTIPLE_CHOICES and not head.signed:
         return "the answer reports success without the server's signature"
+    if answer.status in _NOT_RUN_STATUSES:
+        return f"status {answer.status} without the server's statement that it did not run"
     return ""
