Test that an answer cut off at any byte is never returned as whole

Report of another operator: a server stopped in the middle of an answer's head and closed, and callers got a 200 with an empty or short body, framed as whole. Finding: this can't happen here. An answer without a length is completed by the connection's end only after the parser has reported the end of its head, and only by an orderly end.

--- /dev/null
+++ b/features/gateway_truncation.feature
@@ -0,0 +1,32 @@
+Feature: Messages that are cut off never look whole
+
+  Scenario Outline: A connection to a server returns whole answers only
+    Guards against an answer whose head or body was cut off and that is returned as whole.
+    Given the table of <answers> answers
+    When each is cut off at each byte, in <packets>, and the connection <ends>
+    Then each cut is returned if it is whole and fails if it is not
+
+    Examples:
+      | answers   | packets     | ends                                   |
+      | sound     | one packet  | ends in the same packet                |
+      | sound     | one packet  | ends later                             |
+      | sound     | one packet  | is reset                               |
+      | sound     | one packet  | ends without an acknowledgement        |
+      | sound     | single bytes | ends later                            |
+      | malformed | one packet  | ends in the same packet                |
+      | malformed | one packet  | is reset                               |
+      | malformed | single bytes | ends later                            |
+
+  Scenario Outline: A caller never gets a part of an answer as whole
+    Guards against a framing or an end of the caller's connection that makes a part look whole.
+    When a server <ends> after each byte of a <size> answer to an HTTP/<version> caller
+    Then the caller gets each whole answer, and never a part as whole
+
+    Examples:
+      | ends   | size  | version |
+      | closes | small | 1.1     |
+      | resets | small | 1.1     |
+      | closes | large | 1.1     |
+      | resets | large | 1.1     |
+      | closes | large | 1.0     |
+      | resets | large | 1.0     |
--- /dev/null
+++ b/features/steps/gateway_truncation_steps.py
@@ -0,0 +1,263 @@
+"""Steps for messages that are cut off."""
+
+import asyncio
+import errno
+import socket
+import struct
+
+import uvloop
+from behave import given, then, when
+
+from hyssopwood.gateway.caller_server import CallerServer
+from hyssopwood.gateway.exchange import CallerAnswer, ExchangeBrokenError, ServerRequest
+from hyssopwood.gateway.server_connection import ServerConnection, connect
+from hyssopwood.timers import SystemTimers
+from support.cut_answers import MALFORMED, REQUEST_ID, SOUND, WITH_EXTRA_BYTES
+
+TABLES = {"sound": SOUND, "malformed": MALFORMED, "followed": WITH_EXTRA_BYTES}
+REQUEST = ServerRequest(method=b"GET", target=b"/x", headers=(), body=b"", request_id=REQUEST_ID)
+# Answers whose path to the caller is tested; the others differ only in what the parser sees.
+PATH_ANSWERS = ("length", "chunks", "close", "interim answer, close", "204 No Content")
+LARGE_ANSWERS = ("large, length", "large, chunks", "large, close")
+CONCURRENT_CUTS = 16
+NO_LINGER = struct.pack("ii", 1, 0)
+READ_LIMIT_S = 5.0
+RESET = ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
+UNACKNOWLEDGED = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+
+class _Transport:
+    """A transport without a socket."""
+
+    def __init__(self):
+        self.closing = False
+        self.written = b""
+
+    def is_closing(self):
+        return self.closing
+
+    def close(self):
+        self.closing = True
+
+    def abort(self):
+        self.closing = True
+
+    def write(self, data):
+        self.written += data
+
+    def get_extra_info(self, name):
+        return None
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+async def _read(exchange):
+    """Return the status and the whole body, or None if the exchange failed."""
+    try:
+        answer = await exchange
+        body = answer.body
+        while answer.stream is not None and (piece := await answer.stream.read()):
+            body += piece
+    except ExchangeBrokenError:
+        return None
+    return answer.status, body
+
+
+def _feed(connection, data, packets):
+    position = 0
+    while position < len(data) and not connection._transport.closing:
+        # Single bytes inside of a large body would take most of the time and show nothing more.
+        at_edge = position < 400 or len(data) - position <= 20
+        size = 1 if packets == "single bytes" and at_edge else 65_536
+        end = position + size if at_edge else min(position + size, len(data) - 20)
+        connection.received(data[position:end])
+        position = end
+
+
+def _end(connection, ends):
+    if ends in ("is reset", "ends without an acknowledgement"):
+        connection.connection_lost(RESET if ends == "is reset" else UNACKNOWLEDGED)
+        return
+    if not connection._transport.closing:
+        connection.eof_received()
+    connection.connection_lost(None)
+
+
+async def _run_cut(data, packets, ends):
+    connection = ServerConnection()
+    connection.connection_made(_Transport())
+    exchange = connection.exchange("a", REQUEST, b"request-id")
+    reading = asyncio.ensure_future(_read(exchange))
+    await asyncio.sleep(0)
+    _feed(connection, data, packets)
+    if ends != "ends in the same packet":
+        await asyncio.sleep(0)
+    _end(connection, ends)
+    return await reading
+
+
+@given("the table of {answers:w} answers")
+def step_table(context, answers):
+    context.malformed = answers == "malformed"
+    context.answers = TABLES[answers]
+
+
+@when("each is cut off at each byte, in {packets}, and the connection {ends}")
+def step_cut_answers(context, packets, ends):
+    async def run_all():
+        for answer in context.answers:
+            for cut in answer.cuts():
+                orderly = ends in ("ends in the same packet", "ends later")
+                expected = None if context.malformed else answer.result(cut, orderly)
+                received = await _run_cut(answer.data[:cut], packets, ends)
+                context.tried += 1
+                if received != expected:
+                    context.wrong.append((answer.name, cut, expected, received))
+
+    context.tried, context.wrong = 0, []
+    context.run(run_all())
+
+
+@then("each cut is returned if it is whole and fails if it is not")
+def step_no_wrong(context):
+    assert context.tried > len(context.answers)
+    assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
+
+
+class _CuttingServer:
+    """Send the part of an answer that a request's target names, then close or reset."""
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        index, cut, ends = head.split(b" ")[1].split(b"/")[1:]
+        writer.write(SOUND[int(index)].data[: int(cut)])
+        await writer.drain()
+        if ends == b"resets":
+            while writer.transport.get_write_buffer_size():
+                await asyncio.sleep(0.001)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+        writer.close()
+
+
+class _Forwarder:
+    """Send each request to one server; a broken exchange is answered 502."""
+
+    def __init__(self, address):
+        self._address = address
+
+    async def handle(self, request):
+        connection = await connect(self._address)
+        forwarded = ServerRequest(
+            method=b"GET", target=request.target, headers=(), body=b"", request_id=REQUEST_ID
+        )
+        try:
+            answer = await connection.exchange(self._address, forwarded, b"request-id")
+        except ExchangeBrokenError:
+            return CallerAnswer(status=502)
+        if answer.stream is None:
+            connection.close()
+        return CallerAnswer(status=answer.status, body=answer.body, stream=answer.stream)
+
+
+def _decode_chunks(data):
+    """Return the body, or None if the last chunk is missing."""
+    body = b""
+    while b"\r\n" in data:
+        size_text, data = data.split(b"\r\n", 1)
+        size = int(size_text, 16)
+        if len(data) < size + 2:
+            return None
+        if not size:
+            return body
+        body, data = body + data[:size], data[size + 2 :]
+    return None
+
+
+def _take_answer(data, orderly):
+    """Return the status and the body as a caller reads them, or None if they aren't whole."""
+    head, separator, rest = data.partition(b"\r\n\r\n")
+    if not separator:
+        return None
+    status = int(head.split(b" ")[1])
+    headers = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+    if status == 204:
+        return status, rest
+    if b"content-length" in headers:
+        return (status, rest) if len(rest) == int(headers[b"content-length"]) else None
+    if b"transfer-encoding" in headers:
+        body = _decode_chunks(rest)
+        return None if body is None else (status, body)
+    return (status, rest) if orderly else None
+
+
+async def _call(port, target, version):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    request = f"GET {target} HTTP/{version}\r\nHost: a\r\nConnection: close\r\n\r\n"
+    writer.write(request.encode())
+    data, orderly = b"", True
+    try:
+        async with asyncio.timeout(READ_LIMIT_S):
+            while piece := await reader.read(65_536):
+                data += piece
+    except ConnectionResetError:
+        orderly = False
+    writer.close()
+    return _take_answer(data, orderly)
+
+
+def _is_right(answer, cut, orderly, received):
+    expected = answer.result(cut, orderly)
+    if expected is not None:
+        return received == expected
+    # The start of a large answer is passed on while it arrives, so it can only be cut off too.
+    passed_on = answer.name in LARGE_ANSWERS and cut >= len(answer.head)
+    return received is None if passed_on and received is None else received == (502, b"")
+
+
+async def _run_path(names, version, ends):
+    server = await asyncio.start_server(_CuttingServer().serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    listener = CallerServer("127.0.0.1:0", _Forwarder(address), SystemTimers())
+    await listener.start()
+    port = listener._server.sockets[0].getsockname()[1]
+    cuts = [
+        (index, cut)
+        for index, answer in enumerate(SOUND)
+        if answer.name in names
+        for cut in answer.cuts()
+    ]
+    wrong = []
+
+    async def try_cut(index, cut):
+        received = await _call(port, f"/{index}/{cut}/{ends}", version)
+        if not _is_right(SOUND[index], cut, ends == "closes", received):
+            wrong.append((SOUND[index].name, cut, received and (received[0], len(received[1]))))
+
+    for at in range(0, len(cuts), CONCURRENT_CUTS):
+        await asyncio.gather(*(try_cut(*cut) for cut in cuts[at : at + CONCURRENT_CUTS]))
+    listener.close()
+    server.close()
+    return len(cuts), wrong
+
+
+@when("a server {ends:w} after each byte of a {size:w} answer to an HTTP/{version} caller")
+def step_path(context, ends, size, version):
+    names = LARGE_ANSWERS if size == "large" else PATH_ANSWERS
+    # The gateway runs on uvloop, whose connections end in another way than those of asyncio.
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        context.tried, context.wrong = runner.run(_run_path(names, version, ends))
+
+
+@then("the caller gets each whole answer, and never a part as whole")
+def step_path_right(context):
+    assert context.tried > 100
+    assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
