Read the body of a request that proposes an upgrade

Cause: the HTTP parser ends a request with "Connection: upgrade" and "Upgrade" at its head, whatever length or chunks it announces. Clients that try h2c on their first request send these headers, also with a body. Change: the body is parsed by a second parser, which is given the head without the proposed upgrade. As before, nothing is read behind the request and the connection closes after its answer. New rows in 'Malformed and oversized requests are refused and end the connection' cover what follows such a request.

--- a/features/gateway_callers.feature
+++ b/features/gateway_callers.feature
@@ -39,6 +39,9 @@
       | GET /x HTTP/1.1\r\nHost: a\r\nX: {600}\r\n\r\n                               | 431    | 0   |
       | HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n                                          | 501    | 0   |
       | GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n                      | 200    | 1   |
+      | POST /x HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\na | 400 | 0 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\naGET /x HTTP/1.1\r\nHost: a\r\n\r\n | 200 | 1 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n | 200 | 1 |
 
   Scenario: Chunked bodies arrive complete
     Guards against a body that is altered in transit.
--- a/features/gateway_truncation.feature
+++ b/features/gateway_truncation.feature
@@ -37,3 +37,18 @@
       | resets | large | 1.1     |
       | closes | large | 1.0     |
       | resets | large | 1.0     |
+
+  Scenario Outline: A request that is cut off is never run
+    Guards against a caller that stops in the middle of a request, of which the start is run, and
+    against a request that is run without its body.
+    Given the table of <requests> requests
+    When each is cut off at each byte, in <packets>, and its caller <leaves>
+    Then each request is run if it is whole, with its whole body, and otherwise not
+
+    Examples:
+      | requests  | packets      | leaves |
+      | sound     | one packet   | closes |
+      | sound     | one packet   | resets |
+      | sound     | single bytes | closes |
+      | malformed | one packet   | closes |
+      | malformed | single bytes | closes |
--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -8,13 +8,18 @@
 import uvloop
 from behave import given, then, when
 
+from hyssopwood.gateway.caller_connection import CallerConnection
 from hyssopwood.gateway.caller_server import CallerServer
 from hyssopwood.gateway.exchange import CallerAnswer, ExchangeBrokenError, ServerRequest
+from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.gateway.server_connection import ServerConnection, connect
 from hyssopwood.timers import SystemTimers
+from support import cut_requests
 from support.cut_answers import MALFORMED, REQUEST_ID, SOUND, WITH_EXTRA_BYTES
 
 TABLES = {"sound": SOUND, "malformed": MALFORMED, "followed": WITH_EXTRA_BYTES}
+REQUEST_TABLES = {"sound": cut_requests.SOUND, "malformed": cut_requests.MALFORMED}
+LIMITS = CallerLimits(header_bytes=2000, body_bytes=1000, header_timeout_s=3.0, idle_timeout_s=9.0)
 REQUEST = ServerRequest(method=b"GET", target=b"/x", headers=(), body=b"", request_id=REQUEST_ID)
 # Answers whose path to the caller is tested; the others differ only in what the parser sees.
 PATH_ANSWERS = ("length", "chunks", "close", "interim answer, close", "204 No Content")
@@ -48,6 +53,12 @@
     def get_extra_info(self, name):
         return None
 
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def can_write_eof(self):
+        return False
+
     def get_write_buffer_size(self):
         return 0
 
@@ -284,3 +295,54 @@
 def step_path_right(context):
     assert context.tried > 100
     assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
+
+
+class _Recorder:
+    """Record what is run."""
+
+    def __init__(self):
+        self.ran = []
+
+    async def handle(self, request):
+        self.ran.append((request.method, request.target, request.body))
+        return CallerAnswer(status=200)
+
+
+async def _run_request(data, timers, packets, leaves):
+    recorder = _Recorder()
+    connection = CallerConnection(recorder, timers, lambda: LIMITS, lambda _: None)
+    connection.connection_made(_Transport())
+    _feed(connection, data, packets)
+    await asyncio.sleep(0)
+    if leaves == "closes":
+        connection.eof_received()
+    connection.connection_lost(None if leaves == "closes" else RESET)
+    await asyncio.sleep(0)
+    return recorder.ran
+
+
+@given("the table of {requests:w} requests")
+def step_requests(context, requests):
+    context.malformed = requests == "malformed"
+    context.requests = REQUEST_TABLES[requests]
+
+
+@when("each is cut off at each byte, in {packets}, and its caller {leaves:w}")
+def step_cut_requests(context, packets, leaves):
+    async def run_all():
+        for request in context.requests:
+            for cut in range(len(request.data) + 1):
+                whole = cut == len(request.data) and not context.malformed
+                ran = await _run_request(request.data[:cut], context.timers, packets, leaves)
+                context.tried += 1
+                if ran != ([request.run] if whole else []):
+                    context.wrong.append((request.name, cut, ran))
+
+    context.tried, context.wrong = 0, []
+    context.run(run_all())
+
+
+@then("each request is run if it is whole, with its whole body, and otherwise not")
+def step_requests_right(context):
+    assert context.tried > len(context.requests)
+    assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -68,9 +68,18 @@
     # Time of the last byte of the body, or of the end of the head.
     progress_at: float = 0.0
     head_complete: bool = False
+    method: bytes = b""
+    version: str = ""
+    keeps_alive: bool = False
     # Declared size of the body, or None.
     length: int | None = None
 
+    @property
+    def framing(self) -> list[bytes]:
+        """Return the header lines that announce a body."""
+        names = (b"content-length", b"transfer-encoding")
+        return [name + b": " + value for name, value in self.head.headers if name in names]
+
     @property
     def next_bytes(self) -> int:
         """Return how many bytes to parse next, no more than the request is known to need."""
@@ -79,6 +88,14 @@
         return min(READ_BYTES, max(1, self.length - len(self.body)))
 
 
+class _BodyEvents:
+    """Pass on what is parsed of the body behind the head of a request that proposes an upgrade."""
+
+    def __init__(self, reader: RequestReader) -> None:
+        self.on_body = reader.on_body
+        self.on_message_complete = reader.complete_request
+
+
 class RequestReader:
     """Parse the requests on one connection."""
 
@@ -92,6 +109,8 @@
         self._now = now
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
+        # Whether `_parser` parses the body of the last request, which proposes an upgrade.
+        self._in_last_body = False
         self._reading: _Reading | None = None
 
     @property
@@ -150,7 +169,10 @@
         assert reading is not None
         reading.head_complete = True
         reading.arrived = reading.progress_at = self._now()
-        if self._parser.get_method() in _UNSUPPORTED_METHODS:
+        reading.method = self._parser.get_method()
+        reading.version = self._parser.get_http_version()
+        reading.keeps_alive = self._parser.should_keep_alive()
+        if reading.method in _UNSUPPORTED_METHODS:
             raise RequestRefusedError(HTTPStatus.NOT_IMPLEMENTED)
         for name, value in reading.head.headers:
             if name == b"content-length":
@@ -170,32 +192,59 @@
         reading.body += body
 
     def on_message_complete(self) -> None:
+        assert self._reading is not None
+        # The parser ends a request that proposes an upgrade with its head; a body may follow.
+        if not self._parser.should_upgrade() or not self._reading.framing:
+            self.complete_request()
+
+    def complete_request(self) -> None:
+        """Report the request whose last byte has been parsed."""
         reading, self._reading = self._reading, None
         assert reading is not None
         hosts = [value for name, value in reading.head.headers if name == b"host"]
         if len(hosts) != 1 or not reading.target.startswith(b"/"):
             raise RequestRefusedError(HTTPStatus.BAD_REQUEST)
         request = CallerRequest(
-            method=self._parser.get_method(),
+            method=reading.method,
             target=reading.target,
             host=hosts[0].decode("latin-1").rsplit(":", 1)[0].lower(),
             headers=tuple(reading.head.headers),
             body=bytes(reading.body),
             arrived=reading.arrived,
-            version=self._parser.get_http_version(),
+            version=reading.version,
         )
-        self._events.request_read(request, self._parser.should_keep_alive())
+        self._events.request_read(request, reading.keeps_alive)
+        if self._in_last_body:
+            self._events.upgrade_proposed()
 
     def _parse(self, piece: memoryview) -> None:
         try:
             self._parser.feed_data(piece)
-        except httptools.HttpParserUpgrade:
-            self._events.upgrade_proposed()
+            return
+        except httptools.HttpParserUpgrade as upgrade:
+            head_bytes = upgrade.args[0]
         except httptools.HttpParserError as error:
             refusal = error.__context__ or error.__cause__
             refused = isinstance(refusal, RequestRefusedError)
+            if self._in_last_body and self._reading is None and not refused:
+                # Bytes behind the last request are not read.
+                return
             status = refusal.status if refused else HTTPStatus.BAD_REQUEST
             raise RequestRefusedError(status) from error
+        if self._reading is None:
+            self._events.upgrade_proposed()
+        else:
+            self._parse_last_body(self._reading, piece[head_bytes:])
+
+    def _parse_last_body(self, reading: _Reading, piece: memoryview) -> None:
+        """Continue with a parser that is given the head without the proposed upgrade."""
+        self._in_last_body = True
+        self._parser = httptools.HttpRequestParser(_BodyEvents(self))
+        # With the last line the parser rejects bytes behind the body.
+        lines = [b"POST / HTTP/1.1", *reading.framing, b"Connection: close"]
+        self._parse(memoryview(b"\r\n".join(lines) + b"\r\n\r\n"))
+        if piece:
+            self._parse(piece)
 
     def _check_head(self, reading: _Reading) -> None:
         limits = self._limits()
