Don't add the trailers of a request's chunked body to its headers

Cause: the parser reports trailers as it reports headers, and the reader added both to one list. A trailer "Host" made a proper request fail with 400, and one that the gateway reads or sets itself, like "Shard-Key", took effect although the head didn't have it. Change: trailers are counted against the limits of headers, and dropped: they apply to the chunked message, which ends here. Test: 'Trailers of a chunked body don't become headers of the request'; its three rows failed before (a header too many in two of them, 400 in the one with "Host").

--- a/features/gateway_callers.feature
+++ b/features/gateway_callers.feature
@@ -49,6 +49,20 @@
     When a caller sends the bytes "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
     Then the gateway saw the body "abcde"
 
+  Scenario Outline: Trailers of a chunked body don't become headers of the request
+    Guards against a field behind the body that replaces or repeats a header, so that a proper
+    request is refused or another one is sent to the server.
+    Given a gateway listener whose requests take "/x:0"
+    When a caller sends the bytes "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n<trailer>\r\n\r\n"
+    Then the gateway saw the body "a"
+    And the gateway saw the headers "host,connection,transfer-encoding"
+
+    Examples:
+      | trailer      |
+      | X-Checksum: 1 |
+      | Host: b      |
+      | Shard-Key: 7 |
+
   Scenario: A connection with a late request or without one is closed
     Guards against connections that are kept open without use.
     Given a gateway listener whose requests take "/x:0"
--- a/features/steps/gateway_caller_steps.py
+++ b/features/steps/gateway_caller_steps.py
@@ -177,6 +177,12 @@
     assert context.handler.ran[0].body == body.encode()
 
 
+@then('the gateway saw the headers "{names}"')
+def step_headers(context, names):
+    seen = [name.decode() for name, _ in context.handler.ran[0].headers]
+    assert seen == names.split(","), seen
+
+
 @then("the answer announces that the connection closes")
 def step_announces_close(context):
     assert b"Connection: close" in context.received
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -62,6 +62,8 @@
     began: float
     meter: FramingMeter
     head: HeaderCollector = field(factory=HeaderCollector)
+    # Fields behind a chunked body, which count against the limits and aren't forwarded.
+    trailers: HeaderCollector = field(factory=HeaderCollector)
     target: bytes = b""
     body: bytearray = field(factory=bytearray)
     arrived: float = 0.0
@@ -160,9 +162,11 @@
         self._check_head(self._reading)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        assert self._reading is not None
-        self._reading.head.add(name, value)
-        self._check_head(self._reading)
+        reading = self._reading
+        assert reading is not None
+        fields = reading.trailers if reading.head_complete else reading.head
+        fields.add(name, value)
+        self._check_head(reading)
 
     def on_headers_complete(self) -> None:
         reading = self._reading
@@ -248,8 +252,9 @@
 
     def _check_head(self, reading: _Reading) -> None:
         limits = self._limits()
-        too_many = len(reading.head.headers) > MAX_HEADER_LINES
-        if reading.head.size > limits.header_bytes or too_many:
+        size = reading.head.size + reading.trailers.size
+        lines = len(reading.head.headers) + len(reading.trailers.headers)
+        if size > limits.header_bytes or lines > MAX_HEADER_LINES:
             raise RequestRefusedError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _refusal_status(self, reading: _Reading) -> int:
