Refuse messages with a transfer coding other than chunked

Cause: of "Transfer-Encoding: gzip, chunked" only the chunks were decoded, and the header was dropped as one that concerns a single connection. The caller would have got a signed 200 with compressed bytes as its body (MIXED), and a server a request with another body than the caller's (UNASKED). The same held for a repeated "chunked". Answers whose last coding isn't chunked were read until the connection's end before they failed. Change: such an answer is a broken exchange as soon as its head is read; such a request is answered 501. Heads of answers without a body may name any coding. Test: rows in the tables of 'A connection to a server returns whole answers only' and 'A request that is cut off is never run', and one in 'Malformed and oversized requests are refused and end the connection'.

--- a/features/gateway_callers.feature
+++ b/features/gateway_callers.feature
@@ -35,6 +35,7 @@
       | GET x HTTP/1.1\r\nHost: a\r\n\r\n                                            | 400    | 0   |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab | 400 | 0   |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 400 | 0 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\na\r\n0\r\n\r\n | 501 | 0 |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n                  | 413    | 0   |
       | GET /x HTTP/1.1\r\nHost: a\r\nX: {600}\r\n\r\n                               | 431    | 0   |
       | HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n                                          | 501    | 0   |
--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -146,6 +146,8 @@
     return _broken(name, CHUNKED, payload)
 
 
+_HELLO_CHUNK = b"5\r\nhello\r\n0\r\n\r\n"
+
 # No cut of these may be returned as an answer.
 MALFORMED = (
     _broken("two lengths", b"Content-Length: 5\r\nContent-Length: 5\r\n"),
@@ -161,8 +163,15 @@
     _broken("length on the next line", b"Content-Length:\r\n 5\r\n"),
     _broken("length with a space before the colon", b"Content-Length : 5\r\n"),
     _broken("length without a colon", b"Content-Length 5\r\n"),
-    _broken("length and chunks", b"Content-Length: 5\r\n" + CHUNKED, b"5\r\nhello\r\n0\r\n\r\n"),
-    _broken("chunks and length", CHUNKED + b"Content-Length: 5\r\n", b"5\r\nhello\r\n0\r\n\r\n"),
+    _broken("length and chunks", b"Content-Length: 5\r\n" + CHUNKED, _HELLO_CHUNK),
+    _broken("chunks and length", CHUNKED + b"Content-Length: 5\r\n", _HELLO_CHUNK),
+    _broken("coding before chunked", b"Transfer-Encoding: gzip, chunked\r\n", _HELLO_CHUNK),
+    _broken("two codings", b"Transfer-Encoding: gzip\r\n" + CHUNKED, _HELLO_CHUNK),
+    _broken("chunked twice", CHUNKED + CHUNKED, _HELLO_CHUNK),
+    _broken("chunked isn't the last coding", CHUNKED + b"Transfer-Encoding: gzip\r\n"),
+    _broken("no chunks", b"Transfer-Encoding: identity\r\n"),
+    _broken("unknown coding", b"Transfer-Encoding: xchunked\r\n", _HELLO_CHUNK),
+    _broken("large with an unknown coding", b"Transfer-Encoding: gzip\r\n", LARGE),
     _broken("header without a colon", b"X\r\n"),
     _broken("space before the colon", b"X : y\r\n"),
     _broken("folded header", b"X: a\r\n b\r\nContent-Length: 5\r\n"),
--- a/features/support/cut_requests.py
+++ b/features/support/cut_requests.py
@@ -93,6 +93,11 @@
     _malformed("chunked isn't the last coding", b"Transfer-Encoding: chunked, x\r\n", _CHUNKS),
     _malformed("no chunks", b"Transfer-Encoding: identity\r\n", _CHUNKS),
     _malformed("unknown coding", b"Transfer-Encoding: xchunked\r\n", _CHUNKS),
+    _malformed("coding before chunked", b"Transfer-Encoding: gzip, chunked\r\n", _CHUNKS),
+    _malformed("two codings", b"Transfer-Encoding: gzip\r\n" + CHUNKED, _CHUNKS),
+    _malformed(
+        "upgrade and two codings", UPGRADE + b"Transfer-Encoding: gzip\r\n" + CHUNKED, _CHUNKS
+    ),
     _malformed("folded header", b"X: a\r\n b\r\nContent-Length: 5\r\n"),
     _malformed("bare LF after a header", b"X: y\nContent-Length: 5\r\n"),
     _malformed("bare CR in a value", b"X: y\rContent-Length: 5\r\n"),
--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -7,7 +7,12 @@
 import httptools
 from attrs import define, field
 
-from hyssopwood.gateway.exchange import AnswerStart, ExchangeBrokenError, HeaderCollector
+from hyssopwood.gateway.exchange import (
+    AnswerStart,
+    ExchangeBrokenError,
+    HeaderCollector,
+    has_unknown_coding,
+)
 from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
 
 # Bytes of an answer outside of its body, including interim answers. Servers' heads have about 300.
@@ -114,6 +119,8 @@
         headers = tuple(message.head.headers)
         lengths = [value for name, value in headers if name == b"content-length"]
         bodiless = status in _BODILESS_STATUSES
+        if has_unknown_coding(headers) and not bodiless:
+            raise ExchangeBrokenError("the answer has a transfer coding other than chunked")
         chunked = any(name == b"transfer-encoding" for name, _ in headers)
         message.start = AnswerStart(
             status=status,
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -45,6 +45,16 @@
     return None
 
 
+def has_unknown_coding(headers: Headers) -> bool:
+    """Return whether a body is sent in another transfer coding than chunked.
+
+    Only chunks are decoded. The header applies to one connection only, so that the next reader
+    would take the encoded bytes for the body.
+    """
+    codings = [value.strip().lower() for name, value in headers if name == b"transfer-encoding"]
+    return bool(codings) and codings != [b"chunked"]
+
+
 class StreamEnd(Enum):
     """Ways in which a stream can end."""
 
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -9,7 +9,7 @@
 import httptools
 from attrs import define, field
 
-from hyssopwood.gateway.exchange import CallerRequest, HeaderCollector
+from hyssopwood.gateway.exchange import CallerRequest, HeaderCollector, has_unknown_coding
 from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
 from hyssopwood.gateway.route_table import CallerLimits
 
@@ -178,6 +178,8 @@
         reading.keeps_alive = self._parser.should_keep_alive()
         if reading.method in _UNSUPPORTED_METHODS:
             raise RequestRefusedError(HTTPStatus.NOT_IMPLEMENTED)
+        if has_unknown_coding(tuple(reading.head.headers)):
+            raise RequestRefusedError(HTTPStatus.NOT_IMPLEMENTED)
         for name, value in reading.head.headers:
             if name == b"content-length":
                 reading.length = int(value)
