Reset the connection of a close-framed answer also when the process ends

Cause: a streamed answer without a length to an HTTP/1.0 caller is framed by the end of its connection. HTTP/1.1 callers see the missing length or last chunk. Change: the socket of such an answer is set to reset on close from its head until the kernel has all of its bytes. Test: 'A gateway that ends within an answer doesn't make it look whole' and 'A gateway that is killed before the last bytes are sent ...' start a process.

--- a/features/gateway_truncation.feature
+++ b/features/gateway_truncation.feature
@@ -38,6 +38,27 @@
       | closes | large | 1.0     |
       | resets | large | 1.0     |
 
+  Scenario Outline: A gateway that ends within an answer doesn't make it look whole
+    Guards against an HTTP/1.0 caller, which knows the end of such an answer by the end of its
+    connection only, and whose connection the kernel closes when the process ends.
+    Given a gateway process that streams <size> bytes to an HTTP/1.0 caller and <ending>
+    When the caller reads until the connection ends
+    Then the caller got <size> bytes and the connection <end>
+
+    Examples:
+      | ending    | size   | end      |
+      | is killed | 1000   | is reset |
+      | stops     | 1000   | is reset |
+      | finishes  | 1000   | ends     |
+      | finishes  | 400000 | ends     |
+      | finishes  | 20000000 | ends   |
+
+  Scenario: A gateway that is killed before the last bytes are sent doesn't make an answer look whole
+    Guards against a connection that closes in order because its last bytes wait to be sent.
+    Given a gateway process that streams 20000000 bytes to an HTTP/1.0 caller and finishes and is killed
+    When the caller reads until the connection ends
+    Then the caller got less than 20000000 bytes and the connection is reset
+
   Scenario Outline: A request that is cut off is never run
     Guards against a caller that stops in the middle of a request, of which the start is run, and
     against a request that is run without its body.
--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -4,6 +4,10 @@
 import errno
 import socket
 import struct
+import subprocess
+import sys
+import time
+from pathlib import Path
 
 import uvloop
 from behave import given, then, when
@@ -27,6 +31,7 @@
 CONCURRENT_CUTS = 16
 NO_LINGER = struct.pack("ii", 1, 0)
 READ_LIMIT_S = 5.0
+SETTLE_S = 0.1
 RESET = ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
 UNACKNOWLEDGED = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
 
@@ -346,3 +351,41 @@
 def step_requests_right(context):
     assert context.tried > len(context.requests)
     assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
+
+
+@given("a gateway process that streams {size:d} bytes to an HTTP/1.0 caller and {ending}")
+def step_streaming_process(context, size, ending):
+    script = Path(__file__).parent.parent / "support" / "streaming_process.py"
+    command = [sys.executable, str(script), ending, str(size)]
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    context.add_cleanup(context.process.stdout.close)
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+    port = int(context.process.stdout.readline())
+    context.caller = socket.create_connection(("127.0.0.1", port), READ_LIMIT_S)
+    context.add_cleanup(context.caller.close)
+    context.caller.sendall(b"GET / HTTP/1.0\r\nHost: a\r\n\r\n")
+
+
+@when("the caller reads until the connection ends")
+def step_read_to_end(context):
+    # The process ends meanwhile, if the connection takes all bytes of the answer.
+    time.sleep(3 * SETTLE_S)
+    context.received, context.end = b"", "ends"
+    try:
+        while piece := context.caller.recv(65_536):
+            context.received += piece
+    except ConnectionResetError:
+        context.end = "is reset"
+
+
+@then("the caller got less than {size:d} bytes and the connection is reset")
+def step_end_early(context, size):
+    assert context.end == "is reset", context.end
+    assert len(context.received) < size
+
+
+@then("the caller got {size:d} bytes and the connection {end}")
+def step_end(context, size, end):
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert (len(body), context.end) == (size, end), (len(body), context.end)
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -21,7 +21,7 @@
 )
 from hyssopwood.gateway.answer_stream import WINDOW_BYTES
 from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, ExchangeBrokenError
-from hyssopwood.gateway.read_buffer import BufferedConnection, reset
+from hyssopwood.gateway.read_buffer import BufferedConnection, reset, set_reset_on_close
 from hyssopwood.gateway.request_reader import RequestReader, RequestRefusedError
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.timers import Timers
@@ -254,6 +254,8 @@
         stream = slot.answer.stream
         framing = framing_of(stream.length, slot.request)
         close = self._closes_after(slot) or framing is Framing.CLOSE
+        if framing is Framing.CLOSE:
+            self._set_reset_on_close(True)
         self._write(encode_head(slot.answer, framing, stream.length, close))
         try:
             while piece := await stream.read():
@@ -265,12 +267,26 @@
                 reset(self._transport)
             return
         self._write(encode_end(framing))
+        if framing is Framing.CLOSE:
+            await self._wait_until_sent()
+            self._set_reset_on_close(False)
         self._slots.popleft()
         if close:
             self._end()
         else:
             self._flush()
 
+    async def _wait_until_sent(self) -> None:
+        """Wait until the kernel has all bytes, which it sends also if the process ends."""
+        if self._transport is not None:
+            self._transport.set_write_buffer_limits(high=0)
+        await self._writable.wait()
+
+    def _set_reset_on_close(self, enabled: bool) -> None:
+        """Make the end of this process look like a broken answer, not like a complete one."""
+        if self._transport is not None and not self._transport.is_closing():
+            set_reset_on_close(self._transport, enabled)
+
     def _end(self) -> None:
         """Close after the last answer; requests behind it are discarded."""
         self._closing = True
--- a/src/hyssopwood/gateway/read_buffer.py
+++ b/src/hyssopwood/gateway/read_buffer.py
@@ -16,15 +16,22 @@
 # Event loops fill the buffer and deliver it in one step, so connections can share it.
 _SHARED_BUFFER = bytearray(READ_BYTES)
 _NO_LINGER = struct.pack("ii", 1, 0)
+_DEFAULT_LINGER = struct.pack("ii", 0, 0)
+
+
+def set_reset_on_close(transport: asyncio.Transport, enabled: bool) -> None:
+    """Choose whether the connection's close resets it, also when the process ends."""
+    raw = transport.get_extra_info("socket")
+    if raw is not None:
+        linger = _NO_LINGER if enabled else _DEFAULT_LINGER
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def reset(transport: asyncio.Transport) -> None:
     """Reset a connection, so that the peer can't mistake this for an orderly close."""
     if transport.is_closing():
         return
-    raw = transport.get_extra_info("socket")
-    if raw is not None:
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    set_reset_on_close(transport, True)
     transport.abort()
 
 
