Count an append whose answer is cut off as unconfirmed

Cause: if the store's answer to an append has no length, its body may be cut off without an error of the HTTP client, by a reset too. The 200 or 412 that was no whole JSON was raised as a fault of the protocol, although the records may have been appended. The leader gave up its leadership instead of repeating the write under the same condition. Change: it is raised as AppendUnconfirmedError. Test: 'An answer that is cut off is never taken as whole' cuts the answers of read, newest and append off at each byte, by length, by chunks and by the connection's end. The same test shows that lists, and reads with a length or chunks, are never taken in part. A read without a length may return its first whole records only, and the next read starts behind them.

--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -47,6 +47,21 @@
     When records "a=1" are appended at 0
     Then reading from 0 fails as "protocol"
 
+  Scenario Outline: An answer that is cut off is never taken as whole
+    Guards against a part of a list, of a read or of an append's answer that passes for all of it.
+    Also guards against an append that may have been carried out and doesn't count as unconfirmed.
+    Given a store whose answers by <framing> are cut off at each byte by a connection that <ends>
+    Then reading returns whole records only, and everything else fails unless it is whole
+    And each append with a broken answer is unconfirmed
+
+    Examples:
+      | framing | ends    |
+      | length  | closes  |
+      | chunks  | closes  |
+      | chunks  | resets  |
+      | close   | closes  |
+      | close   | resets  |
+
   Scenario: An endless read fails at its size limit
     Guards against a store that fills an instance's memory until the call's timeout.
     Given a keyed store whose reads never end
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -150,7 +150,11 @@
             answer = await self._request("POST", APPEND_PATH, params, CALL_TIMEOUT_S, body)
         except LogUnavailableError as error:
             raise AppendUnconfirmedError(str(error)) from error
-        fields = _parse_json(answer.data) if answer.status in (200, 412) else {}
+        try:
+            fields = _parse_json(answer.data) if answer.status in (200, 412) else {}
+        except LogProtocolError as error:
+            # A body without a length may be cut off, although the append was carried out.
+            raise AppendUnconfirmedError(str(error)) from error
         if answer.status == 412:
             raise AppendConflictError(int(fields.get("end_offset", -1)))
         if answer.status != 200:
