Treat an answer with several request ids as broken

Cause: a head that is cut off in a header's value and continued by another answer's bytes is one head to the parser: status and signature of one answer with the body of another. The first request id alone was compared, so it was returned as 200 (MIXED). Change: an answer whose head has the id's header more than once is a broken exchange. Test: two rows in the table of malformed answers; before, both were returned as whole.

--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -188,6 +188,11 @@
     _broken("status below 100", NAMES, start=b"HTTP/1.1 099 OK\r\n"),
     _broken("switch of the protocol", b"", start=b"HTTP/1.1 101 Switching\r\n" + NAMES),
     _broken("an interim answer only", b"", b"", start=b"HTTP/1.1 100 Continue\r\n" + NAMES),
+    _broken(
+        "a head that is cut off by an answer to another request",
+        b"X: " + OK + b"Request-Id: r0\r\nContent-Length: 5\r\n",
+    ),
+    _broken("the request's id twice", b"Request-Id: r1\r\nContent-Length: 5\r\n"),
     _broken("a late answer only", b"Content-Length: 5\r\n", start=OK + b"Request-Id: r0\r\n"),
     _broken("a late answer by close", b"", start=OK + b"Request-Id: r0\r\n"),
     _bad_chunks("no chunk size", b"\r\nhello\r\n0\r\n\r\n"),
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -147,6 +147,9 @@
             self._usable = False
             return
         self._start = start
+        if sum(name == self._id_header for name, _ in start.headers) > 1:
+            # Another answer began within the head of this one.
+            raise ExchangeBrokenError("the answer has several request ids")
         if self._is_mismatched(start):
             # This is a late duplicate answer to an earlier request; the expected one follows.
             self._usable = False
