Test that a key command is done only with a whole answer

The answer to a release is cut off at each byte, by length, by chunks and by the connection's end, with an orderly end and with a reset. Not covered: of an answer of more than 64 KiB the head decides, as before.

--- a/features/gateway_truncation.feature
+++ b/features/gateway_truncation.feature
@@ -59,6 +59,20 @@
     When the caller reads until the connection ends
     Then the caller got less than 20000000 bytes and the connection is reset
 
+  Scenario Outline: A key command is done only with a whole answer
+    Guards against keys that count as granted or released, with a part of the proof of release,
+    because the start of an answer says so.
+    Given a server whose answers to key commands are framed by <framing>
+    When it <ends> after each byte of its answer to a release
+    Then the release is done if the answer is whole, and otherwise not
+
+    Examples:
+      | framing | ends   |
+      | length  | closes |
+      | chunks  | closes |
+      | close   | closes |
+      | close   | resets |
+
   Scenario Outline: A request that is cut off is never run
     Guards against a caller that stops in the middle of a request, of which the start is run, and
     against a request that is run without its body.
--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import uvloop
+from attrs import evolve
 from behave import given, then, when
 
 from hyssopwood.gateway.caller_connection import CallerConnection
@@ -17,9 +18,13 @@
 from hyssopwood.gateway.exchange import CallerAnswer, ExchangeBrokenError, ServerRequest
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.gateway.server_connection import ServerConnection, connect
+from hyssopwood.gateway.server_directory import ServerRecord
+from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.keyspace.plan import KeyRange
+from hyssopwood.platform.key_commands import PlatformKeyCommands
 from hyssopwood.timers import SystemTimers
 from support import cut_requests
-from support.cut_answers import MALFORMED, REQUEST_ID, SOUND, WITH_EXTRA_BYTES
+from support.cut_answers import MALFORMED, NAMES, REQUEST_ID, SOUND, WITH_EXTRA_BYTES
 
 TABLES = {"sound": SOUND, "malformed": MALFORMED, "followed": WITH_EXTRA_BYTES}
 REQUEST_TABLES = {"sound": cut_requests.SOUND, "malformed": cut_requests.MALFORMED}
@@ -32,6 +37,7 @@
 NO_LINGER = struct.pack("ii", 1, 0)
 READ_LIMIT_S = 5.0
 SETTLE_S = 0.1
+HANDOVER = "5c0e7a21d94b36f8"
 RESET = ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
 UNACKNOWLEDGED = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
 
@@ -176,15 +182,7 @@
     async def serve(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
         index, cut, ends = head.split(b" ")[1].split(b"/")[1:]
-        writer.write(SOUND[int(index)].data[: int(cut)])
-        await writer.drain()
-        if ends == b"resets":
-            while writer.transport.get_write_buffer_size():
-                await asyncio.sleep(0.001)
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-            writer.transport.abort()
-        writer.close()
+        await _send_and_end(writer, SOUND[int(index)].data[: int(cut)], ends.decode())
 
 
 class _Forwarder:
@@ -207,6 +205,34 @@
         return CallerAnswer(status=answer.status, body=answer.body, stream=answer.stream)
 
 
+class _CommandServer:
+    """Send the first bytes of an answer to a release, then close or reset."""
+
+    def __init__(self, framing):
+        answer = next(item for item in SOUND if item.name == framing)
+        # Answers to key commands have no request id.
+        head = answer.head.replace(NAMES, b"Handover: " + HANDOVER.encode() + b"\r\n")
+        self.answer = evolve(answer, head=head)
+        self.cut = 0
+        self.ends = ""
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        await _send_and_end(writer, self.answer.data[: self.cut], self.ends)
+
+
+async def _send_and_end(writer, data, ends):
+    writer.write(data)
+    await writer.drain()
+    if ends == "resets":
+        while writer.transport.get_write_buffer_size():
+            await asyncio.sleep(0.001)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        writer.transport.abort()
+    writer.close()
+
+
 def _decode_chunks(data):
     """Return the body, or None if the last chunk is missing."""
     body = b""
@@ -389,3 +415,46 @@
 def step_end(context, size, end):
     body = context.received.partition(b"\r\n\r\n")[2]
     assert (len(body), context.end) == (size, end), (len(body), context.end)
+
+
+@given("a server whose answers to key commands are framed by {framing:w}")
+def step_command_server(context, framing):
+    context.server = _CommandServer(framing)
+    listener = context.run(asyncio.start_server(context.server.serve, "127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.record = ServerRecord(
+        server="s",
+        service="p",
+        address=f"127.0.0.1:{listener.sockets[0].getsockname()[1]}",
+        failure_domain="a",
+        slots=1,
+        draining=False,
+        warmup_left_s=0.0,
+        born_ms=1,
+        sequence=1,
+    )
+
+
+@when("it {ends:w} after each byte of its answer to a release")
+def step_cut_releases(context, ends):
+    async def run_all():
+        commands = PlatformKeyCommands(ServerPool(context.timers, b"request-id"))
+        keys = KeyRange(first=0, last=9, server="s", born_ms=1, fence=1)
+        for cut in answer.cuts():
+            server.cut = cut
+            result = await commands.release(context.record, keys, READ_LIMIT_S)
+            whole = answer.result(cut, ends == "closes") is not None
+            context.tried += 1
+            if (result.done, result.handover) != (whole, HANDOVER if whole else None):
+                context.wrong.append((cut, result))
+
+    server, answer = context.server, context.server.answer
+    server.ends = ends
+    context.tried, context.wrong = 0, []
+    context.run(run_all())
+
+
+@then("the release is done if the answer is whole, and otherwise not")
+def step_releases_right(context):
+    assert context.tried > 50
+    assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
