Treat an answer with a status code below 100 as broken

Cause: all status codes below 200 counted as interim answers, so "000" with a length and a body was skipped, and what followed was returned as the answer. Found by random changes of answers (1 of 300,000, compared with a strict reader). Change: a status code below 100 ends the exchange as broken. Test: a row in the table of malformed answers; before, it was returned as 200.

--- a/features/support/cut_answers.py
+++ b/features/support/cut_answers.py
@@ -186,6 +186,12 @@
     _broken("status of two digits", NAMES, start=b"HTTP/1.1 20\r\n"),
     _broken("status of four digits", NAMES, start=b"HTTP/1.1 2000 OK\r\n"),
     _broken("status below 100", NAMES, start=b"HTTP/1.1 099 OK\r\n"),
+    _broken(
+        "status below 100 with a length, then an answer",
+        b"",
+        b"hello" + HEAD + b"Content-Length: 5\r\n\r\nhello",
+        start=b"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n",
+    ),
     _broken("switch of the protocol", b"", start=b"HTTP/1.1 101 Switching\r\n" + NAMES),
     _broken("an interim answer only", b"", b"", start=b"HTTP/1.1 100 Continue\r\n" + NAMES),
     _broken(
--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -24,7 +24,8 @@
 # Heads are parsed in slices, so that an endless one is detected before much of it is buffered.
 HEAD_SLICE_BYTES = 4096
 _BODILESS_STATUSES = frozenset({204, 304})
-# Lowest status code of a final answer.
+# Lowest status code of any answer, and of a final one.
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
 
 
@@ -111,6 +112,8 @@
         message = self._message
         assert message is not None
         status = self._parser.get_status_code()
+        if status < _MIN_STATUS:
+            raise ExchangeBrokenError(f"the answer has the status code {status}")
         if status < _MIN_FINAL_STATUS:
             self._interim += 1
             if self._interim > MAX_INTERIM_ANSWERS:
