Test randomly changed answers against a strict reader

12,000 changes of the sound answers with two seeds: what a connection returns must be what a strict reader of the test returns; the gateway may be stricter.

--- a/features/gateway_truncation.feature
+++ b/features/gateway_truncation.feature
@@ -17,6 +17,16 @@
       | malformed | one packet  | is reset                               |
       | malformed | single bytes | ends later                            |
 
+  Scenario Outline: A randomly changed answer is returned only as a strict reader returns it
+    Guards against a lenient reading of a damaged answer that makes a part of it look whole.
+    When 6000 sound answers are changed at random with seed <seed> and sent by a server
+    Then each that is returned is what a strict reader returns
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
   Scenario: Bytes after a whole answer end the reuse of its connection
     Guards against a start of another answer that stays in the parser: its status would be returned
     with the headers and the body of the answer to the next request.
--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import random
 import socket
 import struct
 import subprocess
@@ -23,7 +24,7 @@
 from hyssopwood.keyspace.plan import KeyRange
 from hyssopwood.platform.key_commands import PlatformKeyCommands
 from hyssopwood.timers import SystemTimers
-from support import cut_requests
+from support import cut_requests, strict_reader
 from support.cut_answers import MALFORMED, NAMES, REQUEST_ID, SOUND, WITH_EXTRA_BYTES
 
 TABLES = {"sound": SOUND, "malformed": MALFORMED, "followed": WITH_EXTRA_BYTES}
@@ -176,6 +177,32 @@
     assert not context.wrong, f"{len(context.wrong)} of {context.tried}: {context.wrong[:5]}"
 
 
+@when("{count:d} sound answers are changed at random with seed {seed:d} and sent by a server")
+def step_change(context, count, seed):
+    async def run_all():
+        for _ in range(count):
+            data = strict_reader.change(rng.choice(small), rng)
+            ends = rng.choice(("ends later", "is reset"))
+            packets = rng.choice(("one packet", "single bytes"))
+            received = await _run_cut(data, packets, ends)
+            expected = strict_reader.read_answer(data, ends == "ends later")
+            context.returned += received is not None
+            # The gateway may be stricter than the reference.
+            if received is not None and received != expected:
+                context.wrong.append((data, ends, expected, received))
+
+    rng = random.Random(seed)
+    small = [answer.data for answer in SOUND if len(answer.data) < 2000]
+    context.returned, context.wrong = 0, []
+    context.run(run_all())
+
+
+@then("each that is returned is what a strict reader returns")
+def step_strict(context):
+    assert context.returned > 500, context.returned
+    assert not context.wrong, f"{len(context.wrong)}: {context.wrong[:3]}"
+
+
 class _CuttingServer:
     """Send the part of an answer that a request's target names, then close or reset."""
 
@@ -397,7 +424,7 @@
 def step_read_to_end(context):
     # The process ends meanwhile, if the connection takes all bytes of the answer.
     time.sleep(3 * SETTLE_S)
-    context.received, context.end = b"", "ends"
+    context.received, context.end = bytearray(), "ends"
     try:
         while piece := context.caller.recv(65_536):
             context.received += piece
