--- a/features/gateway_callers.feature
+++ b/features/gateway_callers.feature
@@ -35,10 +35,14 @@
       | GET x HTTP/1.1\r\nHost: a\r\n\r\n                                            | 400    | 0   |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab | 400 | 0   |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n | 400 | 0 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\na\r\n0\r\n\r\n | 501 | 0 |
       | POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n                  | 413    | 0   |
       | GET /x HTTP/1.1\r\nHost: a\r\nX: {600}\r\n\r\n                               | 431    | 0   |
       | HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n                                          | 501    | 0   |
       | GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n                      | 200    | 1   |
+      | POST /x HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\na | 400 | 0 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nContent-Length: 1\r\n\r\naGET /x HTTP/1.1\r\nHost: a\r\n\r\n | 200 | 1 |
+      | POST /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\nGET /x HTTP/1.1\r\nHost: a\r\n\r\n | 200 | 1 |
 
   Scenario: Chunked bodies arrive complete
     Guards against a body that is altered in transit.
@@ -46,6 +50,20 @@
     When a caller sends the bytes "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
     Then the gateway saw the body "abcde"
 
+  Scenario Outline: Trailers of a chunked body don't become headers of the request
+    Guards against a field behind the body that replaces or repeats a header, so that a proper
+    request is refused or another one is sent to the server.
+    Given a gateway listener whose requests take "/x:0"
+    When a caller sends the bytes "POST /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n<trailer>\r\n\r\n"
+    Then the gateway saw the body "a"
+    And the gateway saw the headers "host,connection,transfer-encoding"
+
+    Examples:
+      | trailer      |
+      | X-Checksum: 1 |
+      | Host: b      |
+      | Shard-Key: 7 |
+
   Scenario: A connection with a late request or without one is closed
     Guards against connections that are kept open without use.
     Given a gateway listener whose requests take "/x:0"
--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -7,7 +7,12 @@
 import httptools
 from attrs import define, field
 
-from hyssopwood.gateway.exchange import AnswerStart, ExchangeBrokenError, HeaderCollector
+from hyssopwood.gateway.exchange import (
+    AnswerStart,
+    ExchangeBrokenError,
+    HeaderCollector,
+    has_unknown_coding,
+)
 from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
 
 # Bytes of an answer outside of its body, including interim answers. Servers' heads have about 300.
@@ -19,7 +24,8 @@
 # Heads are parsed in slices, so that an endless one is detected before much of it is buffered.
 HEAD_SLICE_BYTES = 4096
 _BODILESS_STATUSES = frozenset({204, 304})
-# Lowest status code of a final answer.
+# Lowest status code of any answer, and of a final one.
+_MIN_STATUS = 100
 _MIN_FINAL_STATUS = 200
 
 
@@ -56,17 +62,18 @@
         self._message: _Message | None = None
         self._meter = FramingMeter(MAX_FRAMING_BYTES)
         self._interim = 0
+        self._at_start = True
+
+    @property
+    def at_start(self) -> bool:
+        """Return whether no byte of an answer has been read since the last complete one."""
+        return self._at_start
 
     @property
     def keeps_alive(self) -> bool:
         """Return whether the server keeps the connection after this answer."""
         return bool(self._parser.should_keep_alive())
 
-    @property
-    def between_answers(self) -> bool:
-        """Return whether no byte of a further answer, also an interim one, has been read."""
-        return self._message is None and not self._interim
-
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise ExchangeBrokenError if they are malformed or exceed a limit."""
         view = memoryview(data)
@@ -92,6 +99,7 @@
 
     def on_message_begin(self) -> None:
         self._message = _Message()
+        self._at_start = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self._message is not None
@@ -104,6 +112,8 @@
         message = self._message
         assert message is not None
         status = self._parser.get_status_code()
+        if status < _MIN_STATUS:
+            raise ExchangeBrokenError(f"the answer has the status code {status}")
         if status < _MIN_FINAL_STATUS:
             self._interim += 1
             if self._interim > MAX_INTERIM_ANSWERS:
@@ -112,6 +122,8 @@
         headers = tuple(message.head.headers)
         lengths = [value for name, value in headers if name == b"content-length"]
         bodiless = status in _BODILESS_STATUSES
+        if has_unknown_coding(headers) and not bodiless:
+            raise ExchangeBrokenError("the answer has a transfer coding other than chunked")
         chunked = any(name == b"transfer-encoding" for name, _ in headers)
         message.start = AnswerStart(
             status=status,
@@ -131,6 +143,7 @@
             # This was an interim answer; the final one follows.
             return
         self._interim = 0
+        self._at_start = True
         # Bytes beyond the end belong to the next answer, which has its own limit.
         self._meter = FramingMeter(MAX_FRAMING_BYTES)
         self._events.answer_ended()
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -145,9 +145,9 @@
         except ExchangeBrokenError as error:
             self._fail(str(error))
             return
-        if not self._expects_bytes() and not self._reader.between_answers:
-            # The beginning of another answer belongs to no request; its rest may follow any time.
-            self._usable = False
+        if not self._expects_bytes() and not self._reader.at_start:
+            # The start of an extra answer must not be continued by the answer to the next request.
+            self.abort()
 
     def eof_received(self) -> bool:
         self._reader.end()
@@ -164,6 +164,9 @@
             self._usable = False
             return
         self._start = start
+        if sum(name == self._id_header for name, _ in start.headers) > 1:
+            # Another answer began within the head of this one.
+            raise ExchangeBrokenError("the answer has several request ids")
         if self._is_mismatched(start):
             # This is a late duplicate answer to an earlier request; the expected one follows.
             self._usable = False
