--- a/features/gateway_command_answers.feature
+++ b/features/gateway_command_answers.feature
@@ -19,3 +19,28 @@
       | without an id | in the same packet      |
       | without an id | half in the same packet |
       | without an id | before the next request |
+
+  Scenario Outline: Only the answer to a command shows that it was carried out
+    Guards against keys that count as granted or released by an answer to a request, by one to another
+    command, or by one of another server.
+    Given a server "s1" that answers commands with status <status> and the headers "<headers>"
+    When it gets a <command>
+    Then the command counts as <result>
+
+    Examples:
+      | command | status | headers                                 | result                   |
+      | grant   | 200    |                                         | done                     |
+      | grant   | 200    | Handover: h                             | not done                 |
+      | grant   | 200    | Response-Signature: s                   | not done                 |
+      | grant   | 200    | Request-Id: r1                          | not done                 |
+      | grant   | 409    |                                         | not done and fenced      |
+      | grant   | 421    | Instance-Id: s2                         | not done, s2 answered    |
+      | grant   | 421    | Instance-Id: s1                         | not done                 |
+      | grant   | 421    |                                         | not done                 |
+      | release | 200    | Handover: h                             | done                     |
+      | release | 200    |                                         | not done                 |
+      | release | 200    | Handover: h, Response-Signature: s      | not done                 |
+      | release | 200    | Handover: h, Request-Id: r1             | not done                 |
+      | release | 421    | Instance-Id: s2                         | not done, s2 answered    |
+      | release | 421    | Instance-Id: s2, Server-Leaving: 1      | not done, s2 answered    |
+      | release | 503    | Not-Executed: 1                         | not done                 |
--- a/src/hyssopwood/platform/key_commands.py
+++ b/src/hyssopwood/platform/key_commands.py
@@ -26,7 +26,9 @@
     GRANT_PATH,
     HANDOVER,
     RELEASE_PATH,
+    REQUEST_ID,
     SERVER_LEAVING,
+    SIGNATURE,
 )
 
 _JSON = (b"Content-Type", b"application/json")
@@ -58,7 +60,20 @@
     return _encode_command(server, RELEASE_PATH, keys)
 
 
-def _decode_answer(server: str, answer: ServerAnswer, channel: int | None = None) -> CommandAnswer:
+def _is_done(answer: ServerAnswer, is_release: bool) -> bool:
+    """Return whether a command was carried out.
+
+    Answers to commands have no id, so one to a request, or to a command of the other kind, must not
+    count: servers may write answers more than once. Only answers to releases contain a proof.
+    """
+    if answer.status != HTTPStatus.OK or (answer.header(HANDOVER) is not None) != is_release:
+        return False
+    return answer.header(REQUEST_ID) is None and answer.header(SIGNATURE) is None
+
+
+def _decode_answer(
+    server: str, answer: ServerAnswer, is_release: bool, channel: int | None = None
+) -> CommandAnswer:
     if answer.stream is not None:
         # The headers contain all that is needed, so a large body isn't read.
         answer.stream.abandon()
@@ -69,7 +84,7 @@
         answered_by = (answer.header(ANSWERED_BY) or b"").decode("latin-1")
         replaced_by = answered_by if answered_by not in ("", server) else None
     return CommandAnswer(
-        done=answer.status == HTTPStatus.OK,
+        done=_is_done(answer, is_release),
         fenced=answer.status == HTTPStatus.CONFLICT,
         handover=None if handover is None else handover.decode("latin-1"),
         leaving=replaced_by is None and answer.header(SERVER_LEAVING) == b"1",
@@ -103,7 +118,7 @@
             return CommandAnswer(done=False, sent=False)
         except ExchangeBrokenError:
             return CommandAnswer(done=False)
-        return _decode_answer(server.server, answered.answer, answered.channel)
+        return _decode_answer(server.server, answered.answer, False, answered.channel)
 
     async def release(
         self, server: ServerRecord, keys: KeyRange, timeout_s: float
@@ -117,4 +132,4 @@
         except (ExchangeBrokenError, TimeoutError):
             self._pool.abort_idle(server)
             return CommandAnswer(done=False)
-        return _decode_answer(server.server, answer)
+        return _decode_answer(server.server, answer, True)
