Refuse requests that can't end within the shutdown time before they are sent

Cause: all requests were accepted for 3.2 s after the stop signal, whatever the shutdown time and the request's deadline. With a shutdown time of 3 s or less nothing was refused, and the listener stayed open until the end; with 6 s a request that came after 3.1 s had 2.4 s left of a deadline of 5.6 s. After 3.2 s those that fit were refused too. Change: ShutdownTimes takes the shutdown time of the settings. A request whose deadline fits before the end is accepted at any time. Another one is accepted only while the load balancer may still send callers (2.4 s, or until shortly before the end), and only if its target latency fits, twice if it may not be repeated; the same holds for each further attempt. Refusing all whose deadline doesn't fit would refuse requests with a deadline of 5.6 s from the stop signal on, though nearly all end within their target. The refusal is a 503 before any send, with Retry-After 0.05 s. Test: gateway_shutdown.feature, with shutdown times of 6, 3 and 1.5 s.

--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -25,6 +25,7 @@
 HEARTBEAT_S = 0.2
 SETTLE_LIMIT_S = 8.0
 TARGET_LATENCY_S = 0.6
+SHUTDOWN_S = 6
 # Time within which every instance has started to listen.
 START_S = 0.1
 
@@ -40,7 +41,7 @@
     return [f"127.0.0.1:{port}" for port in ports]
 
 
-def _settings(name, store, addresses):
+def _settings(name, store, addresses, shutdown_s):
     return GatewaySettings(
         instance=name,
         failure_domain="a",
@@ -50,7 +51,7 @@
         metrics_address=addresses[3],
         store_address=store,
         bounds=Bounds(
-            shutdown_s=6,
+            shutdown_s=shutdown_s,
             max_hold_s=10,
             retry_ratio=0.2,
             retry_window_s=10,
@@ -62,9 +63,9 @@
 class Instance:
     """A gateway daemon and its addresses."""
 
-    def __init__(self, name, store_address):
+    def __init__(self, name, store_address, shutdown_s):
         self.name = name
-        self.settings = _settings(name, store_address, free_addresses(4))
+        self.settings = _settings(name, store_address, free_addresses(4), shutdown_s)
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
         self.daemon = GatewayDaemon(
@@ -89,9 +90,14 @@
 
 
 class Deployment:
-    """A store, servers and instances, and the answers that callers received."""
+    """A store, servers and instances, and the answers that callers received.
 
-    def __init__(self):
+    `timeout_s` replaces the timeouts of all routes.
+    """
+
+    def __init__(self, shutdown_s=SHUTDOWN_S, timeout_s=None):
+        self.shutdown_s = shutdown_s
+        self.timeout_s = timeout_s
         self.store = KeyedStore()
         self.servers = {}
         self.draining = set()
@@ -111,7 +117,7 @@
             await self.servers[name].start()
         self.heartbeats = asyncio.ensure_future(self._send_heartbeats())
         for name in instances:
-            self.instances[name] = Instance(name, self.store.address)
+            self.instances[name] = Instance(name, self.store.address, self.shutdown_s)
         await asyncio.sleep(START_S)
         if servers:
             await self.until(
@@ -137,6 +143,8 @@
         document = copy.deepcopy(configuration(version))
         for rule in document["listeners"][0]["route_rules"]:
             rule.setdefault("target_latency_s", TARGET_LATENCY_S)
+            if self.timeout_s is not None:
+                rule["action"]["timeout_s"] = self.timeout_s
         if not with_route:
             document["listeners"] = []
         self.store.put("keyed.op", "config", json.dumps(document).encode())
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -32,6 +32,7 @@
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import KeyCommands, KeyManager, KeyManagerDependencies
@@ -46,12 +47,6 @@
 from hyssopwood.timers import Timers
 
 HOUSEKEEPING_INTERVAL_S = 1.0
-# The load balancer checks readiness every second and removes an instance after two failures.
-BALANCER_REMOVAL_S = 2.4
-# Time after the stop signal in which requests are still accepted; later ones are refused.
-ACCEPT_REQUESTS_S = 3.2
-# Part of the shutdown time that is reserved for closing connections and ending the process.
-SHUTDOWN_MARGIN_S = 0.5
 SHUTDOWN_POLL_S = 0.05
 # Number of instances that share the retry budget until a leader has sent the list; the largest
 # deployment has 85. Too high a number only reduces retries until then.
@@ -267,19 +262,17 @@
             self._supervisor.start(child)
 
     async def _shut_down(self) -> None:
-        began = self._timers.now()
+        times = ShutdownTimes.begin(self._timers.now(), self._settings.bounds.shutdown_s)
         emit(Event.SHUTDOWN_STARTED, busy=self._callers.busy)
         self._callers.disable_keep_alive()
         self._queues.declining = True
-        last = began + self._settings.bounds.shutdown_s - SHUTDOWN_MARGIN_S
-        while self._timers.now() < last:
-            await self._timers.sleep(SHUTDOWN_POLL_S)
-            elapsed_s = self._timers.now() - began
-            if elapsed_s < BALANCER_REMOVAL_S:
+        self._dispatcher.begin_shutdown(times)
+        while (now := self._timers.now()) < times.ends_at:
+            await self._timers.sleep(min(SHUTDOWN_POLL_S, times.ends_at - now))
+            if self._timers.now() < times.listener_closes_at:
+                # The load balancer and callers may still use an instance that is not ready.
                 continue
-            # The load balancer and callers may still use an instance that is not ready.
             self._callers.close()
-            self._dispatcher.stopping = elapsed_s >= ACCEPT_REQUESTS_S
             self._callers.close_idle()
             if not self._callers.busy and not self._dispatcher.detached:
                 break
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -32,6 +32,7 @@
     OutcomeUnknown,
     Refused,
     RoutedRequest,
+    stopping_refusal,
 )
 from hyssopwood.gateway.queue_link import QueueLink
 from hyssopwood.gateway.queue_messages import Done, Failure
@@ -43,13 +44,12 @@
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.server_selector import Selection, ServerSelector
 from hyssopwood.gateway.shared_queue import service_sample_s
+from hyssopwood.gateway.shutdown import ANSWER_GRACE_S, ShutdownTimes
 from hyssopwood.gateway.weighted_choice import WeightedChoice
 from hyssopwood.keyspace.plan_view import PlanView
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import Timers
 
-# Time after a request's deadline in which the server's own timeout answer may still arrive.
-ANSWER_GRACE_S = 0.08
 # Callers honour Retry-After up to a third of their remaining time.
 RETRY_AFTER_SHARE = 0.3
 # Every Nth answered request is logged; refused and failed ones are always logged.
@@ -96,21 +96,21 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._detached: set[asyncio.Task[Outcome]] = set()
         self._answered_count = 0
-        self.stopping = False
+        self._shutdown: ShutdownTimes | None = None
 
     @property
     def detached(self) -> int:
         """Return the number of running exchanges whose callers have disconnected."""
         return len(self._detached)
 
+    def begin_shutdown(self, times: ShutdownTimes) -> None:
+        """Refuse the requests that can't end in time."""
+        self._shutdown = times
+
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a caller's request."""
         started_at = self._deps.timers.now()
         table = self._deps.tables.current
-        if self.stopping:
-            return self._refuse_unrouted(
-                request, Refused(Cause.STOPPING, "this instance is stopping")
-            )
         if table is None:
             return self._refuse_unrouted(
                 request, Refused(Cause.NO_CONFIGURATION, "no configuration has been loaded yet")
@@ -138,6 +138,8 @@
             sharded=spec is not None and spec.sharded and head.key is not None,
             version=table.version,
         )
+        if self._shutdown is not None and not self._shutdown.accepts(routed, started_at):
+            return self._finish(routed, stopping_refusal(), started_at)
         if routed.sharded and head.key is not None:
             # Demand is counted on arrival: requests for a busy key wait and may never be sent.
             self._deps.reports.record_request(service, head.key)
@@ -152,6 +154,9 @@
             if self._remaining_s(routed) <= 0:
                 last_outcome = Refused(Cause.DEADLINE, "the deadline of the request has passed")
                 break
+            if self._remaining_to_send_s(routed) <= 0:
+                last_outcome = stopping_refusal()
+                break
             if self._deps.crashes.is_quarantined(routed.request):
                 last_outcome = Refused(
                     Cause.QUARANTINED,
@@ -349,6 +354,12 @@
     def _remaining_s(self, routed: RoutedRequest) -> float:
         return routed.deadline - self._deps.timers.now()
 
+    def _remaining_to_send_s(self, routed: RoutedRequest) -> float:
+        """Return for how long the request may still be sent to a server."""
+        shutdown = self._shutdown
+        latest = routed.deadline if shutdown is None else shutdown.latest_send(routed)
+        return latest - self._deps.timers.now()
+
     def _finish(self, routed: RoutedRequest, outcome: Outcome, started_at: float) -> CallerAnswer:
         now = self._deps.timers.now()
         self._deps.metrics.observe("gateway_request", routed.service, now - started_at)
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -11,6 +11,8 @@
 from hyssopwood.gateway.route_table import Route
 
 DEFAULT_RETRY_AFTER_S = 0.25
+# Retry-After of a stopping instance: another one takes the request at once.
+STOPPING_RETRY_AFTER_S = 0.05
 
 
 class Cause(Enum):
@@ -43,6 +45,12 @@
     retry_after_s: float = DEFAULT_RETRY_AFTER_S
 
 
+def stopping_refusal() -> Refused:
+    """Return the refusal of a request that may not end before this instance does."""
+    detail = "this instance is stopping, and the request may not end before it does"
+    return Refused(Cause.STOPPING, detail, STOPPING_RETRY_AFTER_S)
+
+
 @frozen
 class OutcomeUnknown:
     """An attempt that was sent and may or may not have been executed."""
