Refuse requests that wait for a server before a stopping instance ends

Cause: a request that was read before or soon after the stop signal and waited in a server's queue, for its key's owner or for the end of a back-off stayed there until the process ended, and its connection was closed with no answer. Change: waits end while the request can still be refused, by the same bound as for requests that arrive: its target latency before the end, twice if it may not be repeated. Its caller has a 503 that it wasn't run. Test: 'A request that waits in a queue when its instance ends is refused', with shutdown times of 1.5, 3 and 5 s; without the change the requests that no server ran got no answer.

--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -22,3 +22,17 @@
       | 6        | 1.5     | 3.3   | 1.2  | 200    | 1   |
       | 6        | 5.6     | 1     | 0.5  | 200    | 1   |
       | 3        | 1.2     | 1     | 1    | 200    | 1   |
+
+  Scenario Outline: A request that waits in a queue when its instance ends is refused
+    Guards against requests that are read, wait for a server and end with a closed connection.
+    Given a platform with a shutdown time of <shutdown> s and routes with a timeout of 5.6 s
+    And every request takes 6 s
+    When 9 requests for one key are sent to instance "i1" and it stops 0.3 s later
+    Then those that no server ran have status 503 before the instance ends
+    And the stopped instance ended by itself within its shutdown time
+
+    Examples:
+      | shutdown |
+      | 1.5      |
+      | 3        |
+      | 5        |
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -104,8 +104,9 @@
         return len(self._detached)
 
     def begin_shutdown(self, times: ShutdownTimes) -> None:
-        """Refuse the requests that can't end in time."""
+        """Refuse the requests that can't end in time, also those that wait for a server."""
         self._shutdown = times
+        self._selector.begin_shutdown(times)
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Return the answer to a caller's request."""
--- a/src/hyssopwood/gateway/server_selector.py
+++ b/src/hyssopwood/gateway/server_selector.py
@@ -11,12 +11,19 @@
     choose_waiting_domain,
     order_domains,
 )
-from hyssopwood.gateway.outcome import DEFAULT_RETRY_AFTER_S, Cause, Refused, RoutedRequest
+from hyssopwood.gateway.outcome import (
+    DEFAULT_RETRY_AFTER_S,
+    Cause,
+    Refused,
+    RoutedRequest,
+    stopping_refusal,
+)
 from hyssopwood.gateway.queue_link import Admission, QueueLink
 from hyssopwood.gateway.queue_messages import Ask, Done, QueueName, Reply, ReplyState
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import LimitNotice, ServerLimits
+from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.keyspace.plan_view import PlanView
 from hyssopwood.timers import Timers
 
@@ -61,10 +68,21 @@
         factory=dict, init=False
     )
     _observed_waits: dict[tuple[str, str], _ObservedWait] = field(factory=dict, init=False)
+    # Limits on the time of the selections in progress.
+    _limits_in_progress: dict[asyncio.Timeout, RoutedRequest] = field(factory=dict, init=False)
+    _shutdown: ShutdownTimes | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._plan.subscribe(self._reroute)
 
+    def begin_shutdown(self, times: ShutdownTimes) -> None:
+        """End waits for a server, now and from now on, while the request can still be refused."""
+        self._shutdown = times
+        now, loop_now = self._timers.now(), asyncio.get_running_loop().time()
+        for limit, routed in self._limits_in_progress.items():
+            if not limit.expired():
+                limit.reschedule(loop_now + self._latest_end(routed) - now)
+
     async def select(self, routed: RoutedRequest) -> Selection | Refused:
         """Return a server with an admission, or why there is none.
 
@@ -72,11 +90,19 @@
         """
         started_at = self._timers.now()
         try:
-            async with asyncio.timeout(routed.deadline - started_at):
-                admission = await (
-                    self._admit_at_owner(routed) if routed.sharded else self._admit_at_any(routed)
-                )
+            async with asyncio.timeout(self._latest_end(routed) - started_at) as limit:
+                self._limits_in_progress[limit] = routed
+                try:
+                    admission = await (
+                        self._admit_at_owner(routed)
+                        if routed.sharded
+                        else self._admit_at_any(routed)
+                    )
+                finally:
+                    del self._limits_in_progress[limit]
         except TimeoutError:
+            if self._latest_end(routed) < routed.deadline:
+                return stopping_refusal()
             return Refused(Cause.DEADLINE, "no server admitted the request before its deadline")
         finally:
             routed.waited_s += self._timers.now() - started_at
@@ -100,6 +126,10 @@
             )
         return Selection(server, admission)
 
+    def _latest_end(self, routed: RoutedRequest) -> float:
+        """Return when the selection of a server must end."""
+        return routed.deadline if self._shutdown is None else self._shutdown.latest_send(routed)
+
     async def _admit_at_owner(self, routed: RoutedRequest) -> Admission | Refused:
         owner = await self._await_owner(routed)
         if isinstance(owner, Refused):
