Start no pipelined request behind another one while an instance stops

Cause: a caller's GET requests run at the same time, and their answers wait for that of the first. While an instance stops, the first may work until the process ends; the answers behind it, already complete, ended with the connection. A request that came while a large answer was being streamed with 'Connection: close' was passed on, and dropped with the connection when the stream ended. Change: after the stop signal nothing is started behind another request, and the connection closes with the answer to the last request that was started. Callers send those behind it again, as they do behind any answer that closes the connection. Test: 'A stopping gateway runs no request behind another one' and the scenario after it; without the change the requests behind ran and the connection stayed open for them.

--- a/features/gateway_callers.feature
+++ b/features/gateway_callers.feature
@@ -60,3 +60,25 @@
     When a caller sends "GET /slow" at once and the gateway disables keep-alive
     Then the caller gets status 200 and the connection ends
     And the answer announces that the connection closes
+
+  Scenario Outline: A stopping gateway runs no request behind another one
+    Guards against requests that have run, and whose answers wait behind a slow one until the
+    process ends; callers send those again that follow an answer that closes the connection.
+    Given a gateway listener whose requests take "/slow:0.1,/fast:0"
+    When a caller sends "GET /slow", the gateway disables keep-alive and the caller sends "<behind>"
+    Then the caller gets status 200 and the connection ends
+    And the answer announces that the connection closes
+    And the gateway ran 1 requests
+
+    Examples:
+      | behind              |
+      | GET /fast           |
+      | POST /fast          |
+      | GET /fast;GET /fast |
+
+  Scenario: A stopping gateway answers the requests that run behind another one
+    Guards against requests that are cut off although they run.
+    Given a gateway listener whose requests take "/slow:0.1,/fast:0"
+    When a caller sends "GET /slow;GET /fast", the gateway disables keep-alive and the caller sends "GET /fast"
+    Then the caller gets the bodies "/slow;/fast" in this order
+    And the gateway ran 2 requests
--- a/features/steps/gateway_caller_steps.py
+++ b/features/steps/gateway_caller_steps.py
@@ -105,6 +105,25 @@
     context.received = context.run(stop())
 
 
+@when(
+    'a caller sends "{requests}", the gateway disables keep-alive and the caller sends "{behind}"'
+)
+def step_send_behind(context, requests, behind):
+    async def stop():
+        reader, writer = await _open(context)
+        for part in requests.split(";"):
+            writer.write(_request(part, False).encode())
+        await asyncio.sleep(0.02)
+        context.listener.disable_keep_alive()
+        for part in behind.split(";"):
+            writer.write(_request(part, False).encode())
+        received = await _read_all(reader)
+        writer.close()
+        return received
+
+    context.received = context.run(stop())
+
+
 @when('a caller sends the bytes "{text}"')
 def step_send_bytes(context, text):
     text = re.sub(r"\{(\d+)\}", lambda match: "x" * int(match.group(1)), text)
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -128,7 +128,7 @@
         self._writable.set()
 
     def stop(self) -> None:
-        """Close after answering the requests that have been read."""
+        """Close after answering the requests that run; callers send those behind them again."""
         self._stopping = True
 
     def close_if_idle(self) -> None:
@@ -199,14 +199,15 @@
         """Start the requests that may run now.
 
         A request that isn't idempotent waits for those before it: if the connection ends with an
-        earlier answer, callers send the requests behind it again.
+        earlier answer, callers send the requests behind it again. While the process stops, all
+        requests wait like that: an answer behind a slow one would be lost at the process's end.
         """
         for index, slot in enumerate(self._slots):
             if slot.request is None or index >= MAX_PIPELINED_REQUESTS:
                 return
             if slot.task is not None:
                 continue
-            if index and slot.request.method not in _CONCURRENT_METHODS:
+            if index and (self._stopping or slot.request.method not in _CONCURRENT_METHODS):
                 return
             slot.task = asyncio.get_running_loop().create_task(self._run(slot))
             if slot.request.method not in _CONCURRENT_METHODS:
@@ -245,8 +246,10 @@
             self._resume_reading()
 
     def _closes_after(self, slot: _Slot) -> bool:
-        is_last = not self._slots or self._slots[-1] is slot
-        return slot.close or (self._stopping and is_last)
+        if not self._stopping:
+            return slot.close
+        has_started = any(item is not slot and item.task is not None for item in self._slots)
+        return slot.close or not has_started
 
     async def _stream_body(self, slot: _Slot) -> None:
         """Forward a body while it arrives; if it is truncated, reset the connection."""
