Release a queued request at a stopping keeper that declines it

Cause: a keeper that stops declines the repeated asks of requests that wait in its queue, and they move to the next keeper. The stopping one kept them queued and admitted them in turn; nobody released these admissions before their deadlines, and its own requests waited behind them until the process ended. Found by reading. Change: declining an ask releases what its ticket has there. Test: 'A stopping keeper's own requests don't wait behind those that have left its queue'; without the change its own request had no admission within 2 s.

--- a/features/gateway_queue.feature
+++ b/features/gateway_queue.feature
@@ -97,6 +97,15 @@
       | stopping | 0.1  | 0.1  |
       | unaware  | 0.1  | 0.1  |
 
+  Scenario: A stopping keeper's own requests don't wait behind those that have left its queue
+    Guards against admissions that nobody releases, as the keeper grants them to requests that have
+    moved to the next keeper; its own requests wait until the process ends.
+    Given instances "i1,i2" that know each other and server "s1" with 1 slots
+    When 4 requests of the other instance and one of the keeper ask for admission
+    And the keeper stops and 1 s pass
+    And all of them release their admissions as they get them
+    Then 5 requests were admitted and none is left
+
   Scenario: A lasting network partition delays few requests
     Guards against requests that wait for a silent keeper for as long as it is unreachable (scale-2
     on musgo-limpio-grown: 9,472 of 42,003 requests took more than half of their objective to reach
--- a/features/steps/gateway_queue_steps.py
+++ b/features/steps/gateway_queue_steps.py
@@ -310,6 +310,23 @@
     context.run(ask())
 
 
+@when("{count:d} requests of the other instance and one of the keeper ask for admission")
+def step_ask_both(context, count):
+    async def ask():
+        context.asks = []
+        for instance in [context.other] * count + [context.queue_keeper_instance]:
+            context.asks.append((instance, asyncio.ensure_future(instance.link.acquire(_ask()))))
+            await asyncio.sleep(0.02)
+
+    context.run(ask())
+
+
+@when("the keeper stops and {seconds:g} s pass")
+def step_keeper_stops(context, seconds):
+    context.queue_keeper_instance.link.declining = True
+    context.run(asyncio.sleep(seconds))
+
+
 @then("{count:d} requests are admitted, counted over all instances")
 def step_admitted_in_all(context, count):
     assert sum(task.done() for _, task in context.asks) == count
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -318,6 +318,8 @@
 
     def _handle_ask(self, address: str, ticket: int, ask: Ask) -> None:
         if self.declining:
+            # A request that is queued here moves to the next keeper and won't be released here.
+            self._keeper.release((address, ticket), Done())
             self._send(address, ticket, Reply(ReplyState.DECLINED))
             return
         self._keeper.ask((address, ticket), ask, lambda reply: self._send(address, ticket, reply))
