Reset the connections of incomplete answers when a process ends

Cause: when the shutdown time ends, the operating system closes the process's connections in order. Found by reading. Change: the daemon resets the connections that have sent only a part of an answer. Test: 'An answer that isn't complete when the process ends is recognized as truncated'; with an empty reset_unfinished the caller read the end of the body without an error.

--- a/features/gateway_streams.feature
+++ b/features/gateway_streams.feature
@@ -85,6 +85,13 @@
       | 128  |
       | 200  |
 
+  Scenario: An answer that isn't complete when the process ends is recognized as truncated
+    Guards against a truncated answer without a length, which looks complete to a caller of HTTP/1.0
+    if its connection is closed in order (MIXED).
+    Given a gateway before a server that sends 3000 KiB by chunks
+    When a caller of HTTP/1.0 asks for it, and the gateway ends after 100 KiB
+    Then the caller can tell that the body is incomplete
+
   Scenario: A connection with unsent bytes of an answer counts as busy
     Guards against a stopping process that ends with unsent bytes (fault run on musgo-limpio,
     configurations-beside-restarts.toml with seed 918221099530: LOST, cut in the middle of an answer).
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -302,6 +302,31 @@
     context.body, context.whole = context.run(limited())
 
 
+@when("a caller of HTTP/{version} asks for it, and the gateway ends after {size:d} KiB")
+def step_end_within(context, version, size):
+    async def ask():
+        port = context.listener._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=16 * KIB)
+        writer.write(_request("/large", version))
+        await reader.readuntil(b"\r\n\r\n")
+        body = await reader.readexactly(size * KIB)
+        connections = list(context.listener._connections)
+        context.listener.reset_unfinished()
+        # The end of a process closes its sockets and discards what it hasn't written.
+        for connection in connections:
+            connection._transport.abort()
+        try:
+            while data := await reader.read(64 * KIB):
+                body += data
+            whole = True
+        except ConnectionError:
+            whole = False
+        writer.close()
+        return body, whole
+
+    context.body, context.whole = context.run(ask())
+
+
 @when("a caller asks for it within {seconds:g} s")
 def step_ask_within(context, seconds):
     async def ask():
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -137,6 +137,18 @@
             self._closing = True
             self._transport.close()
 
+    def reset_if_unfinished(self) -> None:
+        """Reset the connection if a part of an answer is sent and the rest isn't.
+
+        Closed in order, an answer without a length would look complete.
+        """
+        transport = self._transport
+        if transport is None:
+            return
+        streaming = any(slot.streaming for slot in self._slots)
+        if streaming or transport.get_write_buffer_size() > 0:
+            reset(transport)
+
     def check_limits(self, now: float) -> None:
         """Close a connection that is idle for too long or whose request arrives too slowly."""
         if self._reader.is_overdue(now):
--- a/src/hyssopwood/gateway/caller_server.py
+++ b/src/hyssopwood/gateway/caller_server.py
@@ -58,6 +58,11 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
+    def reset_unfinished(self) -> None:
+        """Reset the connections with a part of an answer, before the process ends."""
+        for connection in list(self._connections):
+            connection.reset_if_unfinished()
+
     def close(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -238,6 +238,7 @@
         await self._supervisor.stop_all()
         for server in (self._callers, self._readiness, self._metrics_server):
             server.close()
+        self._callers.reset_unfinished()
         if self._peers is not None:
             self._peers.close()
         self._queues.close()
