--- a/features/gateway_dispatch.feature
+++ b/features/gateway_dispatch.feature
@@ -39,6 +39,21 @@
       | s1      | sharded | non-idempotent | misdirected,ok | 200    | 2     | lacks |
       | -       | keyless | non-idempotent | ok             | 503    | 0     | has   |
 
+  Scenario Outline: A request is sent again before a shutdown only while it can still end in time
+    Guards against a second attempt late in the shutdown time that is cut off at its end.
+    Given a dispatcher with servers "s1,s2" of a keyless service
+    And the instance ends in 0.55 s
+    When a request to route "<route>" is sent and the servers answer "<script>"
+    Then the caller gets status <status> after <sends> sends
+    And the answer <retry> a Retry-After header
+
+    Examples:
+      | route          | script         | status | sends | retry |
+      | idempotent     | broken,ok      | 200    | 2     | lacks |
+      | idempotent     | slow broken,ok | 502    | 1     | lacks |
+      | idempotent     | slow shed,ok   | 503    | 1     | has   |
+      | non-idempotent | ok             | 503    | 0     | has   |
+
   Scenario Outline: A request that can't be routed is answered without a server
     Guards against requests that are sent to a server under an older configuration or none.
     Given a dispatcher with servers "s1" of a keyless service
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -30,6 +30,7 @@
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
+from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Plan
 from hyssopwood.keyspace.plan_view import PlanView, RangePause
@@ -56,6 +57,9 @@
     async def exchange(self, server, request):
         self.sent.append(server.server)
         entry = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+        if entry.startswith("slow "):
+            entry = entry.removeprefix("slow ")
+            await asyncio.sleep(TIMEOUT_S / 5)
         if entry == "unsent":
             raise NotSentError("no connection")
         if entry == "broken":
@@ -236,6 +240,16 @@
     _fill(context, name)
 
 
+@given("the instance ends in {seconds:g} s")
+def step_ends(context, seconds):
+    now = context.system_timers.now()
+
+    async def begin():
+        context.dispatcher.begin_shutdown(ShutdownTimes(now + seconds, now + seconds))
+
+    context.run(begin())
+
+
 @when('a request to route "{route}" is sent and the servers answer "{script}"')
 def step_send(context, route, script):
     context.pool.script = script.split(",")
