Give a range whose owner has seen a higher token a higher fencing token of the plan

Cause: after a 409 the leader tried the next of its 256 tokens for the same fencing token of the plan. A rival whose claim the restored store has lost had used a later fencing token, so all of these were refused, and each refusal revoked the leader's authority.

--- a/features/steps/keyspace_review_steps.py
+++ b/features/steps/keyspace_review_steps.py
@@ -100,7 +100,9 @@
     try:
         for _ in range(2):
             head = await reader.readuntil(b"\r\n\r\n")
-            await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r")[0]))
+            await reader.readexactly(
+                int(head.lower().split(b"content-length: ")[1].split(b"\r")[0])
+            )
             writer.write(answers)
         await reader.read()
     finally:
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -390,7 +390,8 @@
         """
         now = self._deps.timers.now()
         confirmed = self._deps.authority.age_s(now) <= STORE_REACHABLE_S
-        return confirmed and not lease.tokens_exhausted and not lease.is_disputed(now)
+        available = not lease.fenced and not lease.tokens_exhausted
+        return confirmed and available and not lease.is_disputed(now)
 
     async def _send_grant(self, lease: RangeLease, record: ServerRecord) -> _GrantResult:
         now = self._deps.timers.now()
@@ -426,6 +427,8 @@
             # Another leader may be active; only a write to the store shows it.
             self._deps.authority.revoke()
             lease.record_grant_unanswered(grant.sent, grant.lease_s)
+            if lease.token == grant.keys.fence:
+                lease.fenced = True
             return _GrantResult.ANSWERED
         if answer.replaced_by is not None:
             self._record_replaced(record, answer.replaced_by)
--- a/src/hyssopwood/keyspace/leases.py
+++ b/src/hyssopwood/keyspace/leases.py
@@ -71,6 +71,8 @@
     # Number of the channel that carried the current token; None before its first grant. Over
     # another one the token could reach another process.
     channel: int | None = None
+    # The owner has seen a higher token, so only a higher fencing token of the plan is accepted.
+    fenced: bool = False
     # Until then another leader, whose writes the restored store has lost, may have granted the
     # range to another server. An answered renewal rules that out: the owner would reject one under
     # an outdated token.
@@ -158,7 +160,8 @@
 
     def needs_new_fence(self, now: float) -> bool:
         """Return whether the range can't be renewed without a higher fencing token in the plan."""
-        return self.tokens_exhausted and self.channel == NO_CHANNEL and not self.is_disputed(now)
+        used_up = self.fenced or self.tokens_exhausted
+        return used_up and self.channel == NO_CHANNEL and not self.is_disputed(now)
 
     def use_next_token(self) -> None:
         """Use a higher token for the same owner.
@@ -177,6 +180,7 @@
         self.confirmed = False
         self.uncertain_until = 0.0
         self.channel = None
+        self.fenced = False
 
     def set_owner(self, keys: KeyRange, handover: str | None) -> None:
         """Set a new owner after the previous one's lease has ended."""
@@ -201,6 +205,7 @@
             self.uncertain_until,
             self.token_step,
             self.channel,
+            self.fenced,
             self.disputed_until,
             self.disputed_from,
             self.not_granted_before,
@@ -218,6 +223,7 @@
             and self.keys.incarnation == other.keys.incarnation
             and self.token == other.token
             and self.channel == other.channel
+            and self.fenced == other.fenced
             and self.handover is None
             and other.handover is None
         )
