Keep a refused grant's channel, detect repeated answers to releases, log suspended renewals

The token stays bound to the channel that the refusal came over. - A server that writes the answer to a release once more released the next range too.

--- a/features/steps/keyspace_review_steps.py
+++ b/features/steps/keyspace_channel_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the review of key ownership."""
+"""Steps for connections to servers that end, and for answers that are repeated."""
 
 import asyncio
 from unittest.mock import patch
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -310,7 +310,8 @@
         if command.path == RELEASE_PATH:
             server.drop_leases(command.keys)
             await asyncio.sleep(rng.choice((0.001, 0.2)))
-            answer = ServerAnswer(200, ((b"handover", b"h"),), b"")
+            cluster.releases += 1
+            answer = ServerAnswer(200, ((b"handover", b"h%d" % cluster.releases),), b"")
         else:
             done = server.grant(command)
             answer = ServerAnswer(200 if done else 409, (), b"")
@@ -537,6 +538,7 @@
         self.managers = []
         self.violations = []
         self.grants = 0
+        self.releases = 0
         self.store = FakeStore(self)
         self.servers = {
             f"s{index}": FakeServer(self, f"s{index}", self.rng.random() < 0.5)
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -162,6 +162,8 @@
     _addresses: dict[tuple[str, int], str] = field(factory=dict, init=False)
     # Incarnations at whose addresses other servers answer, so that they have ended.
     _ended: set[tuple[str, int]] = field(factory=set, init=False)
+    # Incarnations whose leases aren't renewed because their channels have ended.
+    _suspended: set[tuple[str, int]] = field(factory=set, init=False)
     _renewing: set[tuple[str, int]] = field(factory=set, init=False)
     _pending: list[tuple[RangeLease, ServerRecord, str | None]] = field(factory=list, init=False)
     _committing: bool = field(default=False, init=False)
@@ -342,8 +344,9 @@
                 return
             results.add(result)
         if _GrantResult.CHANNEL_ENDED in results:
-            self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+            self._record_suspended(record)
             return
+        self._suspended.discard(record.incarnation)
         failures = self._failed_renewals.pop(record.incarnation, 0)
         if failures:
             emit(
@@ -353,6 +356,13 @@
                 failures=failures,
             )
 
+    def _record_suspended(self, record: ServerRecord) -> None:
+        """Retry soon renewals that wait for a higher token or for the store."""
+        self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+        if record.incarnation not in self._suspended:
+            self._suspended.add(record.incarnation)
+            emit(Event.RENEWAL_SUSPENDED, server=record.server, address=record.address)
+
     def _record_failed_renewal(self, record: ServerRecord) -> None:
         failures = self._failed_renewals.get(record.incarnation, 0) + 1
         self._failed_renewals[record.incarnation] = failures
@@ -409,40 +419,36 @@
         """Record the result of a grant."""
         if answer.leaving:
             self._deps.directory.mark_leaving(record.incarnation)
-        keys = {"first": lease.keys.first, "last": lease.keys.last, "fence": lease.keys.fence}
         if answer.done:
-            # The token may have been replaced meanwhile; the answer confirms the granted one only.
-            if lease.token == grant.keys.fence:
-                answered = self._deps.timers.now()
-                lease.record_grant_answered(
-                    grant.sent,
-                    answered,
-                    grant.lease_s,
-                    grant.leased_until_before,
-                    answer.channel,
-                )
-            return _GrantResult.ANSWERED
-        if answer.fenced:
-            emit(Event.GRANT_FENCED, server=record.server, **keys)
-            # Another leader may be active; only a write to the store shows it.
-            self._deps.authority.revoke()
-            lease.record_grant_unanswered(grant.sent, grant.lease_s)
-            if lease.token == grant.keys.fence:
-                lease.fenced = True
+            self._record_granted(lease, grant, answer)
             return _GrantResult.ANSWERED
         if answer.replaced_by is not None:
             self._record_replaced(record, answer.replaced_by)
+        if answer.replaced_by is not None or not answer.sent:
             lease.undo_grant_sent(grant.leased_until_before)
+            return _GrantResult.CHANNEL_ENDED if answer.channel_ended else _GrantResult.FAILED
+        lease.record_grant_unanswered(grant.sent, grant.lease_s, answer.channel)
+        keys = {"first": lease.keys.first, "last": lease.keys.last, "fence": lease.keys.fence}
+        if not answer.fenced:
+            emit(Event.GRANT_UNCERTAIN, server=record.server, **keys)
             return _GrantResult.FAILED
-        if answer.channel_ended:
-            lease.undo_grant_sent(grant.leased_until_before)
-            return _GrantResult.CHANNEL_ENDED
-        if not answer.sent:
-            lease.undo_grant_sent(grant.leased_until_before)
-            return _GrantResult.FAILED
-        lease.record_grant_unanswered(grant.sent, grant.lease_s)
-        emit(Event.GRANT_UNCERTAIN, server=record.server, **keys)
-        return _GrantResult.FAILED
+        emit(Event.GRANT_FENCED, server=record.server, **keys)
+        # Another leader may be active; only a write to the store shows it.
+        self._deps.authority.revoke()
+        if lease.token == grant.keys.fence:
+            lease.record_fenced()
+        return _GrantResult.ANSWERED
+
+    def _record_granted(self, lease: RangeLease, grant: _SentGrant, answer: CommandAnswer) -> None:
+        # The token may have been replaced meanwhile; the answer confirms the granted one only.
+        if lease.token == grant.keys.fence:
+            lease.record_grant_answered(
+                grant.sent,
+                self._deps.timers.now(),
+                grant.lease_s,
+                grant.leased_until_before,
+                answer.channel,
+            )
 
     def _record_replaced(self, record: ServerRecord, replaced_by: str) -> None:
         """Record that a server has ended, as another one answers at its address.
--- a/src/hyssopwood/keyspace/leases.py
+++ b/src/hyssopwood/keyspace/leases.py
@@ -123,9 +123,14 @@
             # The owner has seen no higher token, so no other leader has moved the range.
             self.disputed_until = 0.0
 
-    def record_grant_unanswered(self, now: float, lease_s: float) -> None:
-        """Record that a grant got no answer, so that it may still be carried out."""
+    def record_grant_unanswered(self, now: float, lease_s: float, channel: int | None) -> None:
+        """Record that a grant may still be carried out; `channel` is None if that has ended."""
         self.uncertain_until = max(self.uncertain_until, lease_end(now, lease_s))
+        self.channel = NO_CHANNEL if channel is None else channel
+
+    def record_fenced(self) -> None:
+        """Record that the owner has seen a higher token than the current one."""
+        self.fenced = True
         self.channel = NO_CHANNEL
 
     def handle_predecessor_ended(self, now: float, lease_s: float) -> None:
--- a/src/hyssopwood/platform/key_commands.py
+++ b/src/hyssopwood/platform/key_commands.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 
 from hyssopwood.gateway.exchange import (
     ExchangeBrokenError,
@@ -31,6 +31,8 @@
     SIGNATURE,
 )
 
+# Releases whose repeated answers are detected; a leader moves a few hundred ranges in a minute.
+MAX_REMEMBERED_PROOFS = 1024
 _JSON = (b"Content-Type", b"application/json")
 
 
@@ -93,12 +95,29 @@
     )
 
 
+@define
+class _ReleaseProofs:
+    """Recent proofs of release, to detect a server's repeated answer to an earlier release."""
+
+    _released: dict[str, tuple[str, int, int]] = field(factory=dict, init=False)
+
+    def is_repeated(self, answer: CommandAnswer, server: str, keys: KeyRange) -> bool:
+        """Return whether an answer has the proof of another release, and remember its proof."""
+        if not answer.done or answer.handover is None:
+            return False
+        release = (server, keys.first, keys.last)
+        if len(self._released) >= MAX_REMEMBERED_PROOFS:
+            del self._released[next(iter(self._released))]
+        return self._released.setdefault(answer.handover, release) != release
+
+
 @define
 class PlatformKeyCommands:
     """Send commands to servers at their registered addresses."""
 
     _pool: ServerPool
     _channels: GrantChannels
+    _proofs: _ReleaseProofs = field(factory=_ReleaseProofs, init=False)
 
     async def grant(
         self,
@@ -132,4 +151,8 @@
         except (ExchangeBrokenError, TimeoutError):
             self._pool.abort_idle(server)
             return CommandAnswer(done=False)
-        return _decode_answer(server.server, answer, True)
+        decoded = _decode_answer(server.server, answer, True)
+        if self._proofs.is_repeated(decoded, server.server, keys):
+            self._pool.abort_idle(server)
+            return CommandAnswer(done=False)
+        return decoded
--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -39,6 +39,7 @@
     executed_request_ids: list[str] = field(factory=list)
     _leases: list[_Lease] = field(factory=list, init=False)
     _running: int = field(default=0, init=False)
+    _released: int = field(default=0, init=False)
     _sequence: int = field(default=0, init=False)
     _runner: web.AppRunner | None = field(default=None, init=False)
 
@@ -124,7 +125,8 @@
             if lease.last > command["to"]:
                 kept.append(_Lease(command["to"] + 1, lease.last, lease.fence, lease.expires_at))
         self._leases = kept
-        return web.Response(headers={"Handover": f"h-{self.name}"})
+        self._released += 1
+        return web.Response(headers={"Handover": f"h-{self.name}-{self._released}"})
 
     async def _execute(self, request: web.Request) -> web.Response:
         headers = {"Request-Id": request.headers.get("Request-Id", "")}
