Never remove the leader itself from the list of instances

The leader has no link to itself, so the removal of instances without a link named it too. When another instance was removed in the same step, followers dropped the leader from their lists: they counted one instance too few for the shared retries and never chose the leader as a queue's keeper.

--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -208,7 +208,7 @@
                     self._unlinked[record.instance] = record, now
         elif now - self._leading_since >= RELINK_S:
             unlinked = tuple(
-                item.instance for item in self._instances.records() if item.instance not in linked
+                item.instance for item in self._instances.others() if item.instance not in linked
             )
             self._change_instances(InstanceUpdate((), unlinked))
 
