Keep instances in the list while the store doesn't confirm the leader

Cause: after LEADER_STALE_S without the store all followers leave the leader's link, and it removed each at once from the list, which followers get as complete when they link again. RetryBudget divides the deployment's extra by that count, and queue keepers are chosen from it.

Change: a leader that the store doesn't confirm removes no instance, nor does it until RELINK_S after the store has confirmed it again. A leader that is cut off from the store alone is replaced as before.

--- a/features/gateway_queue.feature
+++ b/features/gateway_queue.feature
@@ -186,6 +186,43 @@
     And instance "i4" was informed that "i1,i2,i3" left
     And no task of the leader failed
 
+  Scenario: Instances that leave a leader which the store doesn't confirm stay in its list
+    Guards against retries beyond the allowance of all instances, and against queues with several
+    keepers: in an outage of the store all followers left the leader's link, and its list shrank
+    from 8 instances to 1 (hunt-ac79-7 on beridze-gw: 289 repeated arrivals, 285 allowed).
+    Given a leader with links of instances "i1,i2,i3,i4"
+    And the instances leave a leader that the store doesn't confirm, and link again
+    When 0.7 s pass in which the store confirms the leader
+    Then every list of instances now has 5 instances
+    When 2.6 s pass in which the store doesn't confirm the leader
+    Then all instances together may always send at most 0.7 of the extra retries
+    And all instances always agree on the keeper of a queue
+    When 1.5 s pass in which the store confirms the leader
+    Then all instances together may always send at most 0.7 of the extra retries
+    And all instances always agree on the keeper of a queue
+    And every list of instances now has 5 instances
+    And no task of the leader failed
+
+  Scenario: An instance that ended in an outage of the store leaves the list after it
+    Guards against queues whose keeper is gone for good, and against an allowance of retries that is
+    shared with instances that no longer run.
+    Given a leader with links of instances "i1,i2,i3,i4"
+    And the instances leave a leader that the store doesn't confirm, and link again
+    When 0.7 s pass in which the store confirms the leader
+    Then every list of instances now has 5 instances
+    When 0.7 s pass in which the store doesn't confirm the leader
+    And instance "i4" ends
+    And 0.7 s pass in which the store doesn't confirm the leader
+    Then every list of instances now has 5 instances
+    When 1.5 s pass in which the store confirms the leader
+    Then every list of instances now has 5 instances
+    When 1.5 s pass in which the store confirms the leader
+    Then every list of instances now has 4 instances
+    When instance "i3" ends
+    And 0.5 s pass in which the store confirms the leader
+    Then every list of instances now has 3 instances
+    And no task of the leader failed
+
   Scenario: A leader sends registrations only to instances that request them
     Guards against links that are saturated with registrations that the instances already have, so
     that heartbeats are late and the leader is replaced (trouble-1 on beridze-gw-grown: eight
--- a/features/steps/gateway_queue_steps.py
+++ b/features/steps/gateway_queue_steps.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from unittest.mock import patch
 
 import uvloop
 from attrs import evolve
 from behave import given, then, when
 
-from hyssopwood.errors import LogUnavailableError
+from hyssopwood.errors import LogUnavailableError, PeerUnavailableError
 from hyssopwood.gateway.crash_suspects import CrashReport
 from hyssopwood.gateway.exchange import ServerLoad
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.queue_keeper import QueueKeeper
 from hyssopwood.gateway.queue_link import Admission, QueueLink
 from hyssopwood.gateway.queue_messages import Ask, Done, Leads, QueueName, decode
+from hyssopwood.gateway.retry_budget import RetryBudget
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
@@ -30,7 +32,7 @@
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace import link
 from hyssopwood.keyspace.leadership import Leadership, LeadershipDependencies
-from hyssopwood.keyspace.link import LeaderLink, LeaderStatus, LinkServer
+from hyssopwood.keyspace.link import LEADER_STALE_S, LeaderLink, LeaderStatus, LinkServer
 from hyssopwood.keyspace.link_codec import Heartbeat, Hello, InstanceReport
 from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Leader, Plan, PlanChange
 from hyssopwood.keyspace.plan_view import PlanView
@@ -38,6 +40,10 @@
 from hyssopwood.timers import SystemTimers
 from support.gateway_deployment import free_addresses
 
+# Interval at which instances without a link follow the leader again; they poll the store meanwhile.
+RELINK_INTERVAL_S = 0.2
+OBSERVE_INTERVAL_S = 0.02
+EXTRA_RETRIES = 56
 SERVICE = "portal"
 QUEUE = QueueName(SERVICE, "a", "s1", 1)
 
@@ -562,6 +568,7 @@
     """An instance that follows a leader and applies its instance list."""
 
     def __init__(self, name, leader_address, timers):
+        self.leader_address = leader_address
         self.record = InstanceRecord(name, f"{name}:1", "a")
         self.instances = InstanceList(self.record)
         self.updates = []
@@ -584,6 +591,15 @@
         self.shown_count = 0
         self.task = asyncio.ensure_future(self.link.follow(leader_address, lambda heartbeat: True))
 
+    async def follow_while_confirmed(self):
+        """Leave the leader at each heartbeat without a recent confirmation, then link again."""
+        while True:
+            with suppress(PeerUnavailableError):
+                await self.link.follow(
+                    self.leader_address, lambda heartbeat: heartbeat.store_age_s < LEADER_STALE_S
+                )
+            await asyncio.sleep(RELINK_INTERVAL_S)
+
     def _offer(self, plan, source):
         self.plan = plan
         return True
@@ -603,6 +619,7 @@
     context.failures = []
     context.announced = []
     context.reported = []
+    context.store_age_s = 0.0
     context.loop_of_links.set_exception_handler(
         lambda loop, failure: context.failures.append(failure)
     )
@@ -612,7 +629,7 @@
     context.link_server = LinkServer(
         address,
         timers,
-        lambda: LeaderStatus(0.0, 1, 0.0, 7, -1),
+        lambda: LeaderStatus(context.store_age_s, 1, 0.0, 7, -1),
         lambda: None,
         lambda: tuple(_record(f"s{number}", 2) for number in range(400)),
         context.reported.append,
@@ -690,6 +707,68 @@
     assert "leader" in listed and not listed & set(left.split(",")), listed
 
 
+@given("the instances leave a leader that the store doesn't confirm, and link again")
+def step_follow_while_confirmed(context):
+    async def start():
+        for item in context.linked.values():
+            item.task.cancel()
+        await asyncio.gather(
+            *(item.task for item in context.linked.values()), return_exceptions=True
+        )
+        for item in context.linked.values():
+            item.task = asyncio.ensure_future(item.follow_while_confirmed())
+        await asyncio.sleep(0.1)
+
+    context.loop_of_links.run_until_complete(start())
+
+
+@when("{seconds:g} s pass in which the store {confirms} the leader")
+def step_outage(context, seconds, confirms):
+    context.store_age_s = {"confirms": 0.0, "doesn't confirm": LEADER_STALE_S + 0.1}[confirms]
+    lists = [context.leader_list, *(item.instances for item in context.linked.values())]
+    context.counts, context.shares, context.keeper_counts = [], [], []
+
+    async def observe():
+        running = asyncio.ensure_future(context.link_server.run())
+        for _ in range(int(seconds / OBSERVE_INTERVAL_S)):
+            await asyncio.sleep(OBSERVE_INTERVAL_S)
+            context.counts.append(tuple(item.count for item in lists))
+            context.shares.append(sum(_extra_retries(item) for item in lists))
+            keepers = {item.ranked("q", "a")[0].instance for item in lists}
+            context.keeper_counts.append(len(keepers))
+        running.cancel()
+
+    context.loop_of_links.run_until_complete(observe())
+
+
+def _extra_retries(instances):
+    """Return the retries that an instance may send without first sends."""
+    return RetryBudget(0.2, EXTRA_RETRIES, 10.0, lambda: instances.count).available(0.0)
+
+
+@then("all instances together may always send at most {share:g} of the extra retries")
+def step_extra_retries(context, share):
+    most = max(context.shares)
+    assert most <= share * EXTRA_RETRIES + 1e-6, (most, sorted(set(context.counts)))
+
+
+@then("all instances always agree on the keeper of a queue")
+def step_one_keeper(context):
+    assert set(context.keeper_counts) == {1}, context.keeper_counts
+
+
+@then("every list of instances now has {count:d} instances")
+def step_list_lengths(context, count):
+    counts = context.counts[-1]
+    assert set(counts) == {count}, counts
+
+
+@when('instance "{name}" ends')
+def step_instance_ends(context, name):
+    context.linked.pop(name).task.cancel()
+    context.loop_of_links.run_until_complete(asyncio.sleep(0.1))
+
+
 @then("no task of the leader failed")
 def step_no_failure(context):
     assert not context.failures, context.failures
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -23,7 +23,7 @@
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.authority import Authority
-from hyssopwood.keyspace.link import LeaderLink
+from hyssopwood.keyspace.link import LEADER_STALE_S, LeaderLink
 from hyssopwood.keyspace.link_codec import Heartbeat
 from hyssopwood.keyspace.plan import Leader, Plan
 from hyssopwood.keyspace.plan_store import PlanStore, StoredPlan
@@ -36,9 +36,6 @@
 CONFIRM_INTERVAL_S = 0.7
 # A leader that wrote nothing for this long, and that can't be connected to, is replaced.
 LEADER_SILENCE_S = 1.15
-# A connected leader that the store hasn't confirmed for this long is replaced by an instance that
-# reaches the store; followers keep it if none does.
-LEADER_STALE_S = 1.8
 # Interval of reads while the store is unavailable or there is no leader.
 POLL_INTERVAL_S = 0.7
 # After a link was lost, the store is read at this interval to see whether the leader still writes;
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -46,7 +46,11 @@
 # in addition to receiving it; four per second from each of 195 instances would delay heartbeats.
 REPORTS_PER_S = 160
 CONNECT_TIMEOUT_S = 0.6
-# Instances listed under the previous leader are removed if they have no link to a new one by then.
+# A connected leader that the store hasn't confirmed for this long is replaced by an instance that
+# reaches the store. All followers leave its link then and link again if none can replace it.
+LEADER_STALE_S = 1.8
+# Instances that have no link to a new leader, or to one that the store has confirmed again, are
+# removed from the list after this time.
 RELINK_S = 2.0
 # An instance without a link is sent announcements for this long, as it may be unable to read the
 # leader from the store.
@@ -134,7 +138,9 @@
     _unlinked: dict[str, tuple[InstanceRecord, float]] = field(factory=dict, init=False)
     # Instances that changed since the last heartbeat; None for those that were removed.
     _unsent_changes: dict[str, InstanceRecord | None] = field(factory=dict, init=False)
-    _leading_since: float | None = field(default=None, init=False)
+    _leading: bool = field(default=False, init=False)
+    # Until this time no instance is removed from the list: instances without a link may be running.
+    _keep_until: float = field(default=float("-inf"), init=False)
     _recent_changes: deque[PlanChange] = field(
         factory=lambda: deque(maxlen=KEPT_CHANGES), init=False
     )
@@ -174,6 +180,7 @@
             if status is None:
                 writer.transport.abort()
         if status is not None:
+            self._keep_instances_if_stale(status)
             self._broadcast(status.heartbeat())
             self._send_suspects()
         self._track_unlinked(status is not None)
@@ -192,7 +199,7 @@
         """Announce this leader to instances without a link, and remove those that don't link."""
         now = self._timers.now()
         if not leading:
-            self._leading_since = None
+            self._leading = False
             self._unlinked.clear()
             return
         linked = set(self._writers.values())
@@ -201,17 +208,27 @@
                 del self._unlinked[record.instance]
             else:
                 self._announce(record.address)
-        if self._leading_since is None:
-            self._leading_since = now
+        if not self._leading:
+            self._leading = True
+            self._keep_until = now + RELINK_S
             for record in self._instances.others():
                 if record.instance not in linked:
                     self._unlinked[record.instance] = record, now
-        elif now - self._leading_since >= RELINK_S:
+        elif now >= self._keep_until:
             unlinked = tuple(
                 item.instance for item in self._instances.others() if item.instance not in linked
             )
             self._change_instances(InstanceUpdate((), unlinked))
 
+    def _keep_instances_if_stale(self, status: LeaderStatus) -> None:
+        """Keep instances without a link in the list if the store doesn't confirm this leader.
+
+        Followers leave such a leader although they run; without them, each instance would count too
+        few that share the retries, and queues would have several keepers.
+        """
+        if status.store_age_s >= LEADER_STALE_S:
+            self._keep_until = self._timers.now() + RELINK_S
+
     def _change_instances(self, update: InstanceUpdate) -> None:
         """Apply a change; linked instances are sent it with the next heartbeat."""
         if not self._instances.apply(update):
@@ -280,6 +297,7 @@
             if hello.instances_digest != self._instances.digest():
                 _write(writer, InstanceUpdate(self._instances.records(), complete=True))
             self._send_plan_since(writer, hello.plan_version)
+            self._keep_instances_if_stale(status)
             _write(writer, self._sent_suspects)
             _write(writer, status.heartbeat())
             while True:
@@ -298,9 +316,11 @@
             writer.close()
             if instance and instance not in self._writers.values() and self._status() is not None:
                 record = self._instances.get(instance)
+                now = self._timers.now()
                 if record is not None:
-                    self._unlinked[instance] = record, self._timers.now()
-                self._change_instances(InstanceUpdate((), (instance,)))
+                    self._unlinked[instance] = record, now
+                if now >= self._keep_until:
+                    self._change_instances(InstanceUpdate((), (instance,)))
 
 
 @define
