Detect and log that an instance reaches no server itself

Change: failures at two servers without a success in between raise a doubt, which probes of four and then eight other servers settle. E514 and E515 log the result; server_probes counts the probes. New connections and answers are recorded where requests, commands and probes get them. Nothing is decided by it yet. Daemons take the function that opens connections to servers, so that a test can cut one instance off.

--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -37,6 +37,7 @@
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.request_headers import PlatformHeaderCodec
 from hyssopwood.timers import SystemTimers
+from support.steady_reach import SteadyReach
 
 TIMEOUT_S = 0.5
 SERVICE = "portal"
@@ -231,6 +232,7 @@
             new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
             reports=context.reports,
             crashes=context.crashes,
+            reach=SteadyReach(),
         )
     )
 
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -34,6 +34,7 @@
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.request_headers import PlatformHeaderCodec
 from hyssopwood.timers import SystemTimers
+from support.steady_reach import SteadyReach
 
 SERVICE = "photos"
 KIB = 1024
@@ -199,6 +200,7 @@
             new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
             reports=LoadReports(KeyLoad(timers)),
             crashes=CrashMonitor(timers),
+            reach=SteadyReach(),
         )
     )
     context.listener = CallerServer("127.0.0.1:0", dispatcher, timers)
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -44,6 +44,7 @@
     run_two_leaders,
 )
 from support.key_guards import without_guard
+from support.steady_reach import SteadyReach
 from support.virtual_time import SimulatedProcess, VirtualLoop
 
 
@@ -291,6 +292,7 @@
         directory=directory,
         load=KeyLoad(timers),
         limits=ServerLimits(timers, Metrics()),
+        reach=SteadyReach(),
         timers=timers,
         metrics=Metrics(),
         publish=lambda plan, change: published.append((timers.now(), plan, store.writes)),
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -26,6 +26,7 @@
 from hyssopwood.gateway.server_connection import CONNECT_TIMEOUT_S
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_limits import ServerLimits
+from hyssopwood.gateway.server_reach import ServerReach
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
@@ -474,7 +475,13 @@
                 may_lead=lambda: not self.stopping,
             )
         )
+        # Probes have random numbers of their own, so that the other faults of a seed stay the same.
+        self.probe_rng = random.Random(self.name)
+        self.reach = ServerReach(
+            self.directory, self.probe, self.close_probe, self.process, Metrics(), self.probe_rng
+        )
         self.supervisor = Supervisor(self.name, self.process)
+        self.supervisor.start(Child("server-reach", self.reach.run))
         self.supervisor.start(Child("leadership", self.leadership.run))
         self.supervisor.start(Child("directory", self.follow_servers))
 
@@ -482,6 +489,18 @@
         process.resumed_at = self.cluster.loop.time()
         process.resume()
 
+    async def probe(self, address, timeout_s):
+        await asyncio.sleep(self.probe_rng.uniform(0.0005, 0.003))
+        server = self.cluster.listener(address)
+        if server is not None and (self.name, server.name) in self.cluster.cut_links:
+            await asyncio.sleep(timeout_s)
+            server = None
+        if server is None or not self.process.alive:
+            raise NotSentError("no connection")
+
+    def close_probe(self, server, connection):
+        """Discard a probe's connection."""
+
     async def stop(self):
         self.process.alive = False
         self.process.resume()
@@ -497,6 +516,7 @@
                 directory=self.directory,
                 load=self.load,
                 limits=ServerLimits(self.process, Metrics()),
+                reach=self.reach,
                 timers=self.process,
                 metrics=Metrics(),
                 publish=lambda plan, change: self.view.offer(plan, "own"),
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -94,6 +94,8 @@
     SERVER_BACKED_OFF = EventSpec(511, "INFO", "backend server asked for a back-off")
     SERVER_LIMIT_NAMED = EventSpec(512, "INFO", "backend server named a request limit")
     SERVER_LIMIT_ENDED = EventSpec(513, "INFO", "request limit of backend server ended")
+    SERVERS_UNREACHABLE = EventSpec(514, "WARNING", "no backend server can be connected to")
+    SERVERS_REACHABLE = EventSpec(515, "INFO", "backend servers can be connected to again")
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 from collections.abc import Callable
+from functools import partial
 
 from attrs import evolve, frozen
 
@@ -28,10 +29,13 @@
 from hyssopwood.gateway.queue_messages import Leads
 from hyssopwood.gateway.retry_budget import RetryBudget
 from hyssopwood.gateway.route_table import CallerLimits, RouteTables
+from hyssopwood.gateway.server_connection import Dial, ServerConnection, connect, dial
+from hyssopwood.gateway.server_connector import ServerConnector
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.gateway.server_reach import ServerReach
 from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.grant_channels import GrantChannels
@@ -101,6 +105,7 @@
         adapters: PlatformAdapters,
         timers: Timers,
         metrics: Metrics,
+        dialer: Dial = dial,
     ) -> None:
         self._settings = settings
         self._adapters = adapters
@@ -114,11 +119,9 @@
         self._load = KeyLoad(timers)
         self._crashes = CrashMonitor(timers)
         self._crash_counter = CrashCounter(timers, self._directory.has_ended)
-        self._pool = ServerPool(timers, adapters.id_header)
-        self._command_pool = ServerPool(timers, None)
+        self._connect_to_servers(dialer)
         self._health = ServerHealth(timers)
         self._limits = ServerLimits(timers, metrics)
-        self._grant_channels = GrantChannels()
         self._key_commands = adapters.key_commands(self._command_pool, self._grant_channels)
         self._identity = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
         self._record = InstanceRecord(
@@ -259,6 +262,7 @@
             Child("queues", self._keeper.run),
             Child("queue-link", self._queues.run),
             Child("callers", self._callers.enforce_limits),
+            Child("server-reach", self._reach.run),
             Child("housekeeping", self._run_housekeeping),
         )
         for child in children:
@@ -300,6 +304,23 @@
             self._was_ready = ready
             emit(Event.READY if ready else Event.NOT_READY, stopping=self._stopping.is_set())
 
+    def _connect_to_servers(self, dialer: Dial) -> None:
+        """Create the parts that open, watch and keep connections to servers."""
+        connect_once = partial(connect, dialer=dialer)
+        self._reach = ServerReach(
+            self._directory, connect_once, self._adopt_connection, self._timers, self._metrics
+        )
+        self._connector = ServerConnector(self._reach, self._timers, dialer)
+        self._pool = ServerPool(self._timers, self._adapters.id_header, self._connect_directly)
+        self._command_pool = ServerPool(self._timers, None, self._connect_directly)
+        self._grant_channels = GrantChannels(self._connector.connect_directly)
+
+    async def _connect_directly(self, server: ServerRecord) -> ServerConnection:
+        return await self._connector.connect_directly(server.address)
+
+    def _adopt_connection(self, server: ServerRecord, connection: ServerConnection) -> None:
+        self._pool.adopt(server, connection)
+
     def _leadership_dependencies(self) -> LeadershipDependencies:
         return LeadershipDependencies(
             store=self._adapters.plan_store,
@@ -331,6 +352,7 @@
             new_budget=self._new_budget,
             reports=self._reports,
             crashes=self._crashes,
+            reach=self._reach,
         )
 
     async def _lead(self, claim: Claim) -> None:
@@ -343,6 +365,7 @@
                 directory=self._directory,
                 load=self._load,
                 limits=self._limits,
+                reach=self._reach,
                 timers=self._timers,
                 metrics=self._metrics,
                 publish=self._publish,
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -43,6 +43,7 @@
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import Sent, ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.gateway.server_reach import ServerReach
 from hyssopwood.gateway.server_selector import Selection, ServerSelector
 from hyssopwood.gateway.shared_queue import service_sample_s
 from hyssopwood.gateway.shutdown import ANSWER_GRACE_S, ShutdownTimes
@@ -84,6 +85,7 @@
     new_budget: Callable[[], RetryBudget]
     reports: LoadReports
     crashes: CrashMonitor
+    reach: ServerReach
 
 
 class Dispatcher:
@@ -269,12 +271,14 @@
         except ExchangeBrokenError as error:
             self._count_send(routed)
             routed.refused = False
+            self._deps.reach.record_failed(server.address)
             self._record_failure(server, str(error), certain=False)
             if not reused:
                 self._deps.crashes.record_lost(routed.request, server.incarnation)
             return OutcomeUnknown(Cause.BROKEN, str(error)), Done(failure=Failure.UNCERTAIN)
         except TimeoutError:
             self._count_send(routed)
+            self._deps.reach.record_failed(server.address)
             self._record_failure(server, "no answer before the deadline", certain=False)
             sample_s = None
             if not reused:
@@ -284,6 +288,7 @@
                 self._deps.reports.record_service_time(server.incarnation, sample_s)
             unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
             return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
+        self._deps.reach.record_answered()
         self._count_send(routed)
         outcome, done = self._evaluate_answer(routed, server, answer, started_at)
         if answer.stream is not None and not isinstance(outcome, Answered):
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol, TypeVar
 
 from hyssopwood.gateway.answer_reader import AnswerReader
 from hyssopwood.gateway.answer_stream import AnswerStream
@@ -20,6 +21,8 @@
 )
 from hyssopwood.gateway.read_buffer import BufferedConnection, reset
 
+ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
+
 # Servers accept a connection in a few milliseconds; one lost packet adds 0.2 s.
 CONNECT_TIMEOUT_S = 0.5
 # Time after which unacknowledged bytes end the connection; it covers about two retransmissions.
@@ -259,13 +262,31 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
-async def connect(address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> ServerConnection:
+class Dial(Protocol):
+    """Opens TCP connections; tests replace it to cut an instance off."""
+
+    async def __call__(
+        self, factory: Callable[[], ProtocolT], host: str, port: int
+    ) -> tuple[asyncio.Transport, ProtocolT]:
+        """Return the transport and the protocol of a connection; raise OSError if it fails."""
+        ...
+
+
+async def dial(
+    factory: Callable[[], ProtocolT], host: str, port: int
+) -> tuple[asyncio.Transport, ProtocolT]:
+    """Open a TCP connection."""
+    return await asyncio.get_running_loop().create_connection(factory, host, port)
+
+
+async def connect(
+    address: str, timeout_s: float = CONNECT_TIMEOUT_S, dialer: Dial = dial
+) -> ServerConnection:
     """Open a connection; raise NotSentError if that fails or takes too long."""
     host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(ServerConnection, host, int(port))
+            _, connection = await dialer(ServerConnection, host, int(port))
     except (OSError, TimeoutError) as error:
         raise NotSentError(f"no connection to {address}: {type(error).__name__}") from error
     return connection
--- a/src/hyssopwood/gateway/server_pool.py
+++ b/src/hyssopwood/gateway/server_pool.py
@@ -16,13 +16,17 @@
 MAX_IDLE_PER_SERVER = 4
 
 
+async def _connect_directly(server: ServerRecord) -> ServerConnection:
+    return await connect(server.address)
+
+
 @define
 class ServerPool:
     """Run exchanges over connections that are pooled per incarnation of a server."""
 
     _timers: Timers
     _id_header: bytes | None
-    _connect: Callable[[str], Awaitable[ServerConnection]] = connect
+    _connect: Callable[[ServerRecord], Awaitable[ServerConnection]] = _connect_directly
     _idle: dict[tuple[str, int], list[ServerConnection]] = field(factory=dict, init=False)
     _opened: int = field(default=0, init=False)
 
@@ -39,7 +43,7 @@
         """
         connection = self._acquire(server)
         if connection is None:
-            connection = await self._connect(server.address)
+            connection = await self._connect(server)
             self._opened += 1
         stream: BodyStream | None = None
         try:
@@ -52,6 +56,11 @@
             else:
                 stream.ended.add_done_callback(lambda _: self._release(server, connection))
 
+    def adopt(self, server: ServerRecord, connection: ServerConnection) -> None:
+        """Keep an unused connection to a server for later exchanges."""
+        self._opened += 1
+        self._release(server, connection)
+
     def abort_idle(self, server: ServerRecord) -> None:
         """Reset the idle connections to a server that has failed or was replaced."""
         for connection in self._idle.pop(server.incarnation, ()):
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -14,6 +14,7 @@
 from hyssopwood.gateway.route_table import RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_limits import Sent, ServerLimits
+from hyssopwood.gateway.server_reach import ServerReach
 from hyssopwood.keyspace.authority import AUTHORITY_S, Authority
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.leases import (
@@ -111,6 +112,7 @@
     directory: ServerDirectory
     load: KeyLoad
     limits: ServerLimits
+    reach: ServerReach
     timers: Timers
     metrics: Metrics
     publish: Callable[[Plan, PlanChange], None]
@@ -364,6 +366,7 @@
             emit(Event.RENEWAL_SUSPENDED, server=record.server, address=record.address)
 
     def _record_failed_renewal(self, record: ServerRecord) -> None:
+        self._deps.reach.record_failed(record.address)
         failures = self._failed_renewals.get(record.incarnation, 0) + 1
         self._failed_renewals[record.incarnation] = failures
         self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
@@ -440,6 +443,7 @@
         return _GrantResult.ANSWERED
 
     def _record_granted(self, lease: RangeLease, grant: _SentGrant, answer: CommandAnswer) -> None:
+        self._deps.reach.record_answered()
         # The token may have been replaced meanwhile; the answer confirms the granted one only.
         if lease.token == grant.keys.fence:
             lease.record_grant_answered(
