Add failing tests of instances that are cut off from all servers

The test runs six daemons, six servers and a store on loopback and cuts the links of one, a third, all of a failure domain, all but two or all instances; connections hang, are reset, or live on while new ones are refused.

--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -12,6 +12,7 @@
 
 from hyssopwood.gateway.daemon import GatewayDaemon
 from hyssopwood.gateway.gateway_settings import Bounds, GatewaySettings
+from hyssopwood.gateway.server_connection import dial
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.names import READY_PATH
 from hyssopwood.platform.program import platform_adapters
@@ -20,6 +21,7 @@
 from hyssopwood_standins.key_server import KeyServer
 from hyssopwood_standins.keyed_store import KeyedStore
 from steps.platform_steps import configuration
+from support.cuttable_links import CuttableLinks
 
 SERVICE = "portal"
 HEARTBEAT_S = 0.2
@@ -41,10 +43,10 @@
     return [f"127.0.0.1:{port}" for port in ports]
 
 
-def _settings(name, store, addresses, shutdown_s):
+def _settings(name, store, addresses, shutdown_s, domain):
     return GatewaySettings(
         instance=name,
-        failure_domain="a",
+        failure_domain=domain,
         caller_address=addresses[0],
         readiness_address=addresses[1],
         peer_address=addresses[2],
@@ -61,15 +63,20 @@
 
 
 class Instance:
-    """A gateway daemon and its addresses."""
+    """A gateway daemon and its addresses; `links` are those to the servers if they can be cut."""
 
-    def __init__(self, name, store_address, shutdown_s):
+    def __init__(self, name, store_address, shutdown_s, domain="a", links=None):
         self.name = name
-        self.settings = _settings(name, store_address, free_addresses(4), shutdown_s)
+        self.links = links
+        self.settings = _settings(name, store_address, free_addresses(4), shutdown_s, domain)
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
         self.daemon = GatewayDaemon(
-            self.settings, platform_adapters(self.client, self.metrics), BootTimers(), self.metrics
+            self.settings,
+            platform_adapters(self.client, self.metrics),
+            BootTimers(),
+            self.metrics,
+            links or dial,
         )
         self.task = asyncio.ensure_future(self._run())
 
@@ -78,6 +85,8 @@
             await self.daemon.run()
         finally:
             await self.client.close()
+            if self.links is not None:
+                await self.links.close()
 
 
 @frozen
@@ -92,12 +101,15 @@
 class Deployment:
     """A store, servers and instances, and the answers that callers received.
 
-    `timeout_s` replaces the timeouts of all routes.
+    `timeout_s` replaces the timeouts of all routes. With `cuttable`, the links of each instance to
+    the servers can be cut. An instance's failure domain is looked up in `domains`.
     """
 
-    def __init__(self, shutdown_s=SHUTDOWN_S, timeout_s=None):
+    def __init__(self, shutdown_s=SHUTDOWN_S, timeout_s=None, cuttable=False, domains=None):
         self.shutdown_s = shutdown_s
         self.timeout_s = timeout_s
+        self.cuttable = cuttable
+        self.domains = domains or {}
         self.store = KeyedStore()
         self.servers = {}
         self.draining = set()
@@ -113,11 +125,18 @@
         if version:
             self.publish(version)
         for name in servers:
-            self.servers[name] = KeyServer(name, SERVICE)
+            domain = self.domains.get(name, "a")
+            self.servers[name] = KeyServer(name, SERVICE, failure_domain=domain)
             await self.servers[name].start()
         self.heartbeats = asyncio.ensure_future(self._send_heartbeats())
         for name in instances:
-            self.instances[name] = Instance(name, self.store.address, self.shutdown_s)
+            self.instances[name] = Instance(
+                name,
+                self.store.address,
+                self.shutdown_s,
+                self.domains.get(name, "a"),
+                CuttableLinks() if self.cuttable else None,
+            )
         await asyncio.sleep(START_S)
         if servers:
             await self.until(
