Hand over leadership when the leader reaches no server

Cause: only the store decides on the leader's office, so a leader without a path to the servers kept it and renewed no lease. Its failed renewals counted as lost servers, too.

Change: a leader that is cut off from all servers while the store confirms it ends its grants and resigns; cut off instances claim 2 s later than others. While its own links are in doubt, a leader counts no failed renewal against a server and starts no move.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -15,6 +15,21 @@
       | 1     | 40   |
       | 1001  | 1040 |
 
+  Scenario: No key has two owners if instances lose their links to all servers
+    Guards against a leader that hands over while grants of it may still take effect (incident of
+    2026-12-05).
+    Given the key cluster schedules with seeds from 2001 to 2040
+    When each key cluster schedule with instances that reach no server is played
+    Then no key had two owners and no token decreased
+    And every key has an owner at the end of each schedule
+
+  Scenario: A leader that reaches no server hands over before leases expire
+    Guards against a leader that keeps its office although it can renew nothing (incident of
+    2026-12-05).
+    When the leader reaches no server for 12 s, with seeds from 1 to 10
+    Then every key had an owner all the time
+    And no key had two owners and no token decreased
+
   Scenario Outline: Schedules that once broke ownership keep it
     Guards against faults that random schedules have found.
     Given the key cluster schedules with seeds from <seed> to <seed>
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -34,7 +34,9 @@
 from support.key_cluster import (
     SERVICE,
     crash_server,
+    cut_leader_off,
     explore,
+    explore_cut_off,
     explore_restores,
     isolate_leader,
     lose_leader_and_server,
@@ -47,6 +49,9 @@
 from support.steady_reach import SteadyReach
 from support.virtual_time import SimulatedProcess, VirtualLoop
 
+# Some keys may change their owner at any time.
+OWNED_SHARE = 0.999
+
 
 @given("the key cluster schedules with seeds from {first:d} to {last:d}")
 def step_seeds(context, first, last):
@@ -60,6 +65,23 @@
     context.add_cleanup(disabled.__exit__, None, None, None)
 
 
+@when("each key cluster schedule with instances that reach no server is played")
+def step_play_cut_off(context):
+    _record_results(context, [explore_cut_off(seed) for seed in context.seeds])
+
+
+@when("the leader reaches no server for {cut_s:g} s, with seeds from {first:d} to {last:d}")
+def step_cut_leader_off(context, cut_s, first, last):
+    results = [cut_leader_off(seed, cut_s) for seed in range(first, last + 1)]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.shares = [share for _, share in results]
+
+
+@then("every key had an owner all the time")
+def step_always_owned(context):
+    assert min(context.shares) >= OWNED_SHARE, context.shares
+
+
 @when("each key cluster schedule is played")
 def step_play(context):
     _record_results(context, [explore(seed) for seed in context.seeds])
--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -28,19 +28,31 @@
 SETTLE_LIMIT_S = 8.0
 TARGET_LATENCY_S = 0.6
 SHUTDOWN_S = 6
+LISTENING_PORTS = 18_000, 28_000
 # Time within which every instance has started to listen.
 START_S = 0.1
 
 
+_ports = itertools.cycle(range(*LISTENING_PORTS))
+
+
 def free_addresses(count):
-    """Return addresses on free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return [f"127.0.0.1:{port}" for port in ports]
+    """Return addresses on free ports of the loopback address.
+
+    They lie below the ports that the system gives to outgoing connections, any of which could take
+    a port before its instance listens.
+    """
+    addresses = []
+    while len(addresses) < count:
+        port = next(_ports)
+        with socket.socket() as item:
+            item.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        addresses.append(f"127.0.0.1:{port}")
+    return addresses
 
 
 def _settings(name, store, addresses, shutdown_s, domain):
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -30,7 +30,11 @@
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
-from hyssopwood.keyspace.key_manager import KeyManager, KeyManagerDependencies
+from hyssopwood.keyspace.key_manager import (
+    STORE_REACHABLE_S,
+    KeyManager,
+    KeyManagerDependencies,
+)
 from hyssopwood.keyspace.leadership import Leadership, LeadershipDependencies
 from hyssopwood.keyspace.link_codec import Heartbeat
 from hyssopwood.keyspace.plan import KEY_COUNT, KeyRange, Leader
@@ -473,6 +477,8 @@
                 availability=StoreAvailability(self.process, cluster.rng),
                 lead=self.lead,
                 may_lead=lambda: not self.stopping,
+                wait_hand_over=self.wait_hand_over,
+                is_cut_off=lambda: self.reach.cut_off,
             )
         )
         # Probes have random numbers of their own, so that the other faults of a seed stay the same.
@@ -489,6 +495,13 @@
         process.resumed_at = self.cluster.loop.time()
         process.resume()
 
+    async def wait_hand_over(self):
+        while True:
+            await self.reach.wait_cut_off()
+            if self.leadership.store_age_s() <= STORE_REACHABLE_S:
+                return
+            await self.process.sleep(0.2)
+
     async def probe(self, address, timeout_s):
         await asyncio.sleep(self.probe_rng.uniform(0.0005, 0.003))
         server = self.cluster.listener(address)
@@ -686,6 +699,15 @@
     async def _server_cut(self, instance, server):
         self._for_a_while(self.cut_links, (instance.name, server.name))
 
+    async def _instance_off_servers(self, instance, server):
+        """Cut all links of an instance, mostly the leader, to the servers."""
+        for name in self.servers:
+            self.cut_links.add((instance.name, name))
+        self.later(self._span(), self._reconnect, instance.name)
+
+    def _reconnect(self, name):
+        self.cut_links -= {(name, server) for server in self.servers}
+
     async def _server_unregistered(self, instance, server):
         self._for_a_while(self.unregistered, server.name)
 
@@ -788,6 +810,20 @@
         await self.stop()
         return least
 
+    async def cut_leader_off(self, cut_s):
+        """Cut the leader from all servers; return the minimum share owned until after the cut."""
+        await self.start()
+        await asyncio.sleep(8.0 + self.rng.uniform(0.0, 1.5))
+        leader = self.leaders()[0]
+        self.cut_links |= {(leader.name, name) for name in self.servers}
+        self.later(cut_s, self._reconnect, leader.name)
+        least = 1.0
+        for _ in range(int((cut_s + 6.0) / 0.1)):
+            await asyncio.sleep(0.1)
+            least = min(least, self.owned_share())
+        await self.stop()
+        return least
+
     async def run_two_leaders(self):
         """Cut the leader from the store and its peers; a server drains under the next leader."""
         await self.start()
@@ -938,6 +974,15 @@
 RESTORE_FAULTS = (*FAULTS, *["store-restored"] * 6)
 
 
+# All other faults, and instances that reach no server while all else reaches them.
+CUT_OFF_FAULTS = (*FAULTS, *["instance-off-servers"] * 8)
+
+
+def explore_cut_off(seed):
+    """Run one schedule with instances that reach no server; return what `explore` returns."""
+    return explore(seed, faults=CUT_OFF_FAULTS)
+
+
 def explore_restores(seed):
     """Run one schedule with restores of the store; return what `explore` returns."""
     return explore(seed, faults=RESTORE_FAULTS)
@@ -956,6 +1001,13 @@
     return cluster.run(cluster.lose_server_without_store(outage_s))
 
 
+def cut_leader_off(seed, cut_s):
+    """Cut a leader from all servers; return the violations and the minimum share of keys owned."""
+    cluster = KeyCluster(seed)
+    least = cluster.run(cluster.cut_leader_off(cut_s))
+    return cluster.violations, least
+
+
 def run_two_leaders(seed):
     """Simulate two concurrent leaders; return the violations."""
     cluster = KeyCluster(seed)
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -81,6 +81,9 @@
     STORE_RESTORED = EventSpec(213, "WARNING", "store was restored from an older copy")
     PLAN_TAKEN = EventSpec(211, "INFO", "newer plan was adopted")
     SERVER_CHANGED = EventSpec(212, "INFO", "registration of a backend server changed")
+    LEADERSHIP_HANDED_OVER = EventSpec(
+        313, "WARNING", "leader reaches no backend server and resigned"
+    )
     CLAIM_LOST = EventSpec(312, "INFO", "another instance claimed the plan first")
     GRANT_FENCED = EventSpec(416, "WARNING", "server has seen a higher fencing token")
     RANGE_RELEASED = EventSpec(417, "INFO", "owner released a key range")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -40,7 +40,12 @@
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
-from hyssopwood.keyspace.key_manager import KeyCommands, KeyManager, KeyManagerDependencies
+from hyssopwood.keyspace.key_manager import (
+    STORE_REACHABLE_S,
+    KeyCommands,
+    KeyManager,
+    KeyManagerDependencies,
+)
 from hyssopwood.keyspace.leadership import Claim, Leadership, LeadershipDependencies
 from hyssopwood.keyspace.link import LeaderLink, LeaderStatus, LinkServer
 from hyssopwood.keyspace.link_codec import Hello, InstanceReport, ServerUpdate
@@ -53,6 +58,8 @@
 
 HOUSEKEEPING_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.05
+# Interval at which a cut off leader checks whether another instance could lead.
+HAND_OVER_CHECK_S = 0.2
 # Number of instances that share the retry budget until a leader has sent the list; the largest
 # deployment has 85. Too high a number only reduces retries until then.
 ASSUMED_INSTANCES = 100
@@ -334,8 +341,20 @@
             capacity=self._settings.capacity,
             lead=self._lead,
             may_lead=lambda: not self._stopping.is_set(),
+            wait_hand_over=self._wait_hand_over,
+            is_cut_off=lambda: self._reach.cut_off,
         )
 
+    async def _wait_hand_over(self) -> None:
+        """Wait until this instance is cut off from the servers while another one could lead."""
+        while True:
+            await self._reach.wait_cut_off()
+            store_age_s = self._leadership.store_age_s()
+            store_reached = store_age_s is not None and store_age_s <= STORE_REACHABLE_S
+            if store_reached and self._instances.count > 1:
+                return
+            await self._timers.sleep(HAND_OVER_CHECK_S)
+
     def _dispatcher_dependencies(self) -> DispatcherDependencies:
         return DispatcherDependencies(
             tables=self._tables,
--- a/src/hyssopwood/gateway/server_reach.py
+++ b/src/hyssopwood/gateway/server_reach.py
@@ -55,7 +55,7 @@
     _unconnected: dict[str, float] = field(factory=dict, init=False)
     _answered_at: float = field(default=float("-inf"), init=False)
     _connected_at: float = field(default=float("-inf"), init=False)
-    _cut_off: bool = field(default=False, init=False)
+    _cut_off: asyncio.Event = field(factory=asyncio.Event, init=False)
     _cut_off_since: float = field(default=0.0, init=False)
     _doubted: asyncio.Event = field(factory=asyncio.Event, init=False)
     _settled: asyncio.Event = field(factory=asyncio.Event, init=False)
@@ -64,12 +64,12 @@
     @property
     def cut_off(self) -> bool:
         """Return whether this instance can connect to no server."""
-        return self._cut_off
+        return self._cut_off.is_set()
 
     @property
     def in_doubt(self) -> bool:
         """Return whether failures at servers may be caused by this instance's own links."""
-        return self._cut_off or self._doubted.is_set()
+        return self.cut_off or self._doubted.is_set()
 
     def subscribe(self, listener: Callable[[bool], None]) -> None:
         """Call back with True when this instance is cut off, and with False when it isn't."""
@@ -95,6 +95,10 @@
         self._record(self._failed, address, self._answered_at)
         self._record(self._unconnected, address, self._connected_at)
 
+    async def wait_cut_off(self) -> None:
+        """Wait until this instance is cut off."""
+        await self._cut_off.wait()
+
     async def wait_settled(self) -> None:
         """Wait until a doubt is settled; return at once if there is none."""
         if self._doubted.is_set():
@@ -104,12 +108,12 @@
     async def run(self) -> None:
         """Settle doubts by probes until cancelled."""
         while True:
-            if not self._cut_off:
+            if not self.cut_off:
                 await self._doubted.wait()
             self._apply(not await self._is_reached())
             self._doubted.clear()
             self._settled.set()
-            if self._cut_off:
+            if self.cut_off:
                 await self._timers.sleep(PROBE_INTERVAL_S)
 
     def _record(self, failures: dict[str, float], address: str, succeeded_at: float) -> None:
@@ -129,7 +133,7 @@
         first, others = servers[:PROBED_SERVERS], servers[PROBED_SERVERS:]
         if await self._probe(first):
             return True
-        if self._cut_off:
+        if self.cut_off:
             return False
         return await self._probe(others[:CONFIRMING_SERVERS])
 
@@ -163,14 +167,15 @@
         return True
 
     def _apply(self, cut_off: bool) -> None:
-        if cut_off == self._cut_off:
+        if cut_off == self.cut_off:
             return
         now = self._timers.now()
-        self._cut_off = cut_off
         if cut_off:
+            self._cut_off.set()
             self._cut_off_since = now
             emit(Event.SERVERS_UNREACHABLE, failed=len(self._failed))
         else:
+            self._cut_off.clear()
             emit(Event.SERVERS_REACHABLE, after_s=round(now - self._cut_off_since, 2))
         for listener in self._listeners:
             listener(cut_off)
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -241,8 +241,10 @@
         if self._writing is None or self._writing.done():
             self._writing = self._spawn(self._write_changes(now))
         self._start_renewals(now)
-        self._replace_lost(now)
-        self._balance(now)
+        if not self._deps.reach.in_doubt:
+            # A cut off leader could neither release the moved keys nor grant them.
+            self._replace_lost(now)
+            self._balance(now)
 
     async def _write_changes(self, now: float) -> None:
         """Write the pending changes of the plan one after the other."""
@@ -367,6 +369,10 @@
 
     def _record_failed_renewal(self, record: ServerRecord) -> None:
         self._deps.reach.record_failed(record.address)
+        if self._deps.reach.in_doubt:
+            # This instance's own links may be the cause, so the failure says nothing of the server.
+            self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
+            return
         failures = self._failed_renewals.get(record.incarnation, 0) + 1
         self._failed_renewals[record.incarnation] = failures
         self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -52,10 +52,17 @@
 # Delay of an instance without capacity; others wait in proportion to the capacity they lack. It
 # covers two polls of the instances with ample capacity.
 LOW_CAPACITY_CLAIM_DELAY_S = 0.6
+# Delay of an instance that reaches no server. It claims only if no other does, as whoever leads
+# then still passes on configurations and the list of instances.
+CUT_OFF_CLAIM_DELAY_S = 2.0
 # A leader whose last announcement is older than this, three heartbeats, may have been replaced.
 ANNOUNCEMENT_LIFETIME_S = 1.0
 
 
+async def _never() -> None:
+    await asyncio.Event().wait()
+
+
 @frozen
 class Claim:
     """A successful claim: the writer, the claimed plan and the previous leader."""
@@ -88,6 +95,10 @@
     # Does the leader's work on the claimed plan until it fails or is cancelled.
     lead: Callable[[Claim], Awaitable[None]]
     may_lead: Callable[[], bool]
+    # Returns when another instance should lead, as this one reaches no server and others do.
+    wait_hand_over: Callable[[], Awaitable[None]] = _never
+    # Whether this instance reaches no server, so that others claim first.
+    is_cut_off: Callable[[], bool] = lambda: False
 
 
 @define
@@ -242,9 +253,9 @@
         return True
 
     def _claim_delay_s(self) -> float:
-        return LOW_CAPACITY_CLAIM_DELAY_S * max(
-            0.0, 1 - self._deps.capacity / AMPLE_CAPACITY_MILLICORES
-        )
+        lacking = max(0.0, 1 - self._deps.capacity / AMPLE_CAPACITY_MILLICORES)
+        cut_off_s = CUT_OFF_CLAIM_DELAY_S if self._deps.is_cut_off() else 0.0
+        return cut_off_s + LOW_CAPACITY_CLAIM_DELAY_S * lacking
 
     async def _follow(self, stored: StoredPlan) -> None:
         leader = stored.leader
@@ -309,16 +320,27 @@
             authority.revoke()
 
     async def _lead(self, claim: Claim) -> None:
-        confirming = asyncio.ensure_future(self._confirm(claim.writer))
-        working = asyncio.ensure_future(self._deps.lead(claim))
+        tasks = {
+            asyncio.ensure_future(self._confirm(claim.writer)),
+            asyncio.ensure_future(self._hand_over(claim.writer)),
+            asyncio.ensure_future(self._deps.lead(claim)),
+        }
         try:
-            done, _ = await asyncio.wait({confirming, working}, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 task.result()
         finally:
-            for task in (confirming, working):
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(confirming, working, return_exceptions=True)
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _hand_over(self, writer: PlanWriter) -> None:
+        await self._deps.wait_hand_over()
+        emit(Event.LEADERSHIP_HANDED_OVER, instance=self._deps.identity.instance)
+        if self._authority is not None:
+            # The successor counts on no grants after the resignation, whose answer may be lost.
+            self._authority.revoke()
+        await writer.resign()
 
     async def _confirm(self, writer: PlanWriter) -> None:
         async for _ in self._deps.timers.ticks(CONFIRM_INTERVAL_S):
