Relay requests of an instance that reaches no server by way of others

Cause: an instance's own links are its only path to the servers, and the failures that it sees there make every owner unusable for its callers.

Change: a cut off instance opens connections to servers by way of others, which connect and copy bytes. It decides everything else itself: admission, retries, deadlines, limits. The other instance confirms the connection before a request is sent, so that a failure before that is a true "not run"; resets and closes are passed on. An instance that is cut off, busy or stopping says so and isn't asked again for a second. Key commands are never relayed: a paused relay could deliver a grant after its lease counts as expired. Without any path requests are refused at once (cause cut-off). A cut off leader resigns only if another instance has relayed a connection.

--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -63,6 +63,7 @@
         readiness_address=addresses[1],
         peer_address=addresses[2],
         metrics_address=addresses[3],
+        relay_address=addresses[4],
         store_address=store,
         bounds=Bounds(
             shutdown_s=shutdown_s,
@@ -80,7 +81,7 @@
     def __init__(self, name, store_address, shutdown_s, domain="a", links=None):
         self.name = name
         self.links = links
-        self.settings = _settings(name, store_address, free_addresses(4), shutdown_s, domain)
+        self.settings = _settings(name, store_address, free_addresses(5), shutdown_s, domain)
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
         self.daemon = GatewayDaemon(
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 from collections.abc import Callable
-from functools import partial
 
 from attrs import evolve, frozen
 
@@ -29,13 +28,12 @@
 from hyssopwood.gateway.queue_messages import Leads
 from hyssopwood.gateway.retry_budget import RetryBudget
 from hyssopwood.gateway.route_table import CallerLimits, RouteTables
-from hyssopwood.gateway.server_connection import Dial, ServerConnection, connect, dial
-from hyssopwood.gateway.server_connector import ServerConnector
+from hyssopwood.gateway.server_connection import Dial, dial
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
+from hyssopwood.gateway.server_paths import ServerPaths
 from hyssopwood.gateway.server_pool import ServerPool
-from hyssopwood.gateway.server_reach import ServerReach
 from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.grant_channels import GrantChannels
@@ -58,7 +56,7 @@
 
 HOUSEKEEPING_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.05
-# Interval at which a cut off leader checks whether another instance could lead.
+# Interval at which a cut off leader checks whether another instance reaches the servers.
 HAND_OVER_CHECK_S = 0.2
 # Number of instances that share the retry budget until a leader has sent the list; the largest
 # deployment has 85. Too high a number only reduces retries until then.
@@ -126,18 +124,30 @@
         self._load = KeyLoad(timers)
         self._crashes = CrashMonitor(timers)
         self._crash_counter = CrashCounter(timers, self._directory.has_ended)
-        self._connect_to_servers(dialer)
-        self._health = ServerHealth(timers)
         self._limits = ServerLimits(timers, metrics)
-        self._key_commands = adapters.key_commands(self._command_pool, self._grant_channels)
         self._identity = Leader(settings.instance, secrets.token_hex(8), settings.peer_address)
         self._record = InstanceRecord(
             settings.instance,
             settings.peer_address,
             settings.failure_domain,
             settings.capacity,
+            settings.relay_address,
         )
         self._instances = InstanceList(self._record)
+        self._health = ServerHealth(timers)
+        self._paths = ServerPaths(
+            self._record,
+            self._instances,
+            self._directory,
+            self._health,
+            adapters.id_header,
+            timers,
+            metrics,
+            dialer,
+            self._stopping.is_set,
+        )
+        self._grant_channels = GrantChannels(self._paths.connector.connect_directly)
+        self._key_commands = adapters.key_commands(self._paths.command_pool, self._grant_channels)
         self._keeper = QueueKeeper(
             self._directory, self._health, self._limits, self._view.range_count, timers
         )
@@ -254,6 +264,7 @@
         if self._peers is not None:
             self._peers.close()
         self._queues.close()
+        self._paths.relay_server.close()
 
     async def _start(self) -> None:
         await self._readiness.start()
@@ -261,6 +272,7 @@
         await self._metrics_server.start()
         self._peers = await self._link_server.start()
         await self._queues.start()
+        await self._paths.relay_server.start()
         children = (
             Child("configuration", self._configuration.run),
             Child("servers", self._servers.run),
@@ -269,7 +281,7 @@
             Child("queues", self._keeper.run),
             Child("queue-link", self._queues.run),
             Child("callers", self._callers.enforce_limits),
-            Child("server-reach", self._reach.run),
+            Child("server-reach", self._paths.reach.run),
             Child("housekeeping", self._run_housekeeping),
         )
         for child in children:
@@ -288,17 +300,21 @@
                 continue
             self._callers.close()
             self._callers.close_idle()
-            if not self._callers.busy and not self._dispatcher.detached:
+            self._paths.relay_server.close_idle()
+            relayed = self._paths.relay_server.busy
+            if not self._callers.busy and not self._dispatcher.detached and not relayed:
                 break
 
     async def _run_housekeeping(self) -> None:
         async for _ in self._timers.ticks(HOUSEKEEPING_INTERVAL_S):
             records = self._directory.records()
             incarnations = {record.incarnation for record in records}
-            self._pool.retain({record.incarnation for record in records if not record.draining})
-            self._command_pool.retain(incarnations)
+            self._paths.pool.retain(
+                {record.incarnation for record in records if not record.draining}
+            )
+            self._paths.command_pool.retain(incarnations)
             self._grant_channels.retain(incarnations if self._leadership.leading else set())
-            for pool in (self._pool, self._command_pool):
+            for pool in (self._paths.pool, self._paths.command_pool):
                 pool.expire()
             self._health.retain(incarnations)
             self._limits.retain(incarnations)
@@ -311,23 +327,6 @@
             self._was_ready = ready
             emit(Event.READY if ready else Event.NOT_READY, stopping=self._stopping.is_set())
 
-    def _connect_to_servers(self, dialer: Dial) -> None:
-        """Create the parts that open, watch and keep connections to servers."""
-        connect_once = partial(connect, dialer=dialer)
-        self._reach = ServerReach(
-            self._directory, connect_once, self._adopt_connection, self._timers, self._metrics
-        )
-        self._connector = ServerConnector(self._reach, self._timers, dialer)
-        self._pool = ServerPool(self._timers, self._adapters.id_header, self._connect_directly)
-        self._command_pool = ServerPool(self._timers, None, self._connect_directly)
-        self._grant_channels = GrantChannels(self._connector.connect_directly)
-
-    async def _connect_directly(self, server: ServerRecord) -> ServerConnection:
-        return await self._connector.connect_directly(server.address)
-
-    def _adopt_connection(self, server: ServerRecord, connection: ServerConnection) -> None:
-        self._pool.adopt(server, connection)
-
     def _leadership_dependencies(self) -> LeadershipDependencies:
         return LeadershipDependencies(
             store=self._adapters.plan_store,
@@ -342,16 +341,16 @@
             lead=self._lead,
             may_lead=lambda: not self._stopping.is_set(),
             wait_hand_over=self._wait_hand_over,
-            is_cut_off=lambda: self._reach.cut_off,
+            is_cut_off=lambda: self._paths.reach.cut_off,
         )
 
     async def _wait_hand_over(self) -> None:
-        """Wait until this instance is cut off from the servers while another one could lead."""
+        """Wait until this instance is cut off from the servers while another one reaches them."""
         while True:
-            await self._reach.wait_cut_off()
+            await self._paths.reach.wait_cut_off()
             store_age_s = self._leadership.store_age_s()
             store_reached = store_age_s is not None and store_age_s <= STORE_REACHABLE_S
-            if store_reached and self._instances.count > 1:
+            if store_reached and await self._paths.is_relayed():
                 return
             await self._timers.sleep(HAND_OVER_CHECK_S)
 
@@ -360,7 +359,7 @@
             tables=self._tables,
             directory=self._directory,
             plan=self._view,
-            pool=self._pool,
+            pool=self._paths.pool,
             health=self._health,
             limits=self._limits,
             header_codec=self._adapters.header_codec,
@@ -371,7 +370,8 @@
             new_budget=self._new_budget,
             reports=self._reports,
             crashes=self._crashes,
-            reach=self._reach,
+            reach=self._paths.reach,
+            has_path=self._paths.has_path,
         )
 
     async def _lead(self, claim: Claim) -> None:
@@ -384,7 +384,7 @@
                 directory=self._directory,
                 load=self._load,
                 limits=self._limits,
-                reach=self._reach,
+                reach=self._paths.reach,
                 timers=self._timers,
                 metrics=self._metrics,
                 publish=self._publish,
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -19,6 +19,7 @@
     ExchangeBrokenError,
     HeaderCodec,
     NotSentError,
+    OwnLinkError,
     RepeatedRequestError,
     ServerAnswer,
     ServerRequest,
@@ -43,7 +44,7 @@
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import Sent, ServerLimits
 from hyssopwood.gateway.server_pool import ServerPool
-from hyssopwood.gateway.server_reach import ServerReach
+from hyssopwood.gateway.server_reach import PROBE_INTERVAL_S, ServerReach
 from hyssopwood.gateway.server_selector import Selection, ServerSelector
 from hyssopwood.gateway.shared_queue import service_sample_s
 from hyssopwood.gateway.shutdown import ANSWER_GRACE_S, ShutdownTimes
@@ -86,6 +87,8 @@
     reports: LoadReports
     crashes: CrashMonitor
     reach: ServerReach
+    # Whether servers can be reached, directly or by way of another instance.
+    has_path: Callable[[], bool] = lambda: True
 
 
 class Dispatcher:
@@ -179,6 +182,9 @@
                 self._deps.timers.now()
             ):
                 break
+            if not self._deps.has_path():
+                last_outcome = _cut_off_refusal()
+                break
             outcome = await self._run_attempt(routed)
             if isinstance(outcome, Answered):
                 return outcome
@@ -189,8 +195,18 @@
                     break
             elif not self._is_retriable(outcome):
                 break
+            else:
+                await self._wait_for_links(routed)
         return unknown or last_outcome
 
+    async def _wait_for_links(self, routed: RoutedRequest) -> None:
+        """Wait until it is known whether this instance's own links are the cause of a failure."""
+        try:
+            async with asyncio.timeout(max(0.0, self._remaining_to_send_s(routed))):
+                await self._deps.reach.wait_settled()
+        except TimeoutError:
+            return
+
     def _is_retriable(self, refused: Refused) -> bool:
         return refused.cause in (Cause.SERVER_REFUSED, Cause.SERVER_UNREACHABLE, Cause.MOVED)
 
@@ -264,30 +280,31 @@
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
                 answer = await self._exchange_once(server, self._server_request(routed, server))
+        except OwnLinkError as error:
+            # The server may be sound, so it stays a choice for this request.
+            routed.tried.discard(server.server)
+            return Refused(Cause.SERVER_UNREACHABLE, str(error)), Done()
         except NotSentError as error:
             self._record_failure(server, str(error), certain=True)
             refused = Refused(Cause.SERVER_UNREACHABLE, str(error))
             return refused, Done(failure=Failure.CERTAIN)
         except ExchangeBrokenError as error:
-            self._count_send(routed)
             routed.refused = False
-            self._deps.reach.record_failed(server.address)
-            self._record_failure(server, str(error), certain=False)
+            self._count_send(routed)
+            done = self._record_loss(server, str(error))
             if not reused:
                 self._deps.crashes.record_lost(routed.request, server.incarnation)
-            return OutcomeUnknown(Cause.BROKEN, str(error)), Done(failure=Failure.UNCERTAIN)
+            return OutcomeUnknown(Cause.BROKEN, str(error)), done
         except TimeoutError:
             self._count_send(routed)
-            self._deps.reach.record_failed(server.address)
-            self._record_failure(server, "no answer before the deadline", certain=False)
-            sample_s = None
+            done = self._record_loss(server, "no answer before the deadline")
             if not reused:
                 self._deps.crashes.record_lost(routed.request, server.incarnation)
                 # The service time is at least the time waited so far.
-                sample_s = self._deps.timers.now() - started_at
-                self._deps.reports.record_service_time(server.incarnation, sample_s)
-            unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
-            return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
+                waited_s = self._deps.timers.now() - started_at
+                self._deps.reports.record_service_time(server.incarnation, waited_s)
+                done = evolve(done, sample_s=waited_s)
+            return OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time"), done
         self._deps.reach.record_answered()
         self._count_send(routed)
         outcome, done = self._evaluate_answer(routed, server, answer, started_at)
@@ -295,6 +312,12 @@
             answer.stream.abandon()
         return outcome, done
 
+    def _record_loss(self, server: ServerRecord, detail: str) -> Done:
+        """Record that a request to a server was lost, and return what its keeper is told."""
+        self._deps.reach.record_failed(server.address)
+        self._record_failure(server, detail, certain=False)
+        return Done(failure=Failure.UNCERTAIN)
+
     async def _exchange_once(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
         """Exchange a request over a connection on which it has not failed before."""
         while True:
@@ -475,6 +498,11 @@
         )
 
 
+def _cut_off_refusal() -> Refused:
+    detail = "this instance and those that it has asked reach no server"
+    return Refused(Cause.CUT_OFF, detail, PROBE_INTERVAL_S)
+
+
 def _stream_of(outcome: Outcome) -> BodyStream | None:
     return outcome.answer.stream if isinstance(outcome, Answered) else None
 
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -200,6 +200,14 @@
     exit_code = 7
 
 
+class OwnLinkError(NotSentError):
+    """Raised when a connection fails and this instance's own links may be the cause."""
+
+
+class NoPathError(OwnLinkError):
+    """Raised when this instance is cut off and no other one relays a connection to the server."""
+
+
 class RepeatedRequestError(NotSentError):
     """Raised when a connection has already carried the request and can't carry it again.
 
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -41,6 +41,8 @@
     caller_address: str = field(validator=validate_address)
     readiness_address: str = field(validator=validate_address)
     peer_address: str = field(validator=validate_address)
+    # Address for connections that this instance relays for others.
+    relay_address: str = field(validator=validate_address)
     metrics_address: str = field(validator=validate_address)
     store_address: str = field(validator=validate_address)
     bounds: Bounds
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -21,6 +21,8 @@
     failure_domain: str
     # Processor time for shared work, in thousandths of a core.
     capacity: int = NOMINAL_CAPACITY_MILLICORES
+    # Address for connections that the instance relays to servers; empty if it relays none.
+    relay_address: str = ""
 
 
 def _rank(queue: str, record: InstanceRecord) -> float:
@@ -65,7 +67,8 @@
     def digest(self) -> int:
         """Return a digest that two lists share only if they are equal."""
         rows = sorted(
-            f"{x.instance}|{x.address}|{x.failure_domain}|{x.capacity}" for x in self.records()
+            f"{x.instance}|{x.address}|{x.failure_domain}|{x.capacity}|{x.relay_address}"
+            for x in self.records()
         )
         return int.from_bytes(blake2b("\n".join(rows).encode(), digest_size=8).digest())
 
--- /dev/null
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -0,0 +1,269 @@
+"""Relays connections of instances that are cut off from the servers.
+
+The asking instance decides everything about a request; this one only connects to the server and
+copies bytes both ways. A reset or a close at one end is passed on to the other one, so that a
+broken answer never looks complete.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from hyssopwood.errors import ProtocolError
+from hyssopwood.events import Event, emit
+from hyssopwood.gateway.exchange import NotSentError, OwnLinkError
+from hyssopwood.gateway.read_buffer import BufferedConnection, reset
+from hyssopwood.gateway.relay_codec import (
+    RelayFrame,
+    RelayReply,
+    RelayRequest,
+    RelayResult,
+    decode_request,
+)
+from hyssopwood.gateway.server_connection import UNACKNOWLEDGED_TIMEOUT_MS
+from hyssopwood.gateway.server_connector import ServerConnector
+from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_reach import ServerReach
+from hyssopwood.metrics import Metrics
+from hyssopwood.timers import TimerHandle, Timers
+
+# Relayed connections at a time; each takes two descriptors of the process, which has at least 4100.
+MAX_RELAYED = 800
+# Time for the request after a connection was accepted.
+REQUEST_TIMEOUT_S = 1.0
+# Time for the connection to the server. The asking instance waits a little longer.
+RELAY_CONNECT_TIMEOUT_S = 0.35
+# An answer counts as complete if no more of it arrives for this time.
+QUIET_S = 0.2
+
+
+class _RelayEnd(BufferedConnection):
+    """One end of a relayed connection; what it receives is written to the other end."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.other: _RelayEnd | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def join(self, other: _RelayEnd) -> None:
+        """Copy between this end and another one from now on."""
+        self.other, other.other = other, self
+
+    def write(self, data: bytes) -> None:
+        """Write to this end."""
+        if data and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def received(self, data: bytes) -> None:
+        if self.other is None:
+            # A server that speaks first, or a request before the reply, breaks the protocol.
+            self.reset()
+            return
+        self.other.write(data)
+
+    def pause_writing(self) -> None:
+        other = self.other
+        if other is not None and other.transport is not None and not other.transport.is_closing():
+            other.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        other = self.other
+        if other is not None and other.transport is not None and not other.transport.is_closing():
+            other.transport.resume_reading()
+
+    def eof_received(self) -> bool:
+        # The transport closes itself, and the other end is closed when that has happened.
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        other, self.other = self.other, None
+        if other is None:
+            return
+        if exc is None and other.transport is not None:
+            other.transport.close()
+        else:
+            other.reset()
+
+    def reset(self) -> None:
+        """Reset this end, and the other one with it."""
+        if self.transport is not None:
+            reset(self.transport)
+        other, self.other = self.other, None
+        if other is not None:
+            other.reset()
+
+
+class _AskingEnd(_RelayEnd):
+    """The end of the instance that asks for the connection."""
+
+    def __init__(self, relays: RelayServer) -> None:
+        super().__init__()
+        self._relays = relays
+        self._frame: RelayFrame | None = RelayFrame()
+        self._expiry: TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._awaits_answer = True
+        self._answered_at = 0.0
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._expiry = self._relays.start_expiry(self.reset)
+
+    @property
+    def awaits_answer(self) -> bool:
+        """Return whether the last bytes went to the server, or may have more bytes behind them."""
+        return self._awaits_answer or self._relays.now() - self._answered_at < QUIET_S
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        self._awaits_answer, self._answered_at = False, self._relays.now()
+
+    def received(self, data: bytes) -> None:
+        if self._frame is None:
+            self._awaits_answer = True
+            super().received(data)
+            return
+        try:
+            message = self._frame.feed(data)
+            if message is None:
+                return
+            request = decode_request(message)
+            if self._frame.rest:
+                raise ProtocolError("bytes follow a relay request before its reply")
+        except ProtocolError as error:
+            emit(Event.PEER_REJECTED, error=error)
+            self.reset()
+            return
+        self._frame = None
+        self._cancel_expiry()
+        self._task = asyncio.get_running_loop().create_task(self._relays.open(self, request))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._cancel_expiry()
+        if self._task is not None:
+            self._task.cancel()
+        self._relays.forget(self)
+        super().connection_lost(exc)
+
+    def refuse(self, reply: RelayReply) -> None:
+        """Send a reply that ends the connection."""
+        self.write(reply.encode())
+        if self.transport is not None:
+            self.transport.close()
+
+    def _cancel_expiry(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+
+
+@define(eq=False)
+class RelayServer:
+    """Accept requests of other instances to relay connections to servers."""
+
+    _address: str
+    _directory: ServerDirectory
+    _connector: ServerConnector
+    _reach: ServerReach
+    _health: ServerHealth
+    _timers: Timers
+    _metrics: Metrics
+    _declining: Callable[[], bool]
+    _server: asyncio.Server | None = field(default=None, init=False)
+    _ends: set[_AskingEnd] = field(factory=set, init=False)
+
+    async def start(self) -> None:
+        """Accept connections of other instances."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._accept, host, int(port))
+
+    def close(self) -> None:
+        """Stop accepting connections and reset those that are relayed."""
+        if self._server is not None:
+            self._server.close()
+        for end in list(self._ends):
+            end.reset()
+
+    @property
+    def busy(self) -> int:
+        """Return the number of relayed connections on which an answer may be under way."""
+        return sum(end.awaits_answer for end in self._ends)
+
+    def close_idle(self) -> None:
+        """Close the relayed connections without a request, so that they carry no further one."""
+        for end in list(self._ends):
+            if not end.awaits_answer and end.transport is not None:
+                end.transport.close()
+
+    def now(self) -> float:
+        """Return the time on the timers' clock."""
+        return self._timers.now()
+
+    def start_expiry(self, expire: Callable[[], None]) -> TimerHandle:
+        """Limit the time for a request."""
+        return self._timers.call_later(REQUEST_TIMEOUT_S, expire)
+
+    def forget(self, end: _AskingEnd) -> None:
+        """Remove a connection that has ended."""
+        self._ends.discard(end)
+
+    async def open(self, end: _AskingEnd, request: RelayRequest) -> None:
+        """Connect to the server of a request and begin to relay, or refuse that."""
+        reply = self._find_refusal(request)
+        server = self._directory.get(request.server)
+        if reply is None and server is not None:
+            try:
+                server_end = await self._connect(server)
+            except OwnLinkError:
+                reply = RelayReply(RelayResult.CUT_OFF)
+            except NotSentError:
+                reply = RelayReply(RelayResult.UNREACHABLE)
+            else:
+                reply = self._join(end, server_end)
+        reply = reply or RelayReply(RelayResult.UNKNOWN_SERVER)
+        self._metrics.count("relayed_connections", reply.result.value)
+        if reply.result is not RelayResult.CONNECTED:
+            end.refuse(reply)
+
+    def _join(self, end: _AskingEnd, server_end: _RelayEnd) -> RelayReply:
+        """Begin to relay unless the server has closed the connection already."""
+        if server_end.transport is None or server_end.transport.is_closing():
+            return RelayReply(RelayResult.UNREACHABLE)
+        reply = RelayReply(RelayResult.CONNECTED)
+        end.write(reply.encode())
+        end.join(server_end)
+        return reply
+
+    async def _connect(self, server: ServerRecord) -> _RelayEnd:
+        return await self._connector.open_directly(
+            _RelayEnd, server.address, RELAY_CONNECT_TIMEOUT_S
+        )
+
+    def _accept(self) -> _AskingEnd:
+        end = _AskingEnd(self)
+        self._ends.add(end)
+        return end
+
+    def _find_refusal(self, request: RelayRequest) -> RelayReply | None:
+        server = self._directory.get(request.server)
+        if self._declining() or len(self._ends) > MAX_RELAYED:
+            return RelayReply(RelayResult.BUSY)
+        if self._reach.cut_off:
+            return RelayReply(RelayResult.CUT_OFF)
+        if server is None or server.incarnation != (request.server, request.born_ms):
+            return RelayReply(RelayResult.UNKNOWN_SERVER)
+        if server.draining:
+            return RelayReply(RelayResult.UNKNOWN_SERVER)
+        back_off_s = self._health.back_off_left_s(server.incarnation)
+        return RelayReply(RelayResult.BACKED_OFF, back_off_s) if back_off_s else None
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -72,6 +72,11 @@
         """Return whether the connection may carry another exchange."""
         return self._usable and self._result is None and self._stream is None
 
+    @property
+    def relayed(self) -> bool:
+        """Return whether another instance relays the connection."""
+        return False
+
     @property
     def ended(self) -> bool:
         """Return whether the connection carries no further exchange."""
@@ -279,14 +284,24 @@
     return await asyncio.get_running_loop().create_connection(factory, host, port)
 
 
-async def connect(
-    address: str, timeout_s: float = CONNECT_TIMEOUT_S, dialer: Dial = dial
-) -> ServerConnection:
-    """Open a connection; raise NotSentError if that fails or takes too long."""
+async def open_connection(
+    factory: Callable[[], ProtocolT],
+    address: str,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+    dialer: Dial = dial,
+) -> ProtocolT:
+    """Open a connection of any protocol; raise NotSentError if that fails or takes too long."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await dialer(ServerConnection, host, int(port))
+            _, connection = await dialer(factory, host, int(port))
     except (OSError, TimeoutError) as error:
         raise NotSentError(f"no connection to {address}: {type(error).__name__}") from error
     return connection
+
+
+async def connect(
+    address: str, timeout_s: float = CONNECT_TIMEOUT_S, dialer: Dial = dial
+) -> ServerConnection:
+    """Open a connection to a server; raise NotSentError if that fails or takes too long."""
+    return await open_connection(ServerConnection, address, timeout_s, dialer)
--- a/src/hyssopwood/gateway/server_connector.py
+++ b/src/hyssopwood/gateway/server_connector.py
@@ -1,14 +1,24 @@
-"""Connections to servers, with what each attempt shows about this instance's own links."""
+"""Connections to servers: direct ones, and relayed ones while this instance is cut off."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
 from attrs import define
 
-from hyssopwood.gateway.exchange import NotSentError
-from hyssopwood.gateway.server_connection import Dial, ServerConnection, connect, dial
+from hyssopwood.gateway.exchange import NotSentError, OwnLinkError
+from hyssopwood.gateway.server_connection import (
+    CONNECT_TIMEOUT_S,
+    Dial,
+    ProtocolT,
+    ServerConnection,
+    dial,
+    open_connection,
+)
+from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.server_reach import ServerReach
+from hyssopwood.gateway.server_relays import ServerRelays
 from hyssopwood.timers import Timers
 
 # An attempt that takes longer counts as a failure of the path; one lost packet adds 0.2 s.
@@ -17,20 +27,39 @@
 
 @define(eq=False)
 class ServerConnector:
-    """Open connections to servers."""
+    """Open connections to servers, and record what each attempt shows about the own links."""
 
     _reach: ServerReach
+    _relays: ServerRelays
     _timers: Timers
     _dial: Dial = dial
 
+    async def connect(self, server: ServerRecord) -> ServerConnection:
+        """Connect to a server in the way that works now; raise NotSentError if that fails."""
+        if self._reach.cut_off:
+            return await self._relays.connect(server)
+        return await self.connect_directly(server.address)
+
     async def connect_directly(self, address: str) -> ServerConnection:
         """Connect to an address over this instance's own links; raise NotSentError if it fails."""
+        return await self.open_directly(ServerConnection, address, CONNECT_TIMEOUT_S)
+
+    async def open_directly(
+        self, factory: Callable[[], ProtocolT], address: str, timeout_s: float
+    ) -> ProtocolT:
+        """Open a connection of any protocol over this instance's own links.
+
+        Raises OwnLinkError if the attempt fails and these links may be the cause, and NotSentError
+        if it fails otherwise.
+        """
         unconnected = partial(self._reach.record_unconnected, address)
         slow = self._timers.call_later(SLOW_CONNECT_S, unconnected)
         try:
-            connection = await connect(address, dialer=self._dial)
-        except NotSentError:
+            connection = await open_connection(factory, address, timeout_s, self._dial)
+        except NotSentError as error:
             unconnected()
+            if self._reach.in_doubt:
+                raise OwnLinkError(str(error)) from error
             raise
         finally:
             slow.cancel()
--- a/src/hyssopwood/gateway/server_health.py
+++ b/src/hyssopwood/gateway/server_health.py
@@ -56,6 +56,10 @@
         record.pause_s = min(MAX_PAUSE_S, record.pause_s * 2)
         return True
 
+    def forget_failures(self) -> None:
+        """Forget all failures, as they turned out not to be the servers'."""
+        self._records.clear()
+
     def record_back_off(self, incarnation: tuple[str, int], seconds: float) -> None:
         """Record that the server told this instance to back off."""
         until = self._timers.now() + seconds
--- /dev/null
+++ b/src/hyssopwood/gateway/server_paths.py
@@ -0,0 +1,102 @@
+"""The paths from this instance to the servers: its own links, and relays by other instances."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import partial
+
+from attrs import define, field
+
+from hyssopwood.gateway.exchange import NotSentError
+from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
+from hyssopwood.gateway.relay_server import RelayServer
+from hyssopwood.gateway.server_connection import Dial, ServerConnection, connect
+from hyssopwood.gateway.server_connector import ServerConnector
+from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_pool import ServerPool
+from hyssopwood.gateway.server_reach import ServerReach
+from hyssopwood.gateway.server_relays import ServerRelays
+from hyssopwood.metrics import Metrics
+from hyssopwood.timers import Timers
+
+
+@define(eq=False)
+class ServerPaths:
+    """Create the parts that connect to servers, and switch between direct and relayed paths."""
+
+    _own: InstanceRecord
+    _instances: InstanceList
+    _directory: ServerDirectory
+    _health: ServerHealth
+    _id_header: bytes
+    _timers: Timers
+    _metrics: Metrics
+    _dial: Dial
+    # Whether this instance relays no further connections.
+    _declining: Callable[[], bool]
+    reach: ServerReach = field(init=False)
+    connector: ServerConnector = field(init=False)
+    # Connections for requests, which may be relayed, and for commands, which never are: a relay
+    # that is paused could deliver a grant after its lease counts as expired.
+    pool: ServerPool = field(init=False)
+    command_pool: ServerPool = field(init=False)
+    relay_server: RelayServer = field(init=False)
+    _relays: ServerRelays = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        connect_once = partial(connect, dialer=self._dial)
+        self.reach = ServerReach(
+            self._directory, connect_once, self._adopt, self._timers, self._metrics
+        )
+        self._relays = ServerRelays(
+            self._own, self._instances, self._health, self._timers, self._metrics
+        )
+        self.connector = ServerConnector(self.reach, self._relays, self._timers, self._dial)
+        self.pool = ServerPool(self._timers, self._id_header, self.connector.connect)
+        self.command_pool = ServerPool(self._timers, None, self._connect_directly)
+        self.relay_server = RelayServer(
+            self._own.relay_address,
+            self._directory,
+            self.connector,
+            self.reach,
+            self._health,
+            self._timers,
+            self._metrics,
+            self._declining,
+        )
+        self.reach.subscribe(self._switch)
+
+    def has_path(self) -> bool:
+        """Return whether servers may be reached, directly or by way of another instance."""
+        return not self.reach.cut_off or self._relays.has_candidates()
+
+    async def is_relayed(self) -> bool:
+        """Return whether another instance reaches a server while this one is cut off."""
+        servers = [record for record in self._directory.records() if not record.draining]
+        if not servers:
+            return False
+        server = random.choice(servers)
+        try:
+            connection = await self._relays.connect(server)
+        except NotSentError:
+            return False
+        self._adopt(server, connection)
+        return True
+
+    async def _connect_directly(self, server: ServerRecord) -> ServerConnection:
+        return await self.connector.connect_directly(server.address)
+
+    def _adopt(self, server: ServerRecord, connection: ServerConnection) -> None:
+        self.pool.adopt(server, connection)
+
+    def _switch(self, cut_off: bool) -> None:
+        """Use relays from now on, or no more."""
+        if not cut_off:
+            self.pool.close_relayed()
+            return
+        # What looked like failures of servers was the loss of this instance's own links.
+        self._health.forget_failures()
+        for pool in (self.pool, self.command_pool):
+            pool.abort_all_idle()
--- a/src/hyssopwood/gateway/server_reach.py
+++ b/src/hyssopwood/gateway/server_reach.py
@@ -101,7 +101,7 @@
 
     async def wait_settled(self) -> None:
         """Wait until a doubt is settled; return at once if there is none."""
-        if self._doubted.is_set():
+        if self._doubted.is_set() and not self.cut_off:
             self._settled.clear()
             await self._settled.wait()
 
--- /dev/null
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -0,0 +1,165 @@
+"""Connections to servers by way of other instances, while this one is cut off from the servers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import define, field
+
+from hyssopwood.errors import ProtocolError
+from hyssopwood.gateway.exchange import NoPathError, NotSentError
+from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
+from hyssopwood.gateway.relay_codec import (
+    RelayFrame,
+    RelayReply,
+    RelayRequest,
+    RelayResult,
+    decode_reply,
+)
+from hyssopwood.gateway.server_connection import ServerConnection
+from hyssopwood.gateway.server_directory import ServerRecord
+from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.metrics import Metrics
+from hyssopwood.timers import Timers
+
+# Time for the whole attempt: the relaying instance has 0.35 s to connect to the server.
+RELAY_TIMEOUT_S = 0.45
+# Instances that are asked for one connection.
+MAX_ASKED = 4
+# An instance that is cut off itself, busy or silent isn't asked again for this time.
+UNUSABLE_S = 1.0
+
+
+class RelayedConnection(ServerConnection):
+    """A connection to a server by way of another instance."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._frame: RelayFrame | None = RelayFrame()
+        self._reply: asyncio.Future[RelayReply] = asyncio.get_running_loop().create_future()
+
+    @property
+    def relayed(self) -> bool:
+        return True
+
+    async def request(self, request: RelayRequest) -> RelayReply:
+        """Return the other instance's reply; raise OSError or ProtocolError if there is none."""
+        if self._transport is not None:
+            self._transport.write(request.encode())
+        return await self._reply
+
+    def received(self, data: bytes) -> None:
+        if self._frame is None:
+            super().received(data)
+            return
+        try:
+            message = self._frame.feed(data)
+            if message is None:
+                return
+            reply = decode_reply(message)
+        except ProtocolError as error:
+            self._end_reply(error)
+            self.abort()
+            return
+        rest, self._frame = self._frame.rest, None
+        if not self._reply.done():
+            self._reply.set_result(reply)
+        if rest:
+            super().received(rest)
+
+    def eof_received(self) -> bool:
+        self._end_reply(ConnectionResetError("the relaying instance closed the connection"))
+        return super().eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end_reply(ConnectionResetError(f"the relaying instance was lost: {exc or 'closed'}"))
+        super().connection_lost(exc)
+
+    def _end_reply(self, error: Exception) -> None:
+        if not self._reply.done():
+            self._reply.set_exception(error)
+            # The error counts as retrieved, as the caller may have been cancelled.
+            self._reply.exception()
+
+
+@define(eq=False)
+class ServerRelays:
+    """Open connections to servers by way of instances that reach them."""
+
+    _own: InstanceRecord
+    _instances: InstanceList
+    _health: ServerHealth
+    _timers: Timers
+    _metrics: Metrics
+    _rng: random.Random = field(factory=random.Random)
+    # Times until which instances aren't asked.
+    _unusable_until: dict[str, float] = field(factory=dict, init=False)
+
+    async def connect(self, server: ServerRecord) -> ServerConnection:
+        """Connect to a server by way of another instance.
+
+        Raises NotSentError if an instance that reaches other servers can't connect to this one, and
+        NoPathError if no instance was found that reaches any.
+        """
+        for record in self._choose(server):
+            try:
+                return await self._connect_by(record, server)
+            except (OSError, TimeoutError, ProtocolError):
+                self._mark_unusable(record, "silent")
+        raise NoPathError(f"no instance relays a connection to {server.server}")
+
+    def has_candidates(self) -> bool:
+        """Return whether an instance may be asked now."""
+        return any(True for _ in self._usable())
+
+    async def _connect_by(self, record: InstanceRecord, server: ServerRecord) -> ServerConnection:
+        """Connect by way of an instance; raise ConnectionError if it can't relay now."""
+        host, _, port = record.relay_address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        connection: Any = None
+        kept = False
+        try:
+            async with asyncio.timeout(RELAY_TIMEOUT_S):
+                _, connection = await loop.create_connection(RelayedConnection, host, int(port))
+                reply = await connection.request(RelayRequest(server.server, server.born_ms))
+            kept = reply.result is RelayResult.CONNECTED
+        finally:
+            if connection is not None and not kept:
+                connection.abort()
+        self._metrics.count("relay_requests", reply.result.value)
+        if reply.result is RelayResult.CONNECTED:
+            return connection
+        if reply.result in (RelayResult.CUT_OFF, RelayResult.BUSY):
+            raise ConnectionError(reply.result.value)
+        if reply.result is RelayResult.BACKED_OFF:
+            # The server counts requests that are relayed as the relaying instance's own.
+            self._health.record_back_off(server.incarnation, reply.back_off_s)
+        detail = f"{record.instance} can't connect to {server.server}: {reply.result.value}"
+        raise NotSentError(detail)
+
+    def _choose(self, server: ServerRecord) -> list[InstanceRecord]:
+        """Return the instances to ask, in random order.
+
+        By way of an instance in the server's or the own failure domain, bytes cross domains no more
+        often than on the direct path.
+        """
+        near = {server.failure_domain, self._own.failure_domain}
+        usable = list(self._usable())
+        self._rng.shuffle(usable)
+        usable.sort(key=lambda record: record.failure_domain not in near)
+        return usable[:MAX_ASKED]
+
+    def _usable(self) -> Iterable[InstanceRecord]:
+        now = self._timers.now()
+        return (
+            record
+            for record in self._instances.others()
+            if record.relay_address and self._unusable_until.get(record.instance, now) <= now
+        )
+
+    def _mark_unusable(self, record: InstanceRecord, cause: str) -> None:
+        self._metrics.count("relays_unusable", cause)
+        self._unusable_until[record.instance] = self._timers.now() + UNUSABLE_S
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -26,6 +26,8 @@
   failureDomain @2 :Text;
   # Thousandths of a core.
   capacity @3 :UInt32;
+  # Address for connections that the instance relays to servers.
+  relayAddress @4 :Text;
 }
 
 struct Hello {
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -243,10 +243,13 @@
     row.address = record.address
     row.failureDomain = record.failure_domain
     row.capacity = record.capacity
+    row.relayAddress = record.relay_address
 
 
 def _read_instance(row: Any) -> InstanceRecord:
-    return InstanceRecord(row.instance, row.address, row.failureDomain, row.capacity)
+    return InstanceRecord(
+        row.instance, row.address, row.failureDomain, row.capacity, row.relayAddress
+    )
 
 
 def _read_instances(update: Any) -> InstanceUpdate:
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -57,10 +57,12 @@
     value = settings.text("internal_port_range")
     first, _, last = value.partition(",")
     try:
-        return int(first), int(last)
+        ports = int(first), int(last)
     except ValueError:
+        ports = 0, 0
+    if not 0 < ports[0] < ports[1]:
         settings.faults.append(InputFault("internal_port_range", repr(value), "two ports"))
-        return 0, 0
+    return ports
 
 
 def parse_boot_settings(source: str, text: str) -> GatewaySettings:
@@ -85,6 +87,7 @@
         "caller_address": settings.text("listen.front"),
         "readiness_address": settings.text("listen.ready"),
         "peer_address": f"{ip}:{first_port}",
+        "relay_address": f"{ip}:{first_port + 1}",
         "metrics_address": f"{ip}:{METRICS_PORT}",
         "store_address": settings.text("platform.address"),
         # "cpu_share" is a share of one core, and "cpu_cores" is the speed of that core.
