Detect lost links for each service, and relay only to those that are cut off

Change: doubts, probes and cuts are those of one service. A leader that was cut off before it claimed doesn't hand over, so that leadership can't go round while every instance lacks a service.

--- a/features/gateway_server_reach.feature
+++ b/features/gateway_server_reach.feature
@@ -15,6 +15,14 @@
       | 3       | hang                              | 1.6   |
       | 2       | are reset                         | 1.0   |
 
+  Scenario: An instance that reaches the servers of one service is cut off from another one
+    Guards against requests that fail because servers of another service are still reached.
+    Given an instance with 23 servers that it sends requests
+    And 6 servers of another service that it sends requests
+    When its connections to 23 servers hang from second 2 to second 8
+    Then it counts as cut off at most 1.6 s after that, and not before
+    And it counts as connected at most 0.9 s after second 8
+
   Scenario Outline: Failures of servers are not taken for the loss of an instance's own links
     Guards against a healthy instance that stops using its own links.
     Given an instance with <servers> servers that it sends requests
--- a/features/steps/gateway_reach_steps.py
+++ b/features/steps/gateway_reach_steps.py
@@ -23,10 +23,10 @@
 END_S = 12.0
 
 
-def _record(number):
+def _record(number, service="portal"):
     return ServerRecord(
         server=f"s{number}",
-        service="portal",
+        service=service,
         address=f"10.0.0.{number}:1",
         failure_domain="a",
         slots=2,
@@ -40,10 +40,12 @@
 class _Links:
     """The links of one instance to its servers."""
 
-    def __init__(self, servers, timers, rng):
+    def __init__(self, servers, others, timers, rng):
         self.directory = ServerDirectory()
         for number in range(servers):
             self.directory.put(_record(number))
+        for number in range(servers, servers + others):
+            self.directory.put(_record(number, "desk"))
         self.rng = rng
         self.failing = set()
         self.fault = ""
@@ -63,39 +65,38 @@
         self.probes += 1
         await self._open(address, timeout_s)
 
-    async def connect(self, address):
+    async def connect(self, server):
         loop = asyncio.get_running_loop()
-        slow = loop.call_later(SLOW_CONNECT_S, self.reach.record_unconnected, address)
+        slow = loop.call_later(SLOW_CONNECT_S, self.reach.record_unconnected, server)
         try:
-            await self._open(address, CONNECT_TIMEOUT_S)
+            await self._open(server.address, CONNECT_TIMEOUT_S)
         except NotSentError:
-            self.reach.record_unconnected(address)
+            self.reach.record_unconnected(server)
             return False
         finally:
             slow.cancel()
-        self.reach.record_connected()
+        self.reach.record_connected(server.service)
         return True
 
     async def request(self, number):
-        address = self.rng.choice(self.directory.records()).address
-        if number % NEW_CONNECTION_EVERY == 0 and not await self.connect(address):
+        server = self.rng.choice(self.directory.records())
+        if number % NEW_CONNECTION_EVERY == 0 and not await self.connect(server):
             return
-        if address in self.failing and self.fault != "live on while new ones are refused":
+        if server.address in self.failing and self.fault != "live on while new ones are refused":
             await asyncio.sleep(DEADLINE_S if self.fault == "hang" else ROUND_TRIP_S)
-            self.reach.record_failed(address)
+            self.reach.record_failed(server)
             return
         await asyncio.sleep(WORK_S)
-        self.reach.record_answered()
+        self.reach.record_answered(server.service)
 
 
-async def _simulate(servers, failing, fault, first_s, last_s):
+async def _simulate(servers, others, failing, fault, first_s, last_s):
     loop = asyncio.get_running_loop()
     rng = random.Random(servers)
-    links = _Links(servers, SimulatedProcess("i", rng), rng)
+    links = _Links(servers, others, SimulatedProcess("i", rng), rng)
     began = loop.time()
     changes = []
-    links.reach.subscribe(lambda cut_off: changes.append((loop.time() - began, cut_off)))
-    running = asyncio.ensure_future(links.reach.run())
+    links.reach.subscribe(lambda service, cut_off: changes.append((loop.time() - began, cut_off)))
     addresses = [record.address for record in links.directory.records()]
     requests, number = set(), 0
     while loop.time() - began < END_S:
@@ -105,9 +106,10 @@
         requests.add(asyncio.ensure_future(links.request(number)))
         number += 1
         await asyncio.sleep(REQUEST_INTERVAL_S)
-    for task in (running, *requests):
+    links.reach.close()
+    for task in requests:
         task.cancel()
-    await asyncio.gather(running, *requests, return_exceptions=True)
+    await asyncio.gather(*requests, return_exceptions=True)
     return changes, links.probes
 
 
@@ -115,7 +117,7 @@
     loop = VirtualLoop()
     try:
         context.changes, context.probes = loop.run_until_complete(
-            _simulate(context.server_count, failing, fault, first_s, last_s)
+            _simulate(context.server_count, context.other_count, failing, fault, first_s, last_s)
         )
     finally:
         loop.close()
@@ -124,7 +126,12 @@
 
 @given("an instance with {count:d} servers that it sends requests")
 def step_instance(context, count):
-    context.server_count = count
+    context.server_count, context.other_count = count, 0
+
+
+@given("{count:d} servers of another service that it sends requests")
+def step_other_service(context, count):
+    context.other_count = count
 
 
 @when("its connections to all servers {fault} from second {first_s:g} to second {last_s:g}")
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -285,6 +285,10 @@
             raise NotSentError("no connection in time")
         return _FakeConnection(self, server, silent_end=self._cluster.rng.random() < 0.3)
 
+    async def connect_to(self, record):
+        """Open a connection to the process that listens at a server's address."""
+        return await self.connect(record.address)
+
     async def exchange(self, record, request):
         """Send a command over a new connection."""
         connection = await self.connect(record.address)
@@ -401,7 +405,7 @@
 
     def __init__(self, cluster, process):
         pool = _FakePool(cluster, process)
-        self._commands = PlatformKeyCommands(pool, GrantChannels(pool.connect))
+        self._commands = PlatformKeyCommands(pool, GrantChannels(pool.connect_to))
         self._process = process
 
     async def grant(self, server, keys, lease_s, handover, channel):
@@ -478,7 +482,7 @@
                 lead=self.lead,
                 may_lead=lambda: not self.stopping,
                 wait_hand_over=self.wait_hand_over,
-                is_cut_off=lambda: self.reach.cut_off,
+                is_cut_off=lambda: self.reach.any_cut_off,
             )
         )
         # Probes have random numbers of their own, so that the other faults of a seed stay the same.
@@ -487,7 +491,6 @@
             self.directory, self.probe, self.close_probe, self.process, Metrics(), self.probe_rng
         )
         self.supervisor = Supervisor(self.name, self.process)
-        self.supervisor.start(Child("server-reach", self.reach.run))
         self.supervisor.start(Child("leadership", self.leadership.run))
         self.supervisor.start(Child("directory", self.follow_servers))
 
@@ -496,9 +499,11 @@
         process.resume()
 
     async def wait_hand_over(self):
+        claimed_at = self.process.now()
         while True:
             await self.reach.wait_cut_off()
-            if self.leadership.store_age_s() <= STORE_REACHABLE_S:
+            since_claim = self.reach.cut_off_since >= claimed_at
+            if since_claim and self.leadership.store_age_s() <= STORE_REACHABLE_S:
                 return
             await self.process.sleep(0.2)
 
@@ -516,6 +521,7 @@
 
     async def stop(self):
         self.process.alive = False
+        self.reach.close()
         self.process.resume()
         await self.supervisor.stop_all()
 
--- a/features/support/steady_reach.py
+++ b/features/support/steady_reach.py
@@ -4,14 +4,15 @@
 class SteadyReach:
     """Report that this instance's own links are sound, whatever fails."""
 
-    cut_off = False
-    in_doubt = False
+    def in_doubt(self, service):
+        """Return that there is no doubt."""
+        return False
 
-    def record_answered(self):
+    def record_answered(self, service):
         """Ignore an answer."""
 
-    def record_failed(self, address):
+    def record_failed(self, server):
         """Ignore a failure."""
 
-    async def wait_settled(self):
+    async def wait_settled(self, service):
         """Return at once, as there is never a doubt."""
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -265,6 +265,7 @@
             self._peers.close()
         self._queues.close()
         self._paths.relay_server.close()
+        self._paths.reach.close()
 
     async def _start(self) -> None:
         await self._readiness.start()
@@ -281,7 +282,6 @@
             Child("queues", self._keeper.run),
             Child("queue-link", self._queues.run),
             Child("callers", self._callers.enforce_limits),
-            Child("server-reach", self._paths.reach.run),
             Child("housekeeping", self._run_housekeeping),
         )
         for child in children:
@@ -341,16 +341,19 @@
             lead=self._lead,
             may_lead=lambda: not self._stopping.is_set(),
             wait_hand_over=self._wait_hand_over,
-            is_cut_off=lambda: self._paths.reach.cut_off,
+            is_cut_off=lambda: self._paths.reach.any_cut_off,
         )
 
     async def _wait_hand_over(self) -> None:
         """Wait until this instance is cut off from the servers while another one reaches them."""
+        claimed_at = self._timers.now()
         while True:
             await self._paths.reach.wait_cut_off()
             store_age_s = self._leadership.store_age_s()
             store_reached = store_age_s is not None and store_age_s <= STORE_REACHABLE_S
-            if store_reached and await self._paths.is_relayed():
+            # One that was cut off before it claimed leads as no other instance did.
+            since_claim = self._paths.reach.cut_off_since >= claimed_at
+            if since_claim and store_reached and await self._paths.is_relayed():
                 return
             await self._timers.sleep(HAND_OVER_CHECK_S)
 
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -87,8 +87,8 @@
     reports: LoadReports
     crashes: CrashMonitor
     reach: ServerReach
-    # Whether servers can be reached, directly or by way of another instance.
-    has_path: Callable[[], bool] = lambda: True
+    # Whether a service can be reached, directly or by way of another instance.
+    has_path: Callable[[str], bool] = lambda service: True
 
 
 class Dispatcher:
@@ -182,7 +182,7 @@
                 self._deps.timers.now()
             ):
                 break
-            if not self._deps.has_path():
+            if not self._deps.has_path(routed.service):
                 last_outcome = _cut_off_refusal()
                 break
             outcome = await self._run_attempt(routed)
@@ -203,7 +203,7 @@
         """Wait until it is known whether this instance's own links are the cause of a failure."""
         try:
             async with asyncio.timeout(max(0.0, self._remaining_to_send_s(routed))):
-                await self._deps.reach.wait_settled()
+                await self._deps.reach.wait_settled(routed.service)
         except TimeoutError:
             return
 
@@ -305,7 +305,7 @@
                 self._deps.reports.record_service_time(server.incarnation, waited_s)
                 done = evolve(done, sample_s=waited_s)
             return OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time"), done
-        self._deps.reach.record_answered()
+        self._deps.reach.record_answered(server.service)
         self._count_send(routed)
         outcome, done = self._evaluate_answer(routed, server, answer, started_at)
         if answer.stream is not None and not isinstance(outcome, Answered):
@@ -314,7 +314,7 @@
 
     def _record_loss(self, server: ServerRecord, detail: str) -> Done:
         """Record that a request to a server was lost, and return what its keeper is told."""
-        self._deps.reach.record_failed(server.address)
+        self._deps.reach.record_failed(server)
         self._record_failure(server, detail, certain=False)
         return Done(failure=Failure.UNCERTAIN)
 
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -246,9 +246,7 @@
         return reply
 
     async def _connect(self, server: ServerRecord) -> _RelayEnd:
-        return await self._connector.open_directly(
-            _RelayEnd, server.address, RELAY_CONNECT_TIMEOUT_S
-        )
+        return await self._connector.open_directly(_RelayEnd, server, RELAY_CONNECT_TIMEOUT_S)
 
     def _accept(self) -> _AskingEnd:
         end = _AskingEnd(self)
@@ -259,11 +257,11 @@
         server = self._directory.get(request.server)
         if self._declining() or len(self._ends) > MAX_RELAYED:
             return RelayReply(RelayResult.BUSY)
-        if self._reach.cut_off:
-            return RelayReply(RelayResult.CUT_OFF)
         if server is None or server.incarnation != (request.server, request.born_ms):
             return RelayReply(RelayResult.UNKNOWN_SERVER)
         if server.draining:
             return RelayReply(RelayResult.UNKNOWN_SERVER)
+        if self._reach.cut_off(server.service):
+            return RelayReply(RelayResult.CUT_OFF)
         back_off_s = self._health.back_off_left_s(server.incarnation)
         return RelayReply(RelayResult.BACKED_OFF, back_off_s) if back_off_s else None
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -72,11 +72,6 @@
         """Return whether the connection may carry another exchange."""
         return self._usable and self._result is None and self._stream is None
 
-    @property
-    def relayed(self) -> bool:
-        """Return whether another instance relays the connection."""
-        return False
-
     @property
     def ended(self) -> bool:
         """Return whether the connection carries no further exchange."""
--- a/src/hyssopwood/gateway/server_connector.py
+++ b/src/hyssopwood/gateway/server_connector.py
@@ -36,32 +36,32 @@
 
     async def connect(self, server: ServerRecord) -> ServerConnection:
         """Connect to a server in the way that works now; raise NotSentError if that fails."""
-        if self._reach.cut_off:
+        if self._reach.cut_off(server.service):
             return await self._relays.connect(server)
-        return await self.connect_directly(server.address)
+        return await self.connect_directly(server)
 
-    async def connect_directly(self, address: str) -> ServerConnection:
-        """Connect to an address over this instance's own links; raise NotSentError if it fails."""
-        return await self.open_directly(ServerConnection, address, CONNECT_TIMEOUT_S)
+    async def connect_directly(self, server: ServerRecord) -> ServerConnection:
+        """Connect to a server over this instance's own links; raise NotSentError if it fails."""
+        return await self.open_directly(ServerConnection, server, CONNECT_TIMEOUT_S)
 
     async def open_directly(
-        self, factory: Callable[[], ProtocolT], address: str, timeout_s: float
+        self, factory: Callable[[], ProtocolT], server: ServerRecord, timeout_s: float
     ) -> ProtocolT:
         """Open a connection of any protocol over this instance's own links.
 
         Raises OwnLinkError if the attempt fails and these links may be the cause, and NotSentError
         if it fails otherwise.
         """
-        unconnected = partial(self._reach.record_unconnected, address)
+        unconnected = partial(self._reach.record_unconnected, server)
         slow = self._timers.call_later(SLOW_CONNECT_S, unconnected)
         try:
-            connection = await open_connection(factory, address, timeout_s, self._dial)
+            connection = await open_connection(factory, server.address, timeout_s, self._dial)
         except NotSentError as error:
             unconnected()
-            if self._reach.in_doubt:
+            if self._reach.in_doubt(server.service):
                 raise OwnLinkError(str(error)) from error
             raise
         finally:
             slow.cancel()
-        self._reach.record_connected()
+        self._reach.record_connected(server.service)
         return connection
--- a/src/hyssopwood/gateway/server_health.py
+++ b/src/hyssopwood/gateway/server_health.py
@@ -56,9 +56,9 @@
         record.pause_s = min(MAX_PAUSE_S, record.pause_s * 2)
         return True
 
-    def forget_failures(self) -> None:
-        """Forget all failures, as they turned out not to be the servers'."""
-        self._records.clear()
+    def forget_failure(self, incarnation: tuple[str, int]) -> None:
+        """Forget failures that turned out not to be the server's."""
+        self._records.pop(incarnation, None)
 
     def record_back_off(self, incarnation: tuple[str, int], seconds: float) -> None:
         """Record that the server told this instance to back off."""
--- a/src/hyssopwood/gateway/server_paths.py
+++ b/src/hyssopwood/gateway/server_paths.py
@@ -55,7 +55,7 @@
         )
         self.connector = ServerConnector(self.reach, self._relays, self._timers, self._dial)
         self.pool = ServerPool(self._timers, self._id_header, self.connector.connect)
-        self.command_pool = ServerPool(self._timers, None, self._connect_directly)
+        self.command_pool = ServerPool(self._timers, None, self.connector.connect_directly)
         self.relay_server = RelayServer(
             self._own.relay_address,
             self._directory,
@@ -68,13 +68,18 @@
         )
         self.reach.subscribe(self._switch)
 
-    def has_path(self) -> bool:
-        """Return whether servers may be reached, directly or by way of another instance."""
-        return not self.reach.cut_off or self._relays.has_candidates()
+    def has_path(self, service: str) -> bool:
+        """Return whether a service may be reached, directly or by way of another instance."""
+        return not self.reach.cut_off(service) or self._relays.has_candidates(service)
 
     async def is_relayed(self) -> bool:
-        """Return whether another instance reaches a server while this one is cut off."""
-        servers = [record for record in self._directory.records() if not record.draining]
+        """Return whether another instance reaches a server from which this one is cut off."""
+        servers = [
+            record
+            for service in self.reach.cut_off_services()
+            for record in self._directory.of_service(service)
+            if not record.draining
+        ]
         if not servers:
             return False
         server = random.choice(servers)
@@ -85,18 +90,16 @@
         self._adopt(server, connection)
         return True
 
-    async def _connect_directly(self, server: ServerRecord) -> ServerConnection:
-        return await self.connector.connect_directly(server.address)
-
     def _adopt(self, server: ServerRecord, connection: ServerConnection) -> None:
         self.pool.adopt(server, connection)
 
-    def _switch(self, cut_off: bool) -> None:
-        """Use relays from now on, or no more."""
-        if not cut_off:
-            self.pool.close_relayed()
-            return
-        # What looked like failures of servers was the loss of this instance's own links.
-        self._health.forget_failures()
-        for pool in (self.pool, self.command_pool):
-            pool.abort_all_idle()
+    def _switch(self, service: str, cut_off: bool) -> None:
+        """Use relays to a service from now on, or no more."""
+        for server in self._directory.of_service(service):
+            # Idle connections may be silent in a cut, and those that are relayed take a detour
+            # after it.
+            self.pool.abort_idle(server)
+            self.command_pool.abort_idle(server)
+            if cut_off:
+                # What looked like a failure was the loss of this instance's own links.
+                self._health.forget_failure(server.incarnation)
--- a/src/hyssopwood/gateway/server_pool.py
+++ b/src/hyssopwood/gateway/server_pool.py
@@ -66,20 +66,6 @@
         for connection in self._idle.pop(server.incarnation, ()):
             connection.abort()
 
-    def abort_all_idle(self) -> None:
-        """Reset all idle connections, which may be silent."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.abort()
-        self._idle.clear()
-
-    def close_relayed(self) -> None:
-        """Close the idle connections that other instances relay."""
-        for connections in self._idle.values():
-            for connection in [item for item in connections if item.relayed]:
-                connection.close()
-                connections.remove(connection)
-
     def retain(self, incarnations: set[tuple[str, int]]) -> None:
         """Close the idle connections to all incarnations except the given ones."""
         for incarnation in self._idle.keys() - incarnations:
--- a/src/hyssopwood/gateway/server_reach.py
+++ b/src/hyssopwood/gateway/server_reach.py
@@ -1,8 +1,8 @@
-"""Detection of whether this instance itself has lost its links to the backend servers.
+"""Detection of whether this instance itself has lost its links to the servers of a service.
 
 A failed connection doesn't show at which end the fault is. An instance whose own links are lost
-sees every server fail, so after failures at several servers it tries others: only if none of them
-accepts a connection does it count as cut off.
+sees every server fail, so after failures at several servers of a service it tries others: only if
+none of them accepts a connection does it count as cut off from the service.
 """
 
 from __future__ import annotations
@@ -37,9 +37,26 @@
 CONFIRMED_S = 0.3
 
 
+@define(eq=False)
+class _ServiceReach:
+    """What is known of the links to one service's servers."""
+
+    # Times of the latest failure at each address, of exchanges and of connection attempts. Answers
+    # over old connections don't show that new ones are accepted, so both are kept apart.
+    failed: dict[str, float] = field(factory=dict)
+    unconnected: dict[str, float] = field(factory=dict)
+    answered_at: float = float("-inf")
+    connected_at: float = float("-inf")
+    cut_off: bool = False
+    cut_off_since: float = 0.0
+    # Settles the doubt, and probes until the cut is over; None while there is no doubt.
+    probing: asyncio.Task[None] | None = None
+    settled: asyncio.Event = field(factory=asyncio.Event)
+
+
 @define(eq=False)
 class ServerReach:
-    """Decide from connections to servers whether this instance is cut off from all of them."""
+    """Decide from connections to servers from which services this instance is cut off."""
 
     _directory: ServerDirectory
     # Connects to an address within a time in seconds.
@@ -49,99 +66,131 @@
     _timers: Timers
     _metrics: Metrics
     _rng: random.Random = field(factory=random.Random)
-    # Times of the latest failure at each address, of exchanges and of connection attempts. Answers
-    # over old connections don't show that new ones are accepted, so both are kept apart.
-    _failed: dict[str, float] = field(factory=dict, init=False)
-    _unconnected: dict[str, float] = field(factory=dict, init=False)
-    _answered_at: float = field(default=float("-inf"), init=False)
-    _connected_at: float = field(default=float("-inf"), init=False)
+    _services: dict[str, _ServiceReach] = field(factory=dict, init=False)
     _cut_off: asyncio.Event = field(factory=asyncio.Event, init=False)
-    _cut_off_since: float = field(default=0.0, init=False)
-    _doubted: asyncio.Event = field(factory=asyncio.Event, init=False)
-    _settled: asyncio.Event = field(factory=asyncio.Event, init=False)
-    _listeners: list[Callable[[bool], None]] = field(factory=list, init=False)
+    _listeners: list[Callable[[str, bool], None]] = field(factory=list, init=False)
 
     @property
-    def cut_off(self) -> bool:
-        """Return whether this instance can connect to no server."""
+    def any_cut_off(self) -> bool:
+        """Return whether this instance is cut off from any service."""
         return self._cut_off.is_set()
 
     @property
-    def in_doubt(self) -> bool:
-        """Return whether failures at servers may be caused by this instance's own links."""
-        return self.cut_off or self._doubted.is_set()
-
-    def subscribe(self, listener: Callable[[bool], None]) -> None:
-        """Call back with True when this instance is cut off, and with False when it isn't."""
+    def cut_off_since(self) -> float:
+        """Return when the latest cut was noticed, or minus infinity while there is none."""
+        times = [item.cut_off_since for item in self._services.values() if item.cut_off]
+        return max(times, default=float("-inf"))
+
+    def cut_off_services(self) -> list[str]:
+        """Return the services from which this instance is cut off."""
+        return [service for service, reach in self._services.items() if reach.cut_off]
+
+    def cut_off(self, service: str) -> bool:
+        """Return whether this instance can connect to no server of a service."""
+        reach = self._services.get(service)
+        return reach is not None and reach.cut_off
+
+    def in_doubt(self, service: str) -> bool:
+        """Return whether failures at the servers may be caused by this instance's own links."""
+        reach = self._services.get(service)
+        return reach is not None and (reach.cut_off or reach.probing is not None)
+
+    def subscribe(self, listener: Callable[[str, bool], None]) -> None:
+        """Call back with a service and whether this instance is cut off from it."""
         self._listeners.append(listener)
 
-    def record_connected(self) -> None:
+    def record_connected(self, service: str) -> None:
         """Record that a server accepted a connection."""
-        self._unconnected.clear()
-        self._connected_at = self._timers.now()
-        self.record_answered()
-
-    def record_answered(self) -> None:
-        """Record that a server answered over a direct connection."""
-        self._failed.clear()
-        self._answered_at = self._timers.now()
-
-    def record_failed(self, address: str) -> None:
-        """Record that an exchange over a direct connection failed."""
-        self._record(self._failed, address, self._answered_at)
-
-    def record_unconnected(self, address: str) -> None:
+        reach = self._of(service)
+        reach.unconnected.clear()
+        reach.connected_at = self._timers.now()
+        self.record_answered(service)
+
+    def record_answered(self, service: str) -> None:
+        """Record that a server answered."""
+        reach = self._of(service)
+        reach.failed.clear()
+        reach.answered_at = self._timers.now()
+
+    def record_failed(self, server: ServerRecord) -> None:
+        """Record that an exchange with a server failed."""
+        reach = self._of(server.service)
+        self._record(reach, reach.failed, server, reach.answered_at)
+
+    def record_unconnected(self, server: ServerRecord) -> None:
         """Record that a connection attempt failed or takes unusually long."""
-        self._record(self._failed, address, self._answered_at)
-        self._record(self._unconnected, address, self._connected_at)
+        self.record_failed(server)
+        reach = self._of(server.service)
+        self._record(reach, reach.unconnected, server, reach.connected_at)
 
     async def wait_cut_off(self) -> None:
-        """Wait until this instance is cut off."""
+        """Wait until this instance is cut off from a service."""
         await self._cut_off.wait()
 
-    async def wait_settled(self) -> None:
+    async def wait_settled(self, service: str) -> None:
         """Wait until a doubt is settled; return at once if there is none."""
-        if self._doubted.is_set() and not self.cut_off:
-            self._settled.clear()
-            await self._settled.wait()
-
-    async def run(self) -> None:
-        """Settle doubts by probes until cancelled."""
-        while True:
-            if not self.cut_off:
-                await self._doubted.wait()
-            self._apply(not await self._is_reached())
-            self._doubted.clear()
-            self._settled.set()
-            if self.cut_off:
-                await self._timers.sleep(PROBE_INTERVAL_S)
-
-    def _record(self, failures: dict[str, float], address: str, succeeded_at: float) -> None:
+        reach = self._services.get(service)
+        if reach is not None and reach.probing is not None and not reach.cut_off:
+            await reach.settled.wait()
+
+    def close(self) -> None:
+        """Stop all probes."""
+        for reach in self._services.values():
+            if reach.probing is not None:
+                reach.probing.cancel()
+
+    def _of(self, service: str) -> _ServiceReach:
+        reach = self._services.get(service)
+        if reach is None:
+            reach = self._services[service] = _ServiceReach()
+        return reach
+
+    def _record(
+        self,
+        reach: _ServiceReach,
+        failures: dict[str, float],
+        server: ServerRecord,
+        succeeded_at: float,
+    ) -> None:
         now = self._timers.now()
-        failures.pop(address, None)
-        failures[address] = now
+        failures.pop(server.address, None)
+        failures[server.address] = now
         while now - next(iter(failures.values())) > FAILURE_TTL_S:
             del failures[next(iter(failures))]
-        if len(failures) >= FAILED_SERVERS_TO_DOUBT and now - succeeded_at > CONFIRMED_S:
-            self._doubted.set()
+        doubtful = len(failures) >= FAILED_SERVERS_TO_DOUBT and now - succeeded_at > CONFIRMED_S
+        if doubtful and reach.probing is None:
+            reach.settled = asyncio.Event()
+            reach.probing = asyncio.ensure_future(self._settle(server.service, reach))
 
-    async def _is_reached(self) -> bool:
+    async def _settle(self, service: str, reach: _ServiceReach) -> None:
+        """Find out whether the service's servers are reached, and when they are again."""
+        try:
+            while not await self._is_reached(service, reach):
+                self._apply(service, reach, True)
+                reach.settled.set()
+                await self._timers.sleep(PROBE_INTERVAL_S)
+        finally:
+            reach.probing = None
+            self._apply(service, reach, False)
+            reach.settled.set()
+
+    async def _is_reached(self, service: str, reach: _ServiceReach) -> bool:
         """Return whether a server accepts a connection, or there are too few to tell."""
-        servers = self._servers_to_probe()
+        servers = self._servers_to_probe(service, reach)
         if len(servers) < FAILED_SERVERS_TO_DOUBT:
             return True
         first, others = servers[:PROBED_SERVERS], servers[PROBED_SERVERS:]
         if await self._probe(first):
             return True
-        if self.cut_off:
+        if reach.cut_off or not others:
             return False
         return await self._probe(others[:CONFIRMING_SERVERS])
 
-    def _servers_to_probe(self) -> list[ServerRecord]:
+    def _servers_to_probe(self, service: str, reach: _ServiceReach) -> list[ServerRecord]:
         """Return the servers in the order to probe them: first those that haven't failed."""
-        servers = [record for record in self._directory.records() if not record.draining]
+        servers = [item for item in self._directory.of_service(service) if not item.draining]
         self._rng.shuffle(servers)
-        servers.sort(key=lambda record: record.address in self._failed)
+        servers.sort(key=lambda record: record.address in reach.failed)
         return servers
 
     async def _probe(self, servers: list[ServerRecord]) -> bool:
@@ -162,20 +211,24 @@
             connection = await self._connect(server.address, PROBE_TIMEOUT_S)
         except NotSentError:
             return False
-        self.record_connected()
+        self.record_connected(server.service)
         self._adopt(server, connection)
         return True
 
-    def _apply(self, cut_off: bool) -> None:
-        if cut_off == self.cut_off:
+    def _apply(self, service: str, reach: _ServiceReach, cut_off: bool) -> None:
+        if cut_off == reach.cut_off:
             return
         now = self._timers.now()
+        reach.cut_off = cut_off
         if cut_off:
+            reach.cut_off_since = now
+            emit(Event.SERVERS_UNREACHABLE, service=service, failed=len(reach.failed))
+        else:
+            after_s = round(now - reach.cut_off_since, 2)
+            emit(Event.SERVERS_REACHABLE, service=service, after_s=after_s)
+        if any(item.cut_off for item in self._services.values()):
             self._cut_off.set()
-            self._cut_off_since = now
-            emit(Event.SERVERS_UNREACHABLE, failed=len(self._failed))
         else:
             self._cut_off.clear()
-            emit(Event.SERVERS_REACHABLE, after_s=round(now - self._cut_off_since, 2))
         for listener in self._listeners:
-            listener(cut_off)
+            listener(service, cut_off)
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -1,4 +1,4 @@
-"""Connections to servers by way of other instances, while this one is cut off from the servers."""
+"""Connections to servers by way of other instances, while this one is cut off from them."""
 
 from __future__ import annotations
 
@@ -41,10 +41,6 @@
         self._frame: RelayFrame | None = RelayFrame()
         self._reply: asyncio.Future[RelayReply] = asyncio.get_running_loop().create_future()
 
-    @property
-    def relayed(self) -> bool:
-        return True
-
     async def request(self, request: RelayRequest) -> RelayReply:
         """Return the other instance's reply; raise OSError or ProtocolError if there is none."""
         if self._transport is not None:
@@ -95,8 +91,8 @@
     _timers: Timers
     _metrics: Metrics
     _rng: random.Random = field(factory=random.Random)
-    # Times until which instances aren't asked.
-    _unusable_until: dict[str, float] = field(factory=dict, init=False)
+    # Times until which instances aren't asked for servers of a service.
+    _unusable_until: dict[tuple[str, str], float] = field(factory=dict, init=False)
 
     async def connect(self, server: ServerRecord) -> ServerConnection:
         """Connect to a server by way of another instance.
@@ -108,12 +104,12 @@
             try:
                 return await self._connect_by(record, server)
             except (OSError, TimeoutError, ProtocolError):
-                self._mark_unusable(record, "silent")
+                self._mark_unusable(record, server.service)
         raise NoPathError(f"no instance relays a connection to {server.server}")
 
-    def has_candidates(self) -> bool:
-        """Return whether an instance may be asked now."""
-        return any(True for _ in self._usable())
+    def has_candidates(self, service: str) -> bool:
+        """Return whether an instance may be asked now for servers of a service."""
+        return any(True for _ in self._usable(service))
 
     async def _connect_by(self, record: InstanceRecord, server: ServerRecord) -> ServerConnection:
         """Connect by way of an instance; raise ConnectionError if it can't relay now."""
@@ -147,19 +143,20 @@
         often than on the direct path.
         """
         near = {server.failure_domain, self._own.failure_domain}
-        usable = list(self._usable())
+        usable = list(self._usable(server.service))
         self._rng.shuffle(usable)
         usable.sort(key=lambda record: record.failure_domain not in near)
         return usable[:MAX_ASKED]
 
-    def _usable(self) -> Iterable[InstanceRecord]:
+    def _usable(self, service: str) -> Iterable[InstanceRecord]:
         now = self._timers.now()
         return (
             record
             for record in self._instances.others()
-            if record.relay_address and self._unusable_until.get(record.instance, now) <= now
+            if record.relay_address
+            and self._unusable_until.get((record.instance, service), now) <= now
         )
 
-    def _mark_unusable(self, record: InstanceRecord, cause: str) -> None:
-        self._metrics.count("relays_unusable", cause)
-        self._unusable_until[record.instance] = self._timers.now() + UNUSABLE_S
+    def _mark_unusable(self, record: InstanceRecord, service: str) -> None:
+        self._metrics.count("relays_unusable", record.instance)
+        self._unusable_until[record.instance, service] = self._timers.now() + UNUSABLE_S
--- a/src/hyssopwood/keyspace/grant_channels.py
+++ b/src/hyssopwood/keyspace/grant_channels.py
@@ -47,11 +47,15 @@
     answer: ServerAnswer
 
 
+async def _connect_directly(server: ServerRecord) -> ServerConnection:
+    return await connect(server.address)
+
+
 @define
 class GrantChannels:
     """Open a channel for each incarnation of a server, and another one when it has ended."""
 
-    _connect: Callable[[str], Awaitable[ServerConnection]] = connect
+    _connect: Callable[[ServerRecord], Awaitable[ServerConnection]] = _connect_directly
     _channels: dict[tuple[str, int], _Channel] = field(factory=dict, init=False)
     _numbers: count[int] = field(factory=lambda: count(1), init=False)
 
@@ -91,7 +95,7 @@
         channel = self._current(server)
         if channel is not None:
             return channel
-        connection = await self._connect(server.address)
+        connection = await self._connect(server)
         # Another grant may have opened a channel meanwhile.
         channel = self._current(server)
         if channel is not None:
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -241,10 +241,8 @@
         if self._writing is None or self._writing.done():
             self._writing = self._spawn(self._write_changes(now))
         self._start_renewals(now)
-        if not self._deps.reach.in_doubt:
-            # A cut off leader could neither release the moved keys nor grant them.
-            self._replace_lost(now)
-            self._balance(now)
+        self._replace_lost(now)
+        self._balance(now)
 
     async def _write_changes(self, now: float) -> None:
         """Write the pending changes of the plan one after the other."""
@@ -368,8 +366,8 @@
             emit(Event.RENEWAL_SUSPENDED, server=record.server, address=record.address)
 
     def _record_failed_renewal(self, record: ServerRecord) -> None:
-        self._deps.reach.record_failed(record.address)
-        if self._deps.reach.in_doubt:
+        self._deps.reach.record_failed(record)
+        if self._deps.reach.in_doubt(record.service):
             # This instance's own links may be the cause, so the failure says nothing of the server.
             self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
             return
@@ -429,6 +427,7 @@
         if answer.leaving:
             self._deps.directory.mark_leaving(record.incarnation)
         if answer.done:
+            self._deps.reach.record_answered(record.service)
             self._record_granted(lease, grant, answer)
             return _GrantResult.ANSWERED
         if answer.replaced_by is not None:
@@ -449,7 +448,6 @@
         return _GrantResult.ANSWERED
 
     def _record_granted(self, lease: RangeLease, grant: _SentGrant, answer: CommandAnswer) -> None:
-        self._deps.reach.record_answered()
         # The token may have been replaced meanwhile; the answer confirms the granted one only.
         if lease.token == grant.keys.fence:
             lease.record_grant_answered(
@@ -542,6 +540,9 @@
     def _replace_lost(self, now: float) -> None:
         """Move the ranges of servers that drain, are no longer registered or don't answer."""
         for service, ranges in self._leases.items():
+            if self._deps.reach.in_doubt(service):
+                # A cut off leader could neither release the moved keys nor grant them.
+                continue
             lost = [
                 lease for lease in ranges if self._is_lost(lease) and self._may_move(lease, now)
             ]
@@ -621,6 +622,8 @@
             return
         self._balanced_at = now
         for service, ranges in self._leases.items():
+            if self._deps.reach.in_doubt(service):
+                continue
             candidates = self._candidate_servers(service, ranges)
             moving_count = sum(lease.moving for lease in ranges)
             if moving_count >= max(
