Withhold failures that may be the loss of an instance's own links

Cause: each lost exchange counted as the server's failure, whoever lost it.

Change: while an instance doubts its own links to a service, a lost exchange is reported to neither the keeper nor the leader, and its duration is no sample of the service time.

--- a/features/gateway_dispatch.feature
+++ b/features/gateway_dispatch.feature
@@ -132,3 +132,19 @@
     Given a dispatcher with servers "s1,s2" of a keyless service
     When 100 idempotent requests are sent and every exchange breaks
     Then at most 20 retries were sent
+
+  Scenario Outline: What may be the loss of the own links isn't reported as a failure of servers
+    Guards against an instance that reaches no server and marks sound servers suspect for all
+    (incident of 2026-12-05).
+    Given a dispatcher with servers "s1,s2" of a keyless service
+    And the links of the instance itself are <state>
+    When 4 requests to route "<route>" are lost in the way "<loss>"
+    Then the failures are <reported> to the keeper and the leader
+
+    Examples:
+      | route          | loss   | state    | reported     |
+      | idempotent     | broken | sound    | reported     |
+      | idempotent     | broken | in doubt | not reported |
+      | non-idempotent | broken | in doubt | not reported |
+      | non-idempotent | late   | sound    | reported     |
+      | non-idempotent | late   | in doubt | not reported |
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -216,6 +216,7 @@
     )
     context.reports = LoadReports(KeyLoad(context.system_timers))
     context.crashes = CrashMonitor(context.system_timers)
+    context.reach = SteadyReach()
     context.dispatcher = Dispatcher(
         DispatcherDependencies(
             tables=tables,
@@ -232,7 +233,7 @@
             new_budget=lambda: RetryBudget(0.2, 8.0, 10.0, lambda: 1),
             reports=context.reports,
             crashes=context.crashes,
-            reach=SteadyReach(),
+            reach=context.reach,
         )
     )
 
@@ -402,3 +403,33 @@
 @then("at most {count:d} retries were sent")
 def step_retries(context, count):
     assert 0 < context.retries <= count, context.retries
+
+
+@given("the links of the instance itself are {state}")
+def step_own_links(context, state):
+    context.reach.doubtful = state == "in doubt"
+
+
+@when('{count:d} requests to route "{route}" are lost in the way "{entry}"')
+def step_losses(context, count, route, entry):
+    async def send():
+        for number in range(count):
+            context.pool.script = [entry]
+            request = _request(
+                context, f"/{route}/x", headers=((b"request-id", b"loss%d" % number),)
+            )
+            await context.dispatcher.handle(request)
+        await _settle()
+
+    context.run(send())
+
+
+@then("the failures are {reported} to the keeper and the leader")
+def step_reported(context, reported):
+    suspect = any(context.health.is_suspect((name, 1)) for name in ("s1", "s2"))
+    lost = context.crashes.recent_report().lost
+    times = context.reports.collect().times
+    if reported == "reported":
+        assert lost and (suspect or times), (suspect, lost, times)
+    else:
+        assert not suspect and not lost and not times, (suspect, lost, times)
--- a/features/support/steady_reach.py
+++ b/features/support/steady_reach.py
@@ -2,11 +2,14 @@
 
 
 class SteadyReach:
-    """Report that this instance's own links are sound, whatever fails."""
+    """Report that this instance's own links are sound, or always in doubt, whatever fails."""
+
+    def __init__(self):
+        self.doubtful = False
 
     def in_doubt(self, service):
-        """Return that there is no doubt."""
-        return False
+        """Return whether the own links are in doubt."""
+        return self.doubtful
 
     def record_answered(self, service):
         """Ignore an answer."""
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -291,20 +291,26 @@
         except ExchangeBrokenError as error:
             routed.refused = False
             self._count_send(routed)
-            done = self._record_loss(server, str(error))
+            unknown = OutcomeUnknown(Cause.BROKEN, str(error))
+            if self._may_be_own_loss(server):
+                return unknown, Done()
+            self._record_failure(server, str(error), certain=False)
             if not reused:
                 self._deps.crashes.record_lost(routed.request, server.incarnation)
-            return OutcomeUnknown(Cause.BROKEN, str(error)), done
+            return unknown, Done(failure=Failure.UNCERTAIN)
         except TimeoutError:
             self._count_send(routed)
-            done = self._record_loss(server, "no answer before the deadline")
+            unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
+            if self._may_be_own_loss(server):
+                return unknown, Done()
+            self._record_failure(server, "no answer before the deadline", certain=False)
+            sample_s = None
             if not reused:
                 self._deps.crashes.record_lost(routed.request, server.incarnation)
                 # The service time is at least the time waited so far.
-                waited_s = self._deps.timers.now() - started_at
-                self._deps.reports.record_service_time(server.incarnation, waited_s)
-                done = evolve(done, sample_s=waited_s)
-            return OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time"), done
+                sample_s = self._deps.timers.now() - started_at
+                self._deps.reports.record_service_time(server.incarnation, sample_s)
+            return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
         self._deps.reach.record_answered(server.service)
         self._count_send(routed)
         outcome, done = self._evaluate_answer(routed, server, answer, started_at)
@@ -312,11 +318,15 @@
             answer.stream.abandon()
         return outcome, done
 
-    def _record_loss(self, server: ServerRecord, detail: str) -> Done:
-        """Record that a request to a server was lost, and return what its keeper is told."""
+    def _may_be_own_loss(self, server: ServerRecord) -> bool:
+        """Record a lost exchange, and return whether the own links may be the cause.
+
+        Such a loss is no failure of the server. Neither the keeper of its queue nor the leader may
+        hear of it: they would avoid the server for all instances, take the time until the deadline
+        for its service time, and count the request as one that crashes servers.
+        """
         self._deps.reach.record_failed(server)
-        self._record_failure(server, detail, certain=False)
-        return Done(failure=Failure.UNCERTAIN)
+        return self._deps.reach.in_doubt(server.service)
 
     async def _exchange_once(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
         """Exchange a request over a connection on which it has not failed before."""
