Connect by way of another instance to a single server whose link is lost

One failing server raises no doubt of the own links.

Change: when a direct connection fails, another instance is asked. If it connects, the server is used by way of others for a second before the direct path is tried again; if it can't, that confirms the server's failure.

--- a/features/gateway_cut_off.feature
+++ b/features/gateway_cut_off.feature
@@ -37,3 +37,16 @@
       | fail      |
       | hang      |
       | are reset |
+
+  Scenario Outline: An instance that lost its link to a single server serves that server's keys
+    Guards against callers of one instance that are refused although the owner of their keys runs.
+    Given a platform with 6 servers and 6 instances in 2 failure domains, whose links can be cut
+    When one instance can't open connections to one server for 7 s, as they <fail>
+    Then from 1 s after the cut on 49 of 50 first tries are served at the cut off instances
+    And from 1 s after the cut on 49 of 50 first tries are served at the other instances
+    And no request ran twice, and none that was refused ran
+
+    Examples:
+      | fail      |
+      | hang      |
+      | are reset |
--- a/features/steps/gateway_cut_off_steps.py
+++ b/features/steps/gateway_cut_off_steps.py
@@ -143,6 +143,30 @@
     context.run(play())
 
 
+@when("one instance can't open connections to one server for {seconds:g} s, as they {fail}")
+def step_cut_one(context, seconds, fail):
+    deployment = context.deployment
+    context.cut_s = seconds
+    links = deployment.instances["i1"].links
+    server = next(iter(deployment.servers.values()))
+    context.cut_off = ["i1"]
+
+    async def play():
+        context.callers = callers = _Callers(deployment)
+        running = [asyncio.ensure_future(callers.run(name)) for name in deployment.instances]
+        await asyncio.sleep(WARM_UP_S)
+        callers.cut_at = time.monotonic()
+        links.only_port, links.fault = int(server.address.rpartition(":")[2]), fail
+        deployment.instances["i1"].daemon._paths.pool.retain(set())
+        await asyncio.sleep(seconds)
+        links.fault = ""
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+
+    context.run(play())
+
+
 def _check_served(context, names, first_s):
     calls = context.callers.sent_between(first_s, context.cut_s, names)
     served = sum(call.status == 200 for call in calls)
--- a/features/support/cuttable_links.py
+++ b/features/support/cuttable_links.py
@@ -19,6 +19,8 @@
 
     def __init__(self):
         self.fault = ""
+        # Port of the only server that the fault concerns, or None for all servers.
+        self.only_port = None
         self._flowing = asyncio.Event()
         self._flowing.set()
         self._forwarders = {}
@@ -27,9 +29,10 @@
 
     async def __call__(self, factory, host, port):
         """Open a connection for a daemon."""
-        if self.fault == "hang":
+        fault = self.fault if self.only_port in (None, port) else ""
+        if fault == "hang":
             await asyncio.sleep(NEVER_S)
-        if self.fault:
+        if fault:
             raise ConnectionRefusedError("the links are cut")
         return await dial(factory, "127.0.0.1", await self._forwarder(host, port))
 
--- a/src/hyssopwood/gateway/server_connector.py
+++ b/src/hyssopwood/gateway/server_connector.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from functools import partial
 
-from attrs import define
+from attrs import define, field
 
-from hyssopwood.gateway.exchange import NotSentError, OwnLinkError
+from hyssopwood.gateway.exchange import NoPathError, NotSentError, OwnLinkError
 from hyssopwood.gateway.server_connection import (
     CONNECT_TIMEOUT_S,
     Dial,
@@ -23,6 +23,8 @@
 
 # An attempt that takes longer counts as a failure of the path; one lost packet adds 0.2 s.
 SLOW_CONNECT_S = 0.25
+# Time after which the direct path to a single server is tried again.
+DETOUR_S = 1.0
 
 
 @define(eq=False)
@@ -33,12 +35,36 @@
     _relays: ServerRelays
     _timers: Timers
     _dial: Dial = dial
+    # Times until which servers are only connected to by way of other instances.
+    _detours: dict[tuple[str, int], float] = field(factory=dict, init=False)
 
     async def connect(self, server: ServerRecord) -> ServerConnection:
-        """Connect to a server in the way that works now; raise NotSentError if that fails."""
-        if self._reach.cut_off(server.service):
+        """Connect to a server in the way that works now; raise NotSentError if none does."""
+        if self._reach.cut_off(server.service) or self._is_detoured(server):
             return await self._relays.connect(server)
-        return await self.connect_directly(server)
+        try:
+            return await self.connect_directly(server)
+        except NotSentError as error:
+            return await self._connect_by_detour(server, error)
+
+    def _is_detoured(self, server: ServerRecord) -> bool:
+        return self._detours.get(server.incarnation, float("-inf")) > self._timers.now()
+
+    async def _connect_by_detour(
+        self, server: ServerRecord, error: NotSentError
+    ) -> ServerConnection:
+        """Connect by way of another instance, as the own link to this one server may be lost.
+
+        Raises the error of the direct attempt if no instance relays the connection.
+        """
+        try:
+            connection = await self._relays.connect(server)
+        except NoPathError:
+            raise error from None
+        now = self._timers.now()
+        self._detours = {key: until for key, until in self._detours.items() if until > now}
+        self._detours[server.incarnation] = now + DETOUR_S
+        return connection
 
     async def connect_directly(self, server: ServerRecord) -> ServerConnection:
         """Connect to a server over this instance's own links; raise NotSentError if it fails."""
