Raise typed errors only for odd entries, documents and answers of the store

Cause: the decoder caught three kinds of errors. An entry nested deeply raises RecursionError and a number like 10**400 OverflowError, which ended the follower's task; as its position was behind the records already, the sound ones among them were skipped. Numbers that pass a decoder, such as a sequence of 2**70, a negative start time or half of a character, broke the encoder of the leader's link later. A host name as address and an id with a line break were taken as they were.

Change: documents are parsed with limits on depth and numbers, and each field has a range; error texts have a limit. The feed lists all servers again if decoding fails in any other way. The same holds for the configuration, the plan, the leader's record, the store's listings and Server-Load.

--- a/src/hyssopwood/keyspace/plan_codec.py
+++ b/src/hyssopwood/keyspace/plan_codec.py
@@ -5,6 +5,7 @@
 import json
 from typing import Any
 
+from hyssopwood.documents import check_integer, parse_document, shorten
 from hyssopwood.errors import InputError, InputFault
 from hyssopwood.keyspace.plan import KeyRange, Leader, Plan, is_complete
 
@@ -23,13 +24,15 @@
 def decode_plan(value: bytes) -> Plan:
     """Return the plan; raise InputError if it is malformed or doesn't cover every key once."""
     try:
-        document = json.loads(value)
-        incarnations = [(str(server), int(born_ms)) for server, born_ms in document["lives"]]
+        document = parse_document(value)
+        incarnations = [
+            (str(server), check_integer(int(born_ms))) for server, born_ms in document["lives"]
+        ]
         services = {
             str(service): tuple(_part(row, incarnations) for row in rows)
             for service, rows in document["services"].items()
         }
-        version = int(document["version"])
+        version = check_integer(int(document["version"]))
     except (ValueError, TypeError, KeyError, IndexError, AttributeError) as error:
         raise _malformed("plan", f"{type(error).__name__}: {error}") from error
     for service, parts in services.items():
@@ -39,7 +42,7 @@
 
 
 def _part(row: Any, incarnations: list[tuple[str, int]]) -> KeyRange:
-    first, last, index, fence = (int(value) for value in row)
+    first, last, index, fence = (check_integer(int(value)) for value in row)
     return KeyRange(first, last, *incarnations[index], fence)
 
 
@@ -58,14 +61,14 @@
 def decode_leader(value: bytes) -> Leader:
     """Return the leader; raise InputError if it is malformed."""
     try:
-        instance, incarnation, address, *rest = json.loads(value)
+        instance, incarnation, address, *rest = parse_document(value)
         # Records written by earlier versions have no claim.
         claim, has_unrecorded_leases = rest if rest else (-1, False)
-        claim = int(claim)
+        claim = check_integer(int(claim), minimum=-1)
     except (ValueError, TypeError) as error:
         raise _malformed("leader", f"{type(error).__name__}: {error}") from error
     return Leader(str(instance), str(incarnation), str(address), claim, bool(has_unrecorded_leases))
 
 
 def _malformed(what: str, detail: str) -> InputError:
-    return InputError(f"stored {what}", (InputFault("$", detail, f"a {what}"),))
+    return InputError(f"stored {what}", (InputFault("$", shorten(detail), f"a {what}"),))
--- a/src/hyssopwood/platform/configuration.py
+++ b/src/hyssopwood/platform/configuration.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from hyssopwood.documents import check_integer, parse_document, shorten
 from hyssopwood.errors import InputError, InputFault
 from hyssopwood.gateway.route_table import (
     CallerLimits,
@@ -64,10 +64,10 @@
 def decode_configuration(value: bytes) -> RouteTable:
     """Return the route table of a configuration document; raise InputError if it is invalid."""
     try:
-        document = json.loads(value)
+        document = parse_document(value)
         services = [_service(cluster) for cluster in document["clusters"]]
         return RouteTable(
-            version=int(document["version"]),
+            version=check_integer(int(document["version"])),
             routes=tuple(
                 _route(listener["host"], rule)
                 for listener in document["listeners"]
@@ -77,5 +77,6 @@
             limits=_limits(document["limits"]),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
-        fault = InputFault("$", f"{type(error).__name__}: {error}", "a configuration document")
+        detail = f"{type(error).__name__}: {shorten(str(error))}"
+        fault = InputFault("$", detail, "a configuration document")
         raise InputError(SOURCE, (fault,)) from error
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -88,6 +88,17 @@
         """Return the changes since the last call in order; malformed entries are skipped."""
         era = self._cursor.era
         records, complete = await self._cursor.next(wait_s)
+        try:
+            changes = self._decode(records)
+        except Exception:
+            # The cursor is behind these records already, so they must be read again.
+            self._cursor.relist()
+            raise
+        present = frozenset(record.key for record in records if record.value is not None)
+        restored = era is not None and self._cursor.era != era
+        return ServerChanges(changes, present if complete else None, restored)
+
+    def _decode(self, records: tuple[KeyedRecord, ...]) -> tuple[ServerRecord | str, ...]:
         changes: list[ServerRecord | str] = []
         for record in records:
             if record.value is None:
@@ -98,6 +109,4 @@
             except InputError as error:
                 self._metrics.count("server_entries_rejected")
                 emit(Event.RECORD_REJECTED, source="servers", error=error)
-        present = frozenset(record.key for record in records if record.value is not None)
-        restored = era is not None and self._cursor.era != era
-        return ServerChanges(tuple(changes), present if complete else None, restored)
+        return tuple(changes)
--- a/src/hyssopwood/platform/request_headers.py
+++ b/src/hyssopwood/platform/request_headers.py
@@ -33,6 +33,8 @@
 MAX_ID_BYTES = 256
 # Limit on the time for which a server may ask an instance to stay away; longer times are cut to it.
 MAX_BACK_OFF_S = 60.0
+# Maximum length of each number in a server's load.
+MAX_LOAD_DIGITS = 9
 # Maximum length of a decimal number as text.
 MAX_DECIMAL_BYTES = 16
 _REPLACED_HEADERS = frozenset({DEADLINE, TARGET, REQUEST_ID, SHARD_KEY})
@@ -55,7 +57,8 @@
     if value is None:
         return None
     parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = all(part.strip().isdigit() and len(part) <= MAX_LOAD_DIGITS for part in parts)
+    if len(parts) != 3 or not numbers:
         return None
     running, waiting, slots = (int(part) for part in parts)
     return ServerLoad(running, waiting, slots)
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
 from typing import Any
 
 import aiohttp
 from attrs import frozen
 
+from hyssopwood.documents import parse_document, shorten
 from hyssopwood.errors import (
     AppendConflictError,
     AppendUnconfirmedError,
@@ -199,14 +199,13 @@
                 return NewestPage((), 0, era)
             if answer.status != 200:
                 _raise_for_status(answer.status, NEWEST_PATH)
-            page = _parse_json(answer.data)
+            page = _parse_newest(answer.data)
             # Pages are not a snapshot, so records after the first page's end are read again.
-            end = int(page["end_offset"]) if end is None else end
-            items = page["items"]
-            records += [KeyedRecord(item["key"], _decode_value(item)) for item in items]
-            if not page.get("has_more") or not items:
+            end = page.end_offset if end is None else end
+            records += page.records
+            if not page.has_more or not page.records:
                 return NewestPage(tuple(records), end, era)
-            after = items[-1]["key"]
+            after = page.records[-1].key
 
     async def _request(
         self, method: str, path: str, params: dict[str, str], limit_s: float, body: bytes = b""
@@ -257,13 +256,32 @@
     return bytes(data)
 
 
+@frozen
+class _NewestAnswer:
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+    has_more: bool
+
+
+def _parse_newest(data: bytes) -> _NewestAnswer:
+    fields = _parse_json(data)
+    try:
+        records = tuple(
+            KeyedRecord(str(item["key"]), _decode_value(item)) for item in fields["items"]
+        )
+        return _NewestAnswer(records, int(fields["end_offset"]), bool(fields.get("has_more")))
+    except (ValueError, TypeError, KeyError) as error:
+        detail = f"{type(error).__name__}: {shorten(str(error))}"
+        raise LogProtocolError(f"the newest records can't be read: {detail}") from error
+
+
 def _decode_value(item: dict[str, Any]) -> bytes | None:
     return base64.b64decode(item.get("value") or "") or None
 
 
 def _parse_json(data: bytes) -> dict[str, Any]:
     try:
-        answer = json.loads(data)
+        answer = parse_document(data)
     except ValueError as error:
         raise LogProtocolError("the store's answer is not JSON") from error
     if not isinstance(answer, dict):
