--- a/features/steps/platform_odd_steps.py
+++ b/features/steps/platform_odd_steps.py
@@ -1,6 +1,7 @@
 """Steps for odd entries that other writers leave in the store."""
 
 import asyncio
+import copy
 import json
 from unittest.mock import AsyncMock, patch
 
@@ -199,7 +200,7 @@
 
 
 def _configuration(odd):
-    document = configuration(5)
+    document = copy.deepcopy(configuration(5))
     if odd == "a version of 2**70":
         document["version"] = 2**70
     text = json.dumps(document)
