Test relayed connections, retire old ones and blame a server only after two relays

A relay that is cut off without having noticed says that a server can't be reached; a second one is asked before that counts.

--- /dev/null
+++ b/features/steps/gateway_relay_steps.py
@@ -0,0 +1,305 @@
+"""Steps for connections that an instance relays to servers."""
+
+import asyncio
+import random
+import struct
+
+from behave import given, then, when
+
+from hyssopwood.gateway.exchange import ExchangeBrokenError, NotSentError, ServerRequest
+from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
+from hyssopwood.gateway.read_buffer import reset
+from hyssopwood.gateway.relay_codec import RelayRequest
+from hyssopwood.gateway.relay_server import RelayServer
+from hyssopwood.gateway.server_connector import ServerConnector
+from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_relays import ServerRelays
+from hyssopwood.metrics import Metrics
+from hyssopwood.timers import SystemTimers
+from support.gateway_deployment import free_addresses
+
+ID_HEADER = b"request-id"
+BODY = b"x" * 300 * 1024
+SERVICE = "portal"
+LIMIT_S = 5.0
+
+
+class _Server:
+    """A server that answers each request in one way."""
+
+    def __init__(self, does):
+        self.does = does
+        self.requests = 0
+        self.ended = asyncio.Event()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            if self.does == "speaks before the request":
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                if self.does == "never answers":
+                    await reader.read()
+                    self.ended.set()
+                    return
+                await self._answer(writer)
+        except (asyncio.IncompleteReadError, OSError):
+            self.ended.set()
+        finally:
+            writer.close()
+
+    async def _answer(self, writer):
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+        length = b"Content-Length: %d\r\n" % len(BODY)
+        does = self.does
+        if does == "answers after 0.5 s":
+            await asyncio.sleep(0.5)
+        if "before the answer" in does:
+            pass
+        elif "within the body" in does:
+            writer.write(head + length + b"\r\n" + BODY[:100_000])
+            await asyncio.sleep(0.05)
+        elif "without a length" in does:
+            writer.write(head + b"Connection: close\r\n\r\n" + BODY)
+            await asyncio.sleep(0.05)
+        elif "300 KiB" in does:
+            writer.write(head + length + b"\r\n" + BODY)
+        else:
+            writer.write(head + b"Content-Length: 2\r\n\r\nok")
+        if "reset" in does:
+            reset(writer.transport)
+        elif "close" in does:
+            writer.close()
+
+
+class _Reach:
+    """What the relaying instance knows of its own links."""
+
+    def __init__(self):
+        self.is_cut_off = False
+
+    def cut_off(self, service):
+        return self.is_cut_off
+
+    def in_doubt(self, service):
+        return self.is_cut_off
+
+    def record_connected(self, service):
+        """Ignore a connection."""
+
+    def record_unconnected(self, server):
+        """Ignore a failed connection."""
+
+
+def _record(address, **changes):
+    fields = {
+        "server": "s1",
+        "service": SERVICE,
+        "address": address,
+        "failure_domain": "a",
+        "slots": 2,
+        "draining": False,
+        "warmup_left_s": 0.0,
+        "born_ms": 1,
+        "sequence": 1,
+        **changes,
+    }
+    return ServerRecord(**fields)
+
+
+@given("an instance that relays to a server which {does}")
+def step_relay(context, does):
+    timers, metrics = SystemTimers(), Metrics()
+    context.server = _Server(does)
+    address = context.run(context.server.start())
+    context.add_cleanup(context.server.close)
+    (relay_address,) = free_addresses(1)
+    directory, health, reach = ServerDirectory(), ServerHealth(timers), _Reach()
+    context.stopping = does == "answers, though the instance stops"
+    reach.is_cut_off = does == "can't be reached by the instance either"
+    context.record = _record(address)
+    if does == "doesn't listen":
+        context.server.close()
+    if does == "has started again since":
+        directory.put(_record(address, born_ms=2))
+    elif does != "isn't registered":
+        directory.put(_record(address, draining=does == "is draining"))
+    if does == "has told the instance to back off":
+        health.record_back_off(("s1", 1), 5.0)
+    context.asking_health = ServerHealth(timers)
+    own = InstanceRecord("i1", "127.0.0.1:1", "a")
+    other = InstanceRecord("i2", "127.0.0.1:2", "a", relay_address=relay_address)
+    instances = InstanceList(own)
+    instances.apply(InstanceUpdate((own, other), complete=True))
+    context.relays = ServerRelays(own, instances, context.asking_health, timers, metrics)
+    connector = ServerConnector(reach, context.relays, timers)
+    context.relay_server = RelayServer(
+        relay_address,
+        directory,
+        connector,
+        reach,
+        health,
+        timers,
+        metrics,
+        lambda: context.stopping,
+    )
+    context.relay_address = relay_address
+    if does == "answers, though the instance is silent":
+        silent = context.run(_listen_silently(relay_address))
+        context.add_cleanup(silent.close)
+    elif does != "answers, though the instance is gone":
+        context.run(context.relay_server.start())
+        context.add_cleanup(context.relay_server.close)
+
+
+async def _listen_silently(address):
+    host, _, port = address.rpartition(":")
+    return await asyncio.start_server(lambda reader, writer: None, host, int(port))
+
+
+async def _exchange(context):
+    connection = await context.relays.connect(context.record)
+    context.connection = connection
+    await asyncio.sleep(0.02)
+    request = ServerRequest(
+        method=b"GET", target=b"/x", headers=((b"Request-Id", b"r1"),), body=b"", request_id=b"r1"
+    )
+    answer = await connection.exchange("s1", request, ID_HEADER)
+    body = answer.body
+    while answer.stream is not None and (data := await answer.stream.read()):
+        body += data
+    return body
+
+
+async def _run_exchange(context):
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            body = await _exchange(context)
+    except (ExchangeBrokenError, NotSentError):
+        return "a broken answer"
+    return "the whole answer" if body in (b"ok", BODY) else f"{len(body)} bytes"
+
+
+@when("a request is sent over a relayed connection")
+def step_exchange(context):
+    context.result = context.run(_run_exchange(context))
+
+
+@then("the exchange ends with {result}")
+def step_result(context, result):
+    assert context.result == result, context.result
+
+
+@when("a relayed connection is asked for")
+def step_ask(context):
+    context.failure = None
+
+    async def ask():
+        try:
+            await context.relays.connect(context.record)
+        except NotSentError as error:
+            context.failure = type(error).__name__
+
+    context.run(ask())
+
+
+@then("asking fails with {error}")
+def step_failure(context, error):
+    assert context.failure == error, context.failure
+
+
+@then("the server got no request")
+def step_no_request(context):
+    assert context.server.requests == 0
+
+
+@when("a request is sent over a relayed connection and cancelled after {seconds:g} s")
+def step_cancel(context, seconds):
+    async def cancel():
+        task = asyncio.ensure_future(_exchange(context))
+        await asyncio.sleep(seconds)
+        assert context.server.requests == 1
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    context.run(cancel())
+
+
+@then("the server sees the connection end within {seconds:g} s")
+def step_ended(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            await context.server.ended.wait()
+
+    context.run(wait())
+
+
+@when("a request is sent over a relayed connection and the instance stops {seconds:g} s later")
+def step_stop(context, seconds):
+    async def stop():
+        task = asyncio.ensure_future(_run_exchange(context))
+        await asyncio.sleep(seconds)
+        context.stopping = True
+        context.busy_while_running = []
+        while not task.done():
+            context.relay_server.close_idle()
+            context.busy_while_running.append(context.relay_server.busy)
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.3)
+        context.relay_server.close_idle()
+        await asyncio.sleep(0.05)
+        return task.result()
+
+    context.result = context.run(stop())
+
+
+@then("the instance counts as busy until then, and the idle connection is closed after it")
+def step_busy(context):
+    assert min(context.busy_while_running) == 1, context.busy_while_running
+    assert context.relay_server.busy == 0
+    assert context.connection.ended
+
+
+_BYTES = {
+    "40 random bytes": random.Random(1).randbytes(40),
+    "65535 random bytes": random.Random(2).randbytes(65_535),
+    "a length of 65535": struct.pack(">H", 65_535),
+    "no bytes": b"",
+    "a request and more bytes": RelayRequest("s1", 1).encode() + b"GET / HTTP/1.1\r\n\r\n",
+}
+
+
+@when("{name} are sent to its relay address")
+def step_bytes(context, name):
+    async def send():
+        host, _, port = context.relay_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(_BYTES[name])
+        try:
+            async with asyncio.timeout(1.5):
+                context.received = await reader.read()
+        except ConnectionResetError:
+            context.received = b""
+        finally:
+            writer.close()
+
+    context.run(send())
+
+
+@then("that connection is ended within {seconds:g} s")
+def step_connection_ended(context, seconds):
+    assert context.received == b"", context.received
+
+
+@then("a request over a relayed connection still gets its answer")
+def step_still(context):
+    assert context.run(_run_exchange(context)) == "the whole answer"
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -31,6 +31,11 @@
 MAX_ASKED = 4
 # An instance that is cut off itself, busy or silent isn't asked again for this time.
 UNUSABLE_S = 1.0
+# Relayed connections aren't reused for longer, so that the direct path is tried again.
+MAX_AGE_S = 5.0
+# Instances that must fail to connect to a server before that counts as its failure. One of them may
+# be cut off without having noticed.
+FAILED_RELAYS_TO_BLAME = 2
 
 
 class RelayedConnection(ServerConnection):
@@ -38,8 +43,14 @@
 
     def __init__(self) -> None:
         super().__init__()
+        loop = asyncio.get_running_loop()
         self._frame: RelayFrame | None = RelayFrame()
-        self._reply: asyncio.Future[RelayReply] = asyncio.get_running_loop().create_future()
+        self._reply: asyncio.Future[RelayReply] = loop.create_future()
+        self._retired_at = loop.time() + MAX_AGE_S
+
+    @property
+    def usable(self) -> bool:
+        return super().usable and asyncio.get_running_loop().time() < self._retired_at
 
     async def request(self, request: RelayRequest) -> RelayReply:
         """Return the other instance's reply; raise OSError or ProtocolError if there is none."""
@@ -100,11 +111,18 @@
         Raises NotSentError if an instance that reaches other servers can't connect to this one, and
         NoPathError if no instance was found that reaches any.
         """
+        failures: list[NotSentError] = []
         for record in self._choose(server):
             try:
                 return await self._connect_by(record, server)
+            except NotSentError as error:
+                failures.append(error)
+                if len(failures) == FAILED_RELAYS_TO_BLAME:
+                    break
             except (OSError, TimeoutError, ProtocolError):
                 self._mark_unusable(record, server.service)
+        if failures:
+            raise failures[-1]
         raise NoPathError(f"no instance relays a connection to {server.server}")
 
     def has_candidates(self, service: str) -> bool:
