--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -34,8 +34,6 @@
 LEASE_S = 4.5
 # A failed renewal is retried sooner, so that a lost server is detected within a second.
 RENEW_RETRY_S = 0.4
-# A renewal that failed while the own links were in doubt is retried at once.
-DOUBT_RETRY_S = 0.1
 # The store counts as reachable for this long after it confirmed the leader: two confirmation
 # intervals and an answer that is 60 times slower than usual.
 STORE_REACHABLE_S = 1.6
@@ -371,7 +369,7 @@
         self._deps.reach.record_failed(record)
         if self._deps.reach.in_doubt(record.service):
             # This instance's own links may be the cause, so the failure says nothing of the server.
-            self._renewal_due[record.incarnation] = self._deps.timers.now() + DOUBT_RETRY_S
+            self._renewal_due[record.incarnation] = self._deps.timers.now() + RENEW_RETRY_S
             return
         failures = self._failed_renewals.get(record.incarnation, 0) + 1
         self._failed_renewals[record.incarnation] = failures
