Apply a server's back-off to the instances that relay to it

A server that asks for a back-off counts the requests of the instance that connects to it, whoever they come from. Without this change a relaying instance, and others that it relays for, went on sending until each had been refused itself.

Change: an instance that is asked for a back-off tells those that relayed connections to the server, which stay away themselves, close idle relayed connections and answer the next request for one with the back-off. Found by reading; the new scenario doesn't run without the change.

--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -50,6 +50,14 @@
     Then the exchange ends with the whole answer
     And the instance counts as busy until then, and the idle connection is closed after it
 
+  Scenario: A back-off that a server asks for holds for the instance that relays to it, too
+    Guards against a server that gets requests from an instance that it has told to back off, because
+    they are another one's.
+    Given an instance that relays to a server which answers
+    When a request is sent over a relayed connection and its server asks for a back-off of 5 s
+    Then the relaying instance stays away from the server and closes the relayed connection
+    And another instance that asks for a relayed connection is told of the back-off
+
   Scenario Outline: Bytes that are no request end their connection only
     Guards against an instance that ends or keeps a connection at another process's bytes.
     Given an instance that relays to a server which answers
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -124,6 +124,7 @@
     context.add_cleanup(context.server.close)
     (relay_address,) = free_addresses(1)
     directory, health, reach = ServerDirectory(), ServerHealth(timers), _Reach()
+    context.relaying_health = health
     context.stopping = does == "answers, though the instance stops"
     reach.is_cut_off = does == "can't be reached by the instance either"
     context.record = _record(address)
@@ -269,6 +270,33 @@
     assert context.connection.ended
 
 
+@when(
+    "a request is sent over a relayed connection and its server asks for a back-off of"
+    " {seconds:g} s"
+)
+def step_back_off(context, seconds):
+    async def back_off():
+        assert await _run_exchange(context) == "the whole answer"
+        await asyncio.sleep(0.25)
+        context.relays.report_back_off(context.record, seconds)
+        await asyncio.sleep(0.1)
+
+    context.run(back_off())
+
+
+@then("the relaying instance stays away from the server and closes the relayed connection")
+def step_stays_away(context):
+    assert context.relaying_health.back_off_left_s(("s1", 1)) > 4
+    assert context.connection.ended
+
+
+@then("another instance that asks for a relayed connection is told of the back-off")
+def step_told(context):
+    step_ask(context)
+    assert context.failure == "NotSentError", context.failure
+    assert context.asking_health.back_off_left_s(("s1", 1)) > 4
+
+
 _BYTES = {
     "40 random bytes": random.Random(1).randbytes(40),
     "65535 random bytes": random.Random(2).randbytes(65_535),
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -375,6 +375,7 @@
             crashes=self._crashes,
             reach=self._paths.reach,
             has_path=self._paths.has_path,
+            on_back_off=self._paths.handle_back_off,
         )
 
     async def _lead(self, claim: Claim) -> None:
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -89,6 +89,8 @@
     reach: ServerReach
     # Whether a service can be reached, directly or by way of another instance.
     has_path: Callable[[str], bool] = lambda service: True
+    # Called with a server that asked this instance to back off, and for how many seconds.
+    on_back_off: Callable[[ServerRecord, float], None] = lambda server, seconds: None
 
 
 class Dispatcher:
@@ -396,6 +398,7 @@
             self._deps.reports.record_leaving(server.incarnation)
         if head.back_off_s:
             self._deps.health.record_back_off(server.incarnation, head.back_off_s)
+            self._deps.on_back_off(server, head.back_off_s)
             emit(Event.SERVER_BACKED_OFF, server=server.server, seconds=head.back_off_s)
 
     def _server_request(self, routed: RoutedRequest, server: ServerRecord) -> ServerRequest:
--- a/src/hyssopwood/gateway/relay.capnp
+++ b/src/hyssopwood/gateway/relay.capnp
@@ -6,6 +6,9 @@
   # Incarnation of the server.
   server @0 :Text;
   bornMs @1 :UInt64;
+  # If not 0, no connection is wanted: the server asked for this back-off over a connection that the
+  # receiver relays.
+  backOffMs @2 :UInt32;
 }
 
 struct RelayReply {
--- a/src/hyssopwood/gateway/relay_codec.py
+++ b/src/hyssopwood/gateway/relay_codec.py
@@ -40,15 +40,21 @@
 
 @frozen
 class RelayRequest:
-    """A request to connect to a server and to relay the connection's bytes."""
+    """A request to connect to a server and to relay the connection's bytes.
+
+    With `back_off_s` it is a notice instead: the server asked for this back-off over a connection
+    that the receiver relays, and counts the receiver's own requests with those.
+    """
 
     server: str
     born_ms: int
+    back_off_s: float = 0.0
 
     def encode(self) -> bytes:
         """Return the framed message."""
         wire = _SCHEMA.RelayRequest.new_message()
         wire.server, wire.bornMs = self.server, self.born_ms
+        wire.backOffMs = _to_milliseconds(self.back_off_s)
         return _frame(wire)
 
 
@@ -63,10 +69,14 @@
         """Return the framed message."""
         wire = _SCHEMA.RelayReply.new_message()
         wire.result = self.result.value
-        wire.backOffMs = int(min(MAX_MS, self.back_off_s * MS_PER_S))
+        wire.backOffMs = _to_milliseconds(self.back_off_s)
         return _frame(wire)
 
 
+def _to_milliseconds(seconds: float) -> int:
+    return int(min(MAX_MS, max(0.0, seconds * MS_PER_S)))
+
+
 def _frame(wire: Any) -> bytes:
     data = wire.to_bytes_packed()
     if len(data) > MAX_MESSAGE_BYTES:
@@ -109,7 +119,7 @@
     """Return a request; raise ProtocolError if the bytes are malformed."""
     try:
         wire = _read(_SCHEMA.RelayRequest, data)
-        return RelayRequest(wire.server, wire.bornMs)
+        return RelayRequest(wire.server, wire.bornMs, wire.backOffMs / MS_PER_S)
     except (capnp.KjException, ValueError) as error:
         raise ProtocolError(f"malformed relay request: {error}") from error
 
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -41,6 +41,8 @@
 RELAY_CONNECT_TIMEOUT_S = 0.35
 # An answer counts as complete if no more of it arrives for this time.
 QUIET_S = 0.2
+# Limit on the time for which another instance's notice keeps this one away from a server.
+MAX_BACK_OFF_S = 60.0
 
 
 class _RelayEnd(BufferedConnection):
@@ -115,6 +117,8 @@
         self._task: asyncio.Task[None] | None = None
         self._awaits_answer = True
         self._answered_at = 0.0
+        # Incarnation of the server, once the connection is relayed.
+        self.server: tuple[str, int] | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
@@ -206,6 +210,17 @@
             if not end.awaits_answer and end.transport is not None:
                 end.transport.close()
 
+    def close_idle_to(self, incarnation: tuple[str, int]) -> None:
+        """Close the relayed connections to a server that asked this instance to back off."""
+        for end in list(self._ends):
+            if end.server == incarnation and not end.awaits_answer and end.transport is not None:
+                end.transport.close()
+
+    def _apply_back_off(self, request: RelayRequest) -> None:
+        incarnation = request.server, request.born_ms
+        self._health.record_back_off(incarnation, min(MAX_BACK_OFF_S, request.back_off_s))
+        self.close_idle_to(incarnation)
+
     def now(self) -> float:
         """Return the time on the timers' clock."""
         return self._timers.now()
@@ -220,6 +235,10 @@
 
     async def open(self, end: _AskingEnd, request: RelayRequest) -> None:
         """Connect to the server of a request and begin to relay, or refuse that."""
+        if request.back_off_s:
+            self._apply_back_off(request)
+            end.refuse(RelayReply(RelayResult.BACKED_OFF, request.back_off_s))
+            return
         reply = self._find_refusal(request)
         server = self._directory.get(request.server)
         if reply is None and server is not None:
@@ -231,6 +250,7 @@
                 reply = RelayReply(RelayResult.UNREACHABLE)
             else:
                 reply = self._join(end, server_end)
+                end.server = server.incarnation
         reply = reply or RelayReply(RelayResult.UNKNOWN_SERVER)
         self._metrics.count("relayed_connections", reply.result.value)
         if reply.result is not RelayResult.CONNECTED:
--- a/src/hyssopwood/gateway/server_paths.py
+++ b/src/hyssopwood/gateway/server_paths.py
@@ -72,6 +72,14 @@
         """Return whether a service may be reached, directly or by way of another instance."""
         return not self.reach.cut_off(service) or self._relays.has_candidates(service)
 
+    def handle_back_off(self, server: ServerRecord, seconds: float) -> None:
+        """Keep requests of others from a server that has asked this instance to back off.
+
+        The server doesn't tell a relaying instance's requests from those that it relays.
+        """
+        self.relay_server.close_idle_to(server.incarnation)
+        self._relays.report_back_off(server, seconds)
+
     async def is_relayed(self) -> bool:
         """Return whether another instance reaches a server from which this one is cut off."""
         servers = [
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -5,11 +5,11 @@
 import asyncio
 import random
 from collections.abc import Iterable
-from typing import Any
 
 from attrs import define, field
 
 from hyssopwood.errors import ProtocolError
+from hyssopwood.events import Event, emit
 from hyssopwood.gateway.exchange import NoPathError, NotSentError
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
 from hyssopwood.gateway.relay_codec import (
@@ -33,6 +33,8 @@
 UNUSABLE_S = 1.0
 # Relayed connections aren't reused for longer, so that the direct path is tried again.
 MAX_AGE_S = 5.0
+# Servers for which the instances that relay to them are remembered.
+MAX_REMEMBERED_SERVERS = 2048
 # Instances that must fail to connect to a server before that counts as its failure. One of them may
 # be cut off without having noticed.
 FAILED_RELAYS_TO_BLAME = 2
@@ -102,6 +104,9 @@
     _timers: Timers
     _metrics: Metrics
     _rng: random.Random = field(factory=random.Random)
+    # Instances that have relayed connections to a server, and when they last did.
+    _relayed: dict[tuple[str, int], dict[InstanceRecord, float]] = field(factory=dict, init=False)
+    _notices: set[asyncio.Future[None]] = field(factory=set, init=False)
     # Times until which instances aren't asked for servers of a service.
     _unusable_until: dict[tuple[str, str], float] = field(factory=dict, init=False)
 
@@ -129,22 +134,53 @@
         """Return whether an instance may be asked now for servers of a service."""
         return any(True for _ in self._usable(service))
 
-    async def _connect_by(self, record: InstanceRecord, server: ServerRecord) -> ServerConnection:
-        """Connect by way of an instance; raise ConnectionError if it can't relay now."""
+    def report_back_off(self, server: ServerRecord, seconds: float) -> None:
+        """Tell the instances that relay to a server that it has asked for a back-off.
+
+        The server takes this instance's requests for theirs.
+        """
+        oldest = self._timers.now() - MAX_AGE_S
+        for record, relayed_at in self._relayed.pop(server.incarnation, {}).items():
+            if relayed_at >= oldest:
+                notice = asyncio.ensure_future(self._send_back_off(record, server, seconds))
+                self._notices.add(notice)
+                notice.add_done_callback(self._notices.discard)
+
+    async def _send_back_off(
+        self, record: InstanceRecord, server: ServerRecord, seconds: float
+    ) -> None:
+        request = RelayRequest(server.server, server.born_ms, seconds)
+        try:
+            await self._ask(record, request)
+        except (OSError, TimeoutError, ProtocolError) as error:
+            emit(Event.PEER_LOST, instance=record.instance, error=error)
+
+    async def _ask(
+        self, record: InstanceRecord, request: RelayRequest
+    ) -> tuple[RelayedConnection, RelayReply]:
+        """Return an instance's reply, and the connection, which is open only if it is CONNECTED."""
         host, _, port = record.relay_address.rpartition(":")
         loop = asyncio.get_running_loop()
-        connection: Any = None
+        connection: RelayedConnection | None = None
         kept = False
         try:
             async with asyncio.timeout(RELAY_TIMEOUT_S):
                 _, connection = await loop.create_connection(RelayedConnection, host, int(port))
-                reply = await connection.request(RelayRequest(server.server, server.born_ms))
+                reply = await connection.request(request)
             kept = reply.result is RelayResult.CONNECTED
+            return connection, reply
         finally:
             if connection is not None and not kept:
                 connection.abort()
+
+    async def _connect_by(self, record: InstanceRecord, server: ServerRecord) -> ServerConnection:
+        """Connect by way of an instance; raise ConnectionError if it can't relay now."""
+        connection, reply = await self._ask(record, RelayRequest(server.server, server.born_ms))
         self._metrics.count("relay_requests", reply.result.value)
         if reply.result is RelayResult.CONNECTED:
+            if len(self._relayed) >= MAX_REMEMBERED_SERVERS:
+                self._relayed.clear()
+            self._relayed.setdefault(server.incarnation, {})[record] = self._timers.now()
             return connection
         if reply.result in (RelayResult.CUT_OFF, RelayResult.BUSY):
             raise ConnectionError(reply.result.value)
@@ -177,4 +213,8 @@
 
     def _mark_unusable(self, record: InstanceRecord, service: str) -> None:
         self._metrics.count("relays_unusable", record.instance)
-        self._unusable_until[record.instance, service] = self._timers.now() + UNUSABLE_S
+        now = self._timers.now()
+        self._unusable_until = {
+            key: until for key, until in self._unusable_until.items() if until > now
+        }
+        self._unusable_until[record.instance, service] = now + UNUSABLE_S
