Try the direct path when no instance relays to a single server any more

Cause: while a server was marked as reached by way of others only, an attempt without such an instance failed at once and was repeated until the mark ended. Found by reading.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -82,7 +82,7 @@
     PLAN_TAKEN = EventSpec(211, "INFO", "newer plan was adopted")
     SERVER_CHANGED = EventSpec(212, "INFO", "registration of a backend server changed")
     LEADERSHIP_HANDED_OVER = EventSpec(
-        313, "WARNING", "leader reaches no backend server and resigned"
+        313, "WARNING", "leader reaches no backend server of a service and resigned"
     )
     CLAIM_LOST = EventSpec(312, "INFO", "another instance claimed the plan first")
     GRANT_FENCED = EventSpec(416, "WARNING", "server has seen a higher fencing token")
@@ -97,8 +97,12 @@
     SERVER_BACKED_OFF = EventSpec(511, "INFO", "backend server asked for a back-off")
     SERVER_LIMIT_NAMED = EventSpec(512, "INFO", "backend server named a request limit")
     SERVER_LIMIT_ENDED = EventSpec(513, "INFO", "request limit of backend server ended")
-    SERVERS_UNREACHABLE = EventSpec(514, "WARNING", "no backend server can be connected to")
-    SERVERS_REACHABLE = EventSpec(515, "INFO", "backend servers can be connected to again")
+    SERVERS_UNREACHABLE = EventSpec(
+        514, "WARNING", "no backend server of a service can be connected to"
+    )
+    SERVERS_REACHABLE = EventSpec(
+        515, "INFO", "backend servers of a service can be connected to again"
+    )
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/explain.py
+++ b/src/hyssopwood/explain.py
@@ -25,7 +25,7 @@
     "no-server": "no server was registered for the service",
     "server-refused": "the server said that it did not run the request",
     "server-busy": "every eligible server had asked this instance to back off",
-    "cut-off": "the instance had lost its links to all servers, and no other one relayed to them",
+    "cut-off": "the instance had lost its links to the service, and no other one had any",
     "server-unreachable": "no connection to the server could be made, or the server was leaving",
     "predicted-late": "the predicted wait for the server exceeded the time left",
     "deadline": "the request's deadline passed",
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -146,7 +146,7 @@
             dialer,
             self._stopping.is_set,
         )
-        self._grant_channels = GrantChannels(self._paths.connector.connect_directly)
+        self._grant_channels = GrantChannels(self._paths.connect_directly)
         self._key_commands = adapters.key_commands(self._paths.command_pool, self._grant_channels)
         self._keeper = QueueKeeper(
             self._directory, self._health, self._limits, self._view.range_count, timers
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -512,7 +512,7 @@
 
 
 def _cut_off_refusal() -> Refused:
-    detail = "this instance and those that it has asked reach no server"
+    detail = "this instance and those that it has asked reach no server of the service"
     return Refused(Cause.CUT_OFF, detail, PROBE_INTERVAL_S)
 
 
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -27,7 +27,7 @@
     SERVER_BUSY = "server-busy"
     AT_LIMIT = "at-limit"
     SERVER_UNREACHABLE = "server-unreachable"
-    # This instance reaches no server, and found no other one that does.
+    # This instance reaches no server of the service, and found no other one that does.
     CUT_OFF = "cut-off"
     PREDICTED_LATE = "predicted-late"
     DEADLINE = "deadline"
--- a/src/hyssopwood/gateway/server_connector.py
+++ b/src/hyssopwood/gateway/server_connector.py
@@ -40,8 +40,13 @@
 
     async def connect(self, server: ServerRecord) -> ServerConnection:
         """Connect to a server in the way that works now; raise NotSentError if none does."""
-        if self._reach.cut_off(server.service) or self._is_detoured(server):
+        if self._reach.cut_off(server.service):
             return await self._relays.connect(server)
+        if self._is_detoured(server):
+            try:
+                return await self._relays.connect(server)
+            except NoPathError:
+                self._detours.pop(server.incarnation, None)
         try:
             return await self.connect_directly(server)
         except NotSentError as error:
