--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -93,6 +93,15 @@
     on_back_off: Callable[[ServerRecord, float], None] = lambda server, seconds: None
 
 
+@frozen
+class _SentRequest:
+    """A request that was sent to a server, when, and whether another server has its address."""
+
+    server: ServerRecord
+    at: float
+    address_reused: bool
+
+
 class Dispatcher:
     """Send callers' requests to servers and build the answers."""
 
@@ -276,8 +285,7 @@
             return Refused(Cause.DEADLINE, "the deadline of the request has passed"), Done()
         routed.tried.add(server.server)
         routed.server = server.server
-        # Another server at the address may break the exchange or stay silent when it is full.
-        reused = self._deps.directory.is_address_reused(server)
+        sent = _SentRequest(server, started_at, self._deps.directory.is_address_reused(server))
         self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
@@ -292,27 +300,11 @@
             return refused, Done(failure=Failure.CERTAIN)
         except ExchangeBrokenError as error:
             routed.refused = False
-            self._count_send(routed)
             unknown = OutcomeUnknown(Cause.BROKEN, str(error))
-            if self._may_be_own_loss(server):
-                return unknown, Done()
-            self._record_failure(server, str(error), certain=False)
-            if not reused:
-                self._deps.crashes.record_lost(routed.request, server.incarnation)
-            return unknown, Done(failure=Failure.UNCERTAIN)
+            return unknown, self._record_loss(routed, sent, unknown)
         except TimeoutError:
-            self._count_send(routed)
             unknown = OutcomeUnknown(Cause.DEADLINE, "the server did not answer in time")
-            if self._may_be_own_loss(server):
-                return unknown, Done()
-            self._record_failure(server, "no answer before the deadline", certain=False)
-            sample_s = None
-            if not reused:
-                self._deps.crashes.record_lost(routed.request, server.incarnation)
-                # The service time is at least the time waited so far.
-                sample_s = self._deps.timers.now() - started_at
-                self._deps.reports.record_service_time(server.incarnation, sample_s)
-            return unknown, Done(sample_s, failure=Failure.UNCERTAIN)
+            return unknown, self._record_loss(routed, sent, unknown)
         self._deps.reach.record_answered(server.service)
         self._count_send(routed)
         outcome, done = self._evaluate_answer(routed, server, answer, started_at)
@@ -320,6 +312,26 @@
             answer.stream.abandon()
         return outcome, done
 
+    def _record_loss(
+        self, routed: RoutedRequest, sent: _SentRequest, unknown: OutcomeUnknown
+    ) -> Done:
+        """Record that a sent request got no answer, and return what its keeper is told."""
+        self._count_send(routed)
+        if self._may_be_own_loss(sent.server):
+            return Done()
+        incarnation = sent.server.incarnation
+        self._record_failure(sent.server, unknown.detail, certain=False)
+        if sent.address_reused:
+            # Another server at the address may break exchanges or stay silent when it is full.
+            return Done(failure=Failure.UNCERTAIN)
+        self._deps.crashes.record_lost(routed.request, incarnation)
+        sample_s = None
+        if unknown.cause is Cause.DEADLINE:
+            # The service time is at least the time waited so far.
+            sample_s = self._deps.timers.now() - sent.at
+            self._deps.reports.record_service_time(incarnation, sample_s)
+        return Done(sample_s, failure=Failure.UNCERTAIN)
+
     def _may_be_own_loss(self, server: ServerRecord) -> bool:
         """Record a lost exchange, and return whether the own links may be the cause.
 
