Log by which configuration and allowance a request was handled, and the build

Cause: the logs could not tell the hypotheses on CONFIG and BUDGET apart. Nothing showed over how many instances a retry was shared, how old the knowledge of the newest configuration was and whose it was, or which build an instance runs.

Change: E516 for every repeated request with the counts of its window, the allowance and the number of sharers; the age and source of the configuration in every request's line; E214 and E215 when an instance changes between its own reads and the leader's announcements; the build's digest in E100, in the list of instances and as a metric. Heartbeats carry the age of the leader's own read of the configuration; nothing acts on it yet.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -12,6 +12,15 @@
       | 13846075d61e7bdb | may have run                  | broken: the connection broke after        | SERVER_SUSPECTED server=   |
       | c74e0fe88eeb5ad2 | was refused and has not run   | server-refused: the server said           | RANGE_RELEASED service=    |
 
+  Scenario: A repeated request is explained by its outcome and the allowance of its retry
+    Guards against a repeat whose allowance, sharers and configuration no line shows (incident of
+    2026-12-05, CONFIG and BUDGET).
+    Given a dispatcher with servers "s1,s2" of a keyless service
+    And log lines are written to a file
+    When a request to route "idempotent" is sent and the servers answer "broken,broken"
+    And request "r1" is explained
+    Then the explanation contains "may have run", "shared_by=" and "the newest"
+
   Scenario: A request that no log line names is reported as unknown
     Guards against an explanation without evidence in the logs.
     Given the recorded log of a simulated day
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -30,6 +30,17 @@
     context.log_file.write_text(f'kernel: started\n{{"time":1,"ev\n{text}[]\n{{}}\n')
 
 
+@given("log lines are written to a file")
+def step_log_to_file(context):
+    folder = TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.log_file = Path(folder.name) / "instance.log"
+    file = context.log_file.open("w", encoding="utf-8")
+    context.add_cleanup(file.close)
+    handler = logger.add(JsonLineSink(file.fileno(), "i1").write, level="INFO", format="{message}")
+    context.add_cleanup(logger.remove, handler)
+
+
 @when('request "{request_id}" is explained')
 def step_explain(context, request_id):
     try:
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 from behave import given, then, when
 
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashMonitor
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherDependencies
 from hyssopwood.gateway.exchange import (
@@ -220,6 +221,7 @@
     context.dispatcher = Dispatcher(
         DispatcherDependencies(
             tables=tables,
+            configuration_age=ConfigurationAge(context.system_timers, lambda: None),
             directory=context.directory,
             plan=context.plan,
             pool=context.pool,
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from hyssopwood.errors import InputError, LogUnavailableError
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.feeds import ConfigurationFollower, ServerChanges, ServerFollower
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
@@ -105,6 +106,7 @@
         context.leader,
         lambda: None,
         StoreAvailability(SystemTimers()),
+        ConfigurationAge(SystemTimers(), lambda: None),
     )
 
     async def start():
--- a/features/steps/gateway_outage_steps.py
+++ b/features/steps/gateway_outage_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from hyssopwood.errors import LogUnavailableError
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.feeds import ConfigurationFollower, ServerChanges, ServerFollower
 from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory
@@ -111,7 +112,13 @@
         self.applied_at = None
         self.followers = (
             ConfigurationFollower(
-                self.configurations, self.tables, timers, leader, self._on_applied, availability
+                self.configurations,
+                self.tables,
+                timers,
+                leader,
+                self._on_applied,
+                availability,
+                ConfigurationAge(timers, lambda: None),
             ),
             ServerFollower(self.servers, ServerDirectory(), timers, leader, availability),
         )
--- a/features/steps/gateway_stream_steps.py
+++ b/features/steps/gateway_stream_steps.py
@@ -9,6 +9,7 @@
 
 from hyssopwood.gateway.answer_stream import AnswerStream
 from hyssopwood.gateway.caller_server import CallerServer
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashMonitor
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherDependencies
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
@@ -187,6 +188,7 @@
     dispatcher = Dispatcher(
         DispatcherDependencies(
             tables=tables,
+            configuration_age=ConfigurationAge(timers, lambda: None),
             directory=directory,
             plan=PlanView(timers),
             pool=ServerPool(timers, b"request-id"),
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from hyssopwood.errors import AppendConflictError
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.feeds import ConfigurationFollower, ServerFollower
 from hyssopwood.gateway.route_table import RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory
@@ -159,6 +160,7 @@
         _NoLeader(),
         lambda: None,
         StoreAvailability(timers),
+        ConfigurationAge(timers, lambda: None),
     )
 
     async def start():
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -79,6 +79,10 @@
 
     CONFIGURATION_TAKEN = EventSpec(210, "INFO", "configuration is in force")
     STORE_RESTORED = EventSpec(213, "WARNING", "store was restored from an older copy")
+    CONFIGURATION_READ_DIRECTLY = EventSpec(214, "INFO", "configurations are read from the store")
+    CONFIGURATION_LEFT_TO_LEADER = EventSpec(
+        215, "INFO", "leader announces configurations in place of own reads"
+    )
     PLAN_TAKEN = EventSpec(211, "INFO", "newer plan was adopted")
     SERVER_CHANGED = EventSpec(212, "INFO", "registration of a backend server changed")
     LEADERSHIP_HANDED_OVER = EventSpec(
@@ -103,6 +107,7 @@
     SERVERS_REACHABLE = EventSpec(
         515, "INFO", "backend servers of a service can be connected to again"
     )
+    REQUEST_REPEATED = EventSpec(516, "INFO", "request is sent once more")
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/explain.py
+++ b/src/hyssopwood/explain.py
@@ -38,7 +38,8 @@
     501: "may have run",
     508: "was answered",
 }
-_INSTANCE_EVENTS = frozenset({100, 102, 103, 200, 201, 210, 211, 303, 305})
+_INSTANCE_EVENTS = frozenset({100, 102, 103, 200, 201, 210, 211, 214, 215, 303, 305})
+_REPEATED = 516
 _SERVER_EVENTS = frozenset({212, 412, 416, 417, 509})
 
 
@@ -75,7 +76,8 @@
 def explain(request_id: str, lines: Iterable[LogLine]) -> str:
     """Return an explanation of a request's outcome; raise NotFoundError if no line names it."""
     ordered = sorted(lines, key=lambda line: line.time)
-    outcomes = [line for line in ordered if line.fields.get("request") == request_id]
+    of_request = [line for line in ordered if line.fields.get("request") == request_id]
+    outcomes = [line for line in of_request if line.event != _REPEATED] or of_request
     if not outcomes:
         raise NotFoundError(f"no log line names request {request_id}")
     parts = [_explain_outcome(outcome, ordered) for outcome in outcomes]
@@ -90,7 +92,7 @@
         f"{_OUTCOME_TEXTS.get(outcome.event, 'ended')}",
         f"cause: {cause or 'none'}: {_CAUSE_TEXTS.get(cause, fields.get('detail', ''))}",
         f"detail: {fields.get('detail', '')}",
-        f"decided on: configuration {fields.get('configuration')}, plan {fields.get('plan')}, "
+        f"decided on: configuration {fields.get('configuration')}{_known(fields)}, plan {fields.get('plan')}, "
         f"key {fields.get('key')}, server {fields.get('server') or 'none'}, "
         f"{fields.get('sends')} sends, {fields.get('elapsed_ms')} ms after it arrived",
         "before it:",
@@ -99,9 +101,19 @@
     return "\n".join(rows)
 
 
+def _known(fields: dict[str, Any]) -> str:
+    """Return how old the knowledge of the newest configuration was, if the line has it."""
+    if "configuration_from" not in fields:
+        return ""
+    age_ms = fields.get("configuration_known_ms_ago")
+    return f" (the newest {age_ms} ms before, by the {fields['configuration_from']})"
+
+
 def _is_context(line: LogLine, outcome: LogLine) -> bool:
     if not 0 <= outcome.time - line.time <= CONTEXT_WINDOW_S:
         return False
+    if line.event == _REPEATED:
+        return bool(line.fields.get("request") == outcome.fields["request"])
     if line.event in _INSTANCE_EVENTS:
         return line.instance == outcome.instance
     if line.event not in _SERVER_EVENTS:
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -9,8 +9,10 @@
 
 from attrs import evolve, frozen
 
+from hyssopwood.build import build_id
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.caller_server import CallerServer
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashCounter, CrashMonitor, Suspects
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherDependencies
 from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, HeaderCodec
@@ -132,6 +134,7 @@
             settings.failure_domain,
             settings.capacity,
             settings.relay_address,
+            build_id(),
         )
         self._instances = InstanceList(self._record)
         self._health = ServerHealth(timers)
@@ -188,6 +191,7 @@
         self._availability = StoreAvailability(
             timers, random.Random(), longest_interval_s(settings.bounds.apply_s)
         )
+        self._configuration_age = ConfigurationAge(timers, self._leader_configuration_age_s)
         self._configuration = ConfigurationFollower(
             adapters.configuration,
             self._tables,
@@ -195,6 +199,7 @@
             self._link,
             self._link_server.send_heartbeat,
             self._availability,
+            self._configuration_age,
         )
         self._servers = ServerFollower(
             adapters.servers, self._directory, timers, self._link, self._availability
@@ -248,7 +253,9 @@
 
     async def run(self) -> None:
         """Serve until `stop` is called."""
-        emit(Event.STARTED, incarnation=self._identity.incarnation)
+        build = self._record.build
+        emit(Event.STARTED, incarnation=self._identity.incarnation, build=build)
+        self._metrics.set("build", 1, build)
         await self._start()
         await self._stopping.wait()
         await self._shut_down()
@@ -360,6 +367,7 @@
     def _dispatcher_dependencies(self) -> DispatcherDependencies:
         return DispatcherDependencies(
             tables=self._tables,
+            configuration_age=self._configuration_age,
             directory=self._directory,
             plan=self._view,
             pool=self._paths.pool,
@@ -498,8 +506,16 @@
             self._timers.now() - self._servers.read_at,
             self._directory.digest(),
             self._view.version,
+            self._configuration_age.own_age_s(),
         )
 
+    def _leader_configuration_age_s(self) -> float | None:
+        """Return the age of the leader's configuration if this instance has the same version."""
+        table, heartbeat = self._tables.current, self._link.heartbeat
+        if table is None or heartbeat is None or heartbeat.configuration != table.version:
+            return None
+        return self._link.configuration_age_s()
+
     def _retry_budget_instances(self) -> int:
         count = self._instances.count
         return count if self._instances.has_leader_list else ASSUMED_INSTANCES
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashMonitor
 from hyssopwood.gateway.exchange import (
     AnswerHead,
@@ -73,6 +74,7 @@
     """Dependencies of the dispatcher."""
 
     tables: RouteTables
+    configuration_age: ConfigurationAge
     directory: ServerDirectory
     plan: PlanView
     pool: ServerPool
@@ -148,7 +150,8 @@
         path = request.target.split(b"?", 1)[0].decode("latin-1")
         route = table.match(request.host, path)
         if route is None:
-            detail = f"version {table.version}"
+            known = self._deps.configuration_age.newest()
+            detail = f"version {table.version}, known from the {known.source} {known.age_ms} ms ago"
             return self._reject_request(request, HTTPStatus.NOT_FOUND, Cause.NO_ROUTE, detail)
         if table.version != self._service_choice_version:
             self._service_choice.reset()
@@ -189,9 +192,7 @@
                     "the request is quarantined: servers crashed while they ran it",
                 )
                 break
-            if routed.sends and not self._retry_budget(routed.service).try_consume(
-                self._deps.timers.now()
-            ):
+            if routed.sends and not self._take_retry(routed):
                 break
             if not self._deps.has_path(routed.service):
                 last_outcome = _cut_off_refusal()
@@ -210,6 +211,24 @@
                 await self._wait_for_links(routed)
         return unknown or last_outcome
 
+    def _take_retry(self, routed: RoutedRequest) -> bool:
+        """Return whether the retry budget permits another send, and log one that it permits."""
+        budget, now = self._retry_budget(routed.service), self._deps.timers.now()
+        allowance = budget.allowance(now)
+        permitted = budget.try_consume(now)
+        result = "permitted" if permitted else "denied"
+        self._deps.metrics.count("gateway_retries", f"{routed.service} {result}")
+        if permitted:
+            self._log(
+                Event.REQUEST_REPEATED,
+                routed,
+                window_sends=allowance.first_sends,
+                window_retries=allowance.retries,
+                allowed=round(allowance.allowed, 2),
+                shared_by=allowance.instances,
+            )
+        return permitted
+
     async def _wait_for_links(self, routed: RoutedRequest) -> None:
         """Wait until it is known whether this instance's own links are the cause of a failure."""
         try:
@@ -505,6 +524,7 @@
 
     def _log(self, event: Event, routed: RoutedRequest, **fields: object) -> None:
         now = self._deps.timers.now()
+        known = self._deps.configuration_age.newest()
         emit(
             event,
             request=routed.head.request_id.decode("latin-1"),
@@ -514,6 +534,8 @@
             server=routed.server,
             sends=routed.sends,
             configuration=routed.version,
+            configuration_from=known.source,
+            configuration_known_ms_ago=known.age_ms,
             plan=routed.plan_version,
             keeper=routed.keeper,
             waited_ms=round(routed.waited_s * MS_PER_S, 1),
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -11,6 +11,7 @@
 
 from hyssopwood.errors import LogError
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.route_table import RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.store_availability import StoreAvailability
@@ -97,7 +98,9 @@
     _leader: LeaderUpdates
     _on_applied: Callable[[], None]
     _store: StoreAvailability
+    _age: ConfigurationAge
     _available: bool = field(default=True, init=False)
+    _left_to_leader: bool = field(default=False, init=False)
     # Newest version for which the store was called although it was considered unavailable.
     _called_for_version: int = field(default=0, init=False)
 
@@ -105,7 +108,9 @@
         """Follow the feed until cancelled."""
         while True:
             wait_s = CONFIGURATION_POLL_S
-            if self._tables.current is not None and self._leader.fresh_heartbeat() is not None:
+            leader_suffices = self._leader.fresh_heartbeat() is not None
+            self._report_source(leader_suffices)
+            if self._tables.current is not None and leader_suffices:
                 if not await self._leader_has_newer():
                     continue
                 wait_s = 0.0
@@ -113,6 +118,22 @@
             if wait_s == 0.0 or self._tables.current is None:
                 await self._timers.sleep(CONFIGURATION_READ_INTERVAL_S)
 
+    def _report_source(self, left_to_leader: bool) -> None:
+        if left_to_leader == self._left_to_leader:
+            return
+        self._left_to_leader = left_to_leader
+        known = self._age.newest()
+        emit(
+            (
+                Event.CONFIGURATION_LEFT_TO_LEADER
+                if left_to_leader
+                else Event.CONFIGURATION_READ_DIRECTLY
+            ),
+            version=0 if self._tables.current is None else self._tables.current.version,
+            known_from=known.source,
+            known_ms_ago=known.age_ms,
+        )
+
     async def _leader_has_newer(self) -> bool:
         """Wait for a heartbeat and return whether it contains a newer configuration version."""
         try:
@@ -130,6 +151,7 @@
         if self._store.unavailable:
             # A long poll that begins just before the store recovers may stay unanswered.
             wait_s = 0.0
+        started_at = self._timers.now()
         try:
             tables = await self._store.call(partial(self._feed.next, wait_s))
         except LogError as error:
@@ -141,9 +163,13 @@
         if not self._available:
             self._available = True
             emit(Event.LOG_RECOVERED, use="configuration")
+        # The store answers a long poll at once if there is something new, else at its end.
+        known_at = started_at if tables else min(self._timers.now(), started_at + wait_s)
+        self._age.record_read(known_at)
+        announced = self._leader.configuration_version()
         for table in tables:
             if self._tables.offer(table):
-                emit(Event.CONFIGURATION_TAKEN, version=table.version)
+                emit(Event.CONFIGURATION_TAKEN, version=table.version, announced=announced)
                 self._on_applied()
 
     def _leader_has_unread_version(self) -> bool:
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -23,6 +23,8 @@
     capacity: int = NOMINAL_CAPACITY_MILLICORES
     # Address for connections that the instance relays to servers; empty if it relays none.
     relay_address: str = ""
+    # Build that the instance runs; empty if it doesn't say.
+    build: str = ""
 
 
 def _rank(queue: str, record: InstanceRecord) -> float:
--- a/src/hyssopwood/gateway/retry_budget.py
+++ b/src/hyssopwood/gateway/retry_budget.py
@@ -5,13 +5,29 @@
 from collections import deque
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 # Share of the deployment-wide retry allowance that all instances use together; the rest is a margin
 # for uneven load.
 SAFETY_SHARE = 0.7
 
 
+@frozen
+class Allowance:
+    """What a retry is decided on; the counts are those of the sliding window."""
+
+    first_sends: int
+    retries: int
+    # Number of instances that share the extra retries.
+    instances: int
+    allowed: float
+
+    @property
+    def available(self) -> float:
+        """Return how many more retries are allowed."""
+        return self.allowed - self.retries
+
+
 @define
 class RetryBudget:
     """Allow retries for one service as a ratio of the first sends in a sliding window."""
@@ -29,14 +45,19 @@
         """Count the first send of a request."""
         self._sends.append(now)
 
-    def available(self, now: float) -> float:
-        """Return how many retries are allowed now."""
+    def allowance(self, now: float) -> Allowance:
+        """Return the retries of the window that ends now, and those allowed in it."""
         for times in (self._sends, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
-        extra = self._extra / max(1, self._instances())
-        allowed = SAFETY_SHARE * (self._ratio * len(self._sends) + extra)
-        return allowed - len(self._retries)
+        instances = max(1, self._instances())
+        sends = len(self._sends)
+        allowed = SAFETY_SHARE * (self._ratio * sends + self._extra / instances)
+        return Allowance(sends, len(self._retries), instances, allowed)
+
+    def available(self, now: float) -> float:
+        """Return how many retries are allowed now."""
+        return self.allowance(now).available
 
     def try_consume(self, now: float) -> bool:
         """Consume one retry; return False if none is left."""
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -28,6 +28,8 @@
   capacity @3 :UInt32;
   # Address for connections that the instance relays to servers.
   relayAddress @4 :Text;
+  # Identity of the build that the instance runs; empty in records of earlier builds.
+  build @5 :Text;
 }
 
 struct Hello {
@@ -112,6 +114,9 @@
   serversDigest @3 :UInt64;
   # -1 if there is no plan.
   planVersion @4 :Int64;
+  # One more than the time since the leader's configuration was known to be the newest; 0 if that is
+  # unknown, as in heartbeats of earlier builds.
+  configurationAgeMs @5 :UInt32;
 }
 
 struct OwnerChange {
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -104,6 +104,7 @@
     servers_age_s: float
     servers_digest: int
     plan_version: int
+    configuration_age_s: float | None = None
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat with this state."""
@@ -113,6 +114,7 @@
             self.servers_age_s,
             self.servers_digest,
             self.plan_version,
+            self.configuration_age_s,
         )
 
 
@@ -292,7 +294,7 @@
                 return
             self._change_instances(InstanceUpdate((hello.record,)))
             self._writers[writer] = hello.record.instance
-            emit(Event.PEER_CONNECTED, instance=hello.record.instance)
+            emit(Event.PEER_CONNECTED, instance=hello.record.instance, build=hello.record.build)
             self._on_hello(hello)
             if hello.instances_digest != self._instances.digest():
                 _write(writer, InstanceUpdate(self._instances.records(), complete=True))
@@ -360,6 +362,12 @@
             return 0
         return self._heartbeat.configuration
 
+    def configuration_age_s(self) -> float | None:
+        """Return the age of the leader's configuration, or None if it isn't known."""
+        if self._heartbeat is None or self._heartbeat.configuration_age_s is None:
+            return None
+        return self._heartbeat.configuration_age_s + self._timers.now() - self._heartbeat_at
+
     def request_servers(self) -> None:
         """Request all registrations from the leader."""
         self._request(Resync(servers=True))
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -75,6 +75,8 @@
     # Digest of the leader's registrations, and version of its plan.
     servers_digest: int = 0
     plan_version: int = -1
+    # Time since the store showed that no later configuration exists; None if that is unknown.
+    configuration_age_s: float | None = None
 
 
 @frozen
@@ -190,6 +192,8 @@
     heartbeat.serversAgeMs = _milliseconds(message.servers_age_s)
     heartbeat.serversDigest = message.servers_digest
     heartbeat.planVersion = message.plan_version
+    if message.configuration_age_s is not None:
+        heartbeat.configurationAgeMs = min(MAX_MS, _milliseconds(message.configuration_age_s) + 1)
 
 
 @_fill.register
@@ -244,11 +248,17 @@
     row.failureDomain = record.failure_domain
     row.capacity = record.capacity
     row.relayAddress = record.relay_address
+    row.build = record.build
 
 
 def _read_instance(row: Any) -> InstanceRecord:
     return InstanceRecord(
-        row.instance, row.address, row.failureDomain, row.capacity, row.relayAddress
+        row.instance,
+        row.address,
+        row.failureDomain,
+        row.capacity,
+        row.relayAddress,
+        row.build,
     )
 
 
@@ -307,6 +317,7 @@
         heartbeat.serversAgeMs / 1000,
         heartbeat.serversDigest,
         heartbeat.planVersion,
+        (heartbeat.configurationAgeMs - 1) / 1000 if heartbeat.configurationAgeMs else None,
     )
 
 
