--- /dev/null
+++ b/features/gateway_configuration_age.feature
@@ -0,0 +1,10 @@
+Feature: Configurations are in force in time at instances that reach the store
+
+  Scenario: Instances don't wait for a leader that can't read the configuration
+    Guards against a version in the leader's heartbeats that is trusted although the leader's own
+    read of it is old (incident of 2026-12-05, CONFIG: "handled by version N or older; version N was
+    acked more than N ms before").
+    Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1,i2,i3"
+    When the leader's reads of the configuration stay unanswered for 5 s
+    And configuration 9 without the route is published while requests go to the other instances
+    Then every request sent there 2 s after the publication or later is answered 404
--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -125,11 +125,16 @@
 class Deployment:
     """A store, servers and instances, and the answers that callers received.
 
-    `timeout_s` replaces the timeouts of all routes. With `cuttable`, the links of each instance to
-    the servers can be cut. An instance's failure domain is looked up in `domains`.
+    The servers belong to `service`, which is divided by key if it is "portal"; instances of
+    other services never become ready. `timeout_s` replaces the timeouts of all routes. With
+    `cuttable`, the links of each instance to the servers can be cut. An instance's failure domain
+    is looked up in `domains`.
     """
 
-    def __init__(self, shutdown_s=SHUTDOWN_S, timeout_s=None, cuttable=False, domains=None):
+    def __init__(
+        self, shutdown_s=SHUTDOWN_S, timeout_s=None, cuttable=False, domains=None, service=SERVICE
+    ):
+        self.service = service
         self.shutdown_s = shutdown_s
         self.timeout_s = timeout_s
         self.cuttable = cuttable
@@ -150,31 +155,36 @@
             self.publish(version)
         for name in servers:
             domain = self.domains.get(name, "a")
-            self.servers[name] = KeyServer(name, SERVICE, failure_domain=domain)
+            self.servers[name] = KeyServer(
+                name, self.service, failure_domain=domain, sharded=self.service == SERVICE
+            )
             await self.servers[name].start()
         self.heartbeats = asyncio.ensure_future(self._send_heartbeats())
         for name in instances:
-            self.instances[name] = Instance(
-                name,
-                self.store.address,
-                self.shutdown_s,
-                self.domains.get(name, "a"),
-                CuttableLinks() if self.cuttable else None,
-            )
+            self.start_instance(name)
         await asyncio.sleep(START_S)
-        if servers:
+        if servers and self.service == SERVICE:
             await self.until(
                 lambda: all(item.daemon.is_ready() for item in self.instances.values())
             )
 
-    async def stop(self):
-        for instance in self.instances.values():
-            instance.task.cancel()
-        await asyncio.gather(
-            *(item.task for item in self.instances.values()), return_exceptions=True
+    def start_instance(self, name):
+        self.instances[name] = Instance(
+            name,
+            self.store.address,
+            self.shutdown_s,
+            self.domains.get(name, "a"),
+            CuttableLinks() if self.cuttable else None,
         )
-        for instance in self.instances.values():
-            await instance.daemon.end()
+
+    async def kill(self, instance):
+        """End an instance at once, as a kill of its process does."""
+        instance.task.cancel()
+        await asyncio.gather(instance.task, return_exceptions=True)
+        await instance.daemon.end()
+
+    async def stop(self):
+        await asyncio.gather(*(self.kill(item) for item in self.instances.values()))
         if self.heartbeats is not None:
             self.heartbeats.cancel()
         for server in self.servers.values():
--- a/src/hyssopwood/explain.py
+++ b/src/hyssopwood/explain.py
@@ -92,9 +92,10 @@
         f"{_OUTCOME_TEXTS.get(outcome.event, 'ended')}",
         f"cause: {cause or 'none'}: {_CAUSE_TEXTS.get(cause, fields.get('detail', ''))}",
         f"detail: {fields.get('detail', '')}",
-        f"decided on: configuration {fields.get('configuration')}{_known(fields)}, plan {fields.get('plan')}, "
-        f"key {fields.get('key')}, server {fields.get('server') or 'none'}, "
-        f"{fields.get('sends')} sends, {fields.get('elapsed_ms')} ms after it arrived",
+        f"decided on: configuration {fields.get('configuration')}{_known(fields)}, "
+        f"plan {fields.get('plan')}, key {fields.get('key')}, "
+        f"server {fields.get('server') or 'none'}, {fields.get('sends')} sends, "
+        f"{fields.get('elapsed_ms')} ms after it arrived",
         "before it:",
     ]
     rows += [f"  {line.formatted()}" for line in ordered if _is_context(line, outcome)]
--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -37,6 +37,8 @@
     # Times at which requests and key commands arrived, on the monotonic clock.
     arrived_at: list[float] = field(factory=list)
     executed_request_ids: list[str] = field(factory=list)
+    # Whether the answer to a request is lost after the request ran: its connection is aborted.
+    loses_answer: Callable[[str], bool] = lambda request_id: False
     _leases: list[_Lease] = field(factory=list, init=False)
     _running: int = field(default=0, init=False)
     _released: int = field(default=0, init=False)
@@ -141,6 +143,8 @@
             await asyncio.sleep(self.work_s)
         finally:
             self._running -= 1
+        if self.loses_answer(headers["Request-Id"]) and request.transport is not None:
+            request.transport.abort()
         headers["Response-Signature"] = f"{self.name}.{headers['Request-Id']}"
         headers["Server-Load"] = f"{self._running},0,{SLOTS}"
         return web.Response(body=f"{self.name} {request.path}".encode(), headers=headers)
