Rely on the leader's configuration only while its own read of it is recent

What callers saw: requests handled by an older configuration seconds after a newer one was confirmed, at instances that reach the store.

Cause: a follower skipped its own reads while the leader's registrations were fresh, and took the version in the heartbeat for the newest. The leader reads configurations by another call; while that call hung, every follower trusted a version of unknown age.

Change: a heartbeat states how old the leader's own read is. It replaces reads for 1.5 s after that (the leader's long poll of 0.9 s and two heartbeats); then, or if the age is unknown, the follower reads the store. A read after a time without any doesn't wait for a change, as a long poll may hang. Followers of earlier builds judge by the age of the registrations, so a leader whose configuration is too old states that age there.

The scenario on unknown ages fails if an unknown age counts as none.

--- a/features/gateway_configuration_age.feature
+++ b/features/gateway_configuration_age.feature
@@ -8,3 +8,9 @@
     When the leader's reads of the configuration stay unanswered for 5 s
     And configuration 9 without the route is published while requests go to the other instances
     Then every request sent there 2 s after the publication or later is answered 404
+
+  Scenario: A leader of an earlier build doesn't replace reads of the configuration
+    Guards against an unknown age that counts as none.
+    Given a follower of a leader whose heartbeats have a configuration of unknown age
+    When heartbeats arrive at once for 0.5 s and then 0 s late
+    Then the leader's configuration replaces no reads of the follower
--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -1,14 +1,23 @@
 """Steps for instances whose leader knows the configuration late."""
 
 import asyncio
+import struct
 import time
 
-from behave import then, when
+from attrs import evolve
+from behave import given, then, when
 
 from hyssopwood.errors import LogUnavailableError
+from hyssopwood.gateway.instance_list import InstanceRecord
+from hyssopwood.keyspace.link import LeaderLink
+from hyssopwood.keyspace.link_codec import Heartbeat, Hello, InstanceReport, encode
+from hyssopwood.keyspace.plan import NO_PLAN
 from hyssopwood.platform.names import NEWEST_PATH, OPERATOR_TOPIC, READ_PATH
+from hyssopwood.timers import BootTimers
 
 INTERVAL_S = 0.05
+# Difference between the clocks of the leader and its follower.
+CLOCK_DIFFERENCE_S = 1000.0
 PLAYED_S = 4.0
 
 
@@ -60,3 +69,86 @@
 def step_in_force(context, seconds):
     late = [item for item in context.statuses if item[0] >= seconds]
     assert late and all(status == 404 for _, _, status in late), late[:3]
+
+
+class _SendingLeader:
+    """Accept one link and send heartbeats over it, each with a delay after the time it states."""
+
+    def __init__(self, heartbeat):
+        self.heartbeat = heartbeat
+        self.late_s = 0.0
+
+    async def serve(self, _, writer):
+        due = []
+        while True:
+            now = time.clock_gettime(time.CLOCK_BOOTTIME)
+            due.append((now + self.late_s, now))
+            while due and due[0][0] <= now:
+                data = encode(self._at(due.pop(0)[1]))
+                writer.write(struct.pack(">I", len(data)) + data)
+            await asyncio.sleep(INTERVAL_S)
+
+    def _at(self, sent_at):
+        if self.heartbeat.configuration_age_s is None:
+            return self.heartbeat
+        return self.heartbeat
+
+
+async def _link(context):
+    server = await asyncio.start_server(context.sending.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    report = InstanceReport({}, {})
+    context.link = LeaderLink(
+        BootTimers(),
+        lambda: Hello(InstanceRecord("i1", "127.0.0.1:1", "a"), "x"),
+        lambda plan, source: True,
+        lambda: NO_PLAN,
+        lambda: report,
+        lambda: report,
+        lambda update: None,
+        lambda pause: None,
+        lambda update: None,
+    )
+    context.following = asyncio.ensure_future(context.link.follow(address, lambda beat: True))
+
+
+async def _unlink(context):
+    context.following.cancel()
+    await asyncio.gather(context.following, return_exceptions=True)
+
+
+@given("a follower of a leader whose heartbeats have a configuration {age}")
+def step_follower(context, age):
+    known = "unknown" not in age
+    age_s = float(age.split()[2]) if known else None
+    context.sending = _SendingLeader(Heartbeat(0.1, 5, 0.1, configuration_age_s=age_s))
+    context.run(_link(context))
+    context.add_cleanup(lambda: context.run(_unlink(context)))
+
+
+@when("heartbeats arrive at once for {seconds:g} s and then {late_s:g} s late")
+def step_late(context, seconds, late_s):
+    async def play():
+        await asyncio.sleep(seconds)
+        context.sending.late_s = late_s
+        await asyncio.sleep(late_s + 4 * INTERVAL_S)
+
+    context.run(play())
+
+
+@then("the follower takes the leader's configuration to be between {low:g} and {high:g} s old")
+def step_age(context, low, high):
+    age_s = context.link.configuration_age_s()
+    assert low - 0.001 <= age_s <= high, age_s
+
+
+@then("the heartbeat's registrations replace no reads of the follower")
+def step_not_fresh(context):
+    assert context.link.heartbeat is not None
+    assert context.link.fresh_heartbeat() is None
+
+
+@then("the leader's configuration replaces no reads of the follower")
+def step_unknown(context):
+    assert context.link.heartbeat is not None
+    assert context.link.configuration_fresh_s() <= 0
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -44,6 +44,9 @@
     def fresh_heartbeat(self):
         return None if self.silent else Heartbeat(0.1, self.version, 0.1, self.digest())
 
+    def configuration_fresh_s(self):
+        return 0.0 if self.silent else 0.5
+
     def configuration_version(self):
         return 0 if self.silent else self.version
 
--- a/features/steps/gateway_outage_steps.py
+++ b/features/steps/gateway_outage_steps.py
@@ -92,6 +92,9 @@
             return None
         return Heartbeat(0.1, version, 0.1, 0)
 
+    def configuration_fresh_s(self):
+        return 0.0 if self.fresh_heartbeat() is None else 0.5
+
     def configuration_version(self):
         return self._version() or 0
 
--- a/features/steps/platform_restore_steps.py
+++ b/features/steps/platform_restore_steps.py
@@ -29,6 +29,9 @@
 class _NoLeader:
     """A missing leader: an instance without a link reads the store itself."""
 
+    def configuration_fresh_s(self):
+        return 0.0
+
     def fresh_heartbeat(self):
         return None
 
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -55,6 +55,10 @@
         """Return the last heartbeat, or None if it or the leader's registrations are too old."""
         ...
 
+    def configuration_fresh_s(self) -> float:
+        """Return for how long the leader's version still replaces reads; 0 or less if not."""
+        ...
+
     def configuration_version(self) -> int:
         """Return the configuration version in the last heartbeat, or 0 if that is too old."""
         ...
@@ -101,23 +105,26 @@
     _age: ConfigurationAge
     _available: bool = field(default=True, init=False)
     _left_to_leader: bool = field(default=False, init=False)
+    _read_at: float = field(default=float("-inf"), init=False)
     # Newest version for which the store was called although it was considered unavailable.
     _called_for_version: int = field(default=0, init=False)
 
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
-            wait_s = CONFIGURATION_POLL_S
-            leader_suffices = self._leader.fresh_heartbeat() is not None
-            self._report_source(leader_suffices)
-            if self._tables.current is not None and leader_suffices:
-                if not await self._leader_has_newer():
-                    continue
-                wait_s = 0.0
-            await self._read(wait_s)
-            if wait_s == 0.0 or self._tables.current is None:
+            fresh_s = self._leader.configuration_fresh_s()
+            announced = self._tables.current is not None and fresh_s > 0
+            self._report_source(announced)
+            if announced and not await self._leader_has_newer(fresh_s):
+                continue
+            # A long poll may hang, so the first read after a time without any doesn't wait.
+            await self._read(0.0 if announced or self._is_behind() else CONFIGURATION_POLL_S)
+            if announced or self._tables.current is None:
                 await self._timers.sleep(CONFIGURATION_READ_INTERVAL_S)
 
+    def _is_behind(self) -> bool:
+        return self._timers.now() - self._read_at > CONFIGURATION_POLL_S + RETRY_INTERVAL_S
+
     def _report_source(self, left_to_leader: bool) -> None:
         if left_to_leader == self._left_to_leader:
             return
@@ -134,15 +141,15 @@
             known_ms_ago=known.age_ms,
         )
 
-    async def _leader_has_newer(self) -> bool:
+    async def _leader_has_newer(self, limit_s: float) -> bool:
         """Wait for a heartbeat and return whether it contains a newer configuration version."""
         try:
-            async with asyncio.timeout(CONFIGURATION_POLL_S):
+            async with asyncio.timeout(limit_s):
                 await self._leader.wait_heartbeat()
         except TimeoutError:
             return False
-        heartbeat, table = self._leader.fresh_heartbeat(), self._tables.current
-        return heartbeat is not None and (table is None or heartbeat.configuration > table.version)
+        version, table = self._leader.configuration_version(), self._tables.current
+        return table is None or version > table.version
 
     async def _read(self, wait_s: float) -> None:
         if not self._store.may_call() and not self._claim_early_call():
@@ -166,6 +173,7 @@
         # The store answers a long poll at once if there is something new, else at its end.
         known_at = started_at if tables else min(self._timers.now(), started_at + wait_s)
         self._age.record_read(known_at)
+        self._read_at = self._timers.now()
         announced = self._leader.configuration_version()
         for table in tables:
             if self._tables.offer(table):
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -38,6 +38,10 @@
 # server must be detected.
 HEARTBEAT_FRESH_S = 0.7
 SERVERS_FRESH_S = 1.0
+# The leader's configuration replaces own reads until this time after the store showed the leader
+# that there is no later one. It covers the leader's long poll and two heartbeats, and leaves 0.5 s
+# of the shortest time in which a configuration must be in force for an own read.
+CONFIGURATION_FRESH_S = 1.5
 # A link counts as lost if no message arrives for this long.
 LINK_SILENCE_S = 0.95
 # Load reports arrive as often as the leader balances load.
@@ -46,6 +50,8 @@
 # in addition to receiving it; four per second from each of 195 instances would delay heartbeats.
 REPORTS_PER_S = 160
 CONNECT_TIMEOUT_S = 0.6
+# Age that a heartbeat states for registrations of a leader whose configuration has an unknown age.
+UNKNOWN_AGE_S = 3600.0
 # A connected leader that the store hasn't confirmed for this long is replaced by an instance that
 # reaches the store. All followers leave its link then and link again if none can replace it.
 LEADER_STALE_S = 1.8
@@ -111,12 +117,22 @@
         return Heartbeat(
             self.store_age_s,
             self.configuration,
-            self.servers_age_s,
+            self._oldest_age_s(),
             self.servers_digest,
             self.plan_version,
             self.configuration_age_s,
         )
 
+    def _oldest_age_s(self) -> float:
+        """Return the age of the registrations, or of a configuration that is too old to rely on.
+
+        Followers of earlier builds judge the configuration by the age of the registrations.
+        """
+        age_s = self.configuration_age_s
+        if age_s is None:
+            return max(self.servers_age_s, UNKNOWN_AGE_S)
+        return max(self.servers_age_s, age_s if age_s > CONFIGURATION_FRESH_S else 0.0)
+
 
 @define(eq=False)
 class LinkServer:
@@ -351,14 +367,14 @@
         return self._heartbeat
 
     def fresh_heartbeat(self) -> Heartbeat | None:
-        """Return the last heartbeat if it is fresh enough to replace reads of the store."""
-        if self._heartbeat is None or self._timers.now() - self._heartbeat_at > HEARTBEAT_FRESH_S:
+        """Return the last heartbeat if it is fresh enough to replace reads of registrations."""
+        if self._heartbeat is None or self._heartbeat_age_s() > HEARTBEAT_FRESH_S:
             return None
         return self._heartbeat if self._heartbeat.servers_age_s <= SERVERS_FRESH_S else None
 
     def configuration_version(self) -> int:
         """Return the configuration version in the last heartbeat, 0 if that is too old."""
-        if self._heartbeat is None or self._timers.now() - self._heartbeat_at > HEARTBEAT_FRESH_S:
+        if self._heartbeat is None or self._heartbeat_age_s() > HEARTBEAT_FRESH_S:
             return 0
         return self._heartbeat.configuration
 
@@ -366,7 +382,17 @@
         """Return the age of the leader's configuration, or None if it isn't known."""
         if self._heartbeat is None or self._heartbeat.configuration_age_s is None:
             return None
-        return self._heartbeat.configuration_age_s + self._timers.now() - self._heartbeat_at
+        return self._heartbeat.configuration_age_s + self._heartbeat_age_s()
+
+    def configuration_fresh_s(self) -> float:
+        """Return for how long the last heartbeat may still replace reads of the configuration."""
+        age_s = self.configuration_age_s()
+        if age_s is None:
+            return 0.0
+        return min(CONFIGURATION_FRESH_S - age_s, HEARTBEAT_FRESH_S - self._heartbeat_age_s())
+
+    def _heartbeat_age_s(self) -> float:
+        return self._timers.now() - self._heartbeat_at
 
     def request_servers(self) -> None:
         """Request all registrations from the leader."""
