Count the ages in a heartbeat from its sending

What callers could see: an instance that relies on a leader's configuration, registrations or confirmation for up to 0.95 s longer than meant.

Cause: ages in a heartbeat counted from its arrival. One that waited in the buffers of a slow or healed connection looked new.

Change: a heartbeat states the leader's clock. The smallest difference to the own clock on a link belongs to the fastest heartbeat; a larger one is the time that a heartbeat waited.

--- a/features/gateway_configuration_age.feature
+++ b/features/gateway_configuration_age.feature
@@ -9,6 +9,14 @@
     And configuration 9 without the route is published while requests go to the other instances
     Then every request sent there 2 s after the publication or later is answered 404
 
+  Scenario: The age of a heartbeat counts from its sending
+    Guards against a heartbeat that waited in the buffers of a slow connection and looks new.
+    Given a follower of a leader whose heartbeats have a configuration that is 0.3 s old
+    When heartbeats arrive at once for 0.5 s and then 0.8 s late
+    Then the follower takes the leader's configuration to be between 1.1 and 1.5 s old
+    And the heartbeat's registrations replace no reads of the follower
+    And the follower takes the leader's confirmation by the store to be at least 0.9 s old
+
   Scenario: A leader of an earlier build doesn't replace reads of the configuration
     Guards against an unknown age that counts as none.
     Given a follower of a leader whose heartbeats have a configuration of unknown age
--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -91,7 +91,7 @@
     def _at(self, sent_at):
         if self.heartbeat.configuration_age_s is None:
             return self.heartbeat
-        return self.heartbeat
+        return evolve(self.heartbeat, sent_at=sent_at + CLOCK_DIFFERENCE_S)
 
 
 async def _link(context):
@@ -109,7 +109,9 @@
         lambda pause: None,
         lambda update: None,
     )
-    context.following = asyncio.ensure_future(context.link.follow(address, lambda beat: True))
+    context.heard = []
+    follow = context.link.follow(address, lambda beat: context.heard.append(beat) or True)
+    context.following = asyncio.ensure_future(follow)
 
 
 async def _unlink(context):
@@ -152,3 +154,8 @@
 def step_unknown(context):
     assert context.link.heartbeat is not None
     assert context.link.configuration_fresh_s() <= 0
+
+
+@then("the follower takes the leader's confirmation by the store to be at least {low:g} s old")
+def step_store_age(context, low):
+    assert context.heard[-1].store_age_s >= low - 0.001, context.heard[-1]
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -117,6 +117,8 @@
   # One more than the time since the leader's configuration was known to be the newest; 0 if that is
   # unknown, as in heartbeats of earlier builds.
   configurationAgeMs @5 :UInt32;
+  # The leader's clock when it sent this; 0 in heartbeats of earlier builds.
+  sentMs @6 :UInt64;
 }
 
 struct OwnerChange {
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from hyssopwood.errors import InputError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
@@ -112,7 +112,7 @@
     plan_version: int
     configuration_age_s: float | None = None
 
-    def heartbeat(self) -> Heartbeat:
+    def heartbeat(self, now: float) -> Heartbeat:
         """Return the heartbeat with this state."""
         return Heartbeat(
             self.store_age_s,
@@ -121,6 +121,7 @@
             self.servers_digest,
             self.plan_version,
             self.configuration_age_s,
+            now,
         )
 
     def _oldest_age_s(self) -> float:
@@ -199,7 +200,7 @@
                 writer.transport.abort()
         if status is not None:
             self._keep_instances_if_stale(status)
-            self._broadcast(status.heartbeat())
+            self._broadcast(status.heartbeat(self._timers.now()))
             self._send_suspects()
         self._track_unlinked(status is not None)
         if status is not None:
@@ -317,7 +318,7 @@
             self._send_plan_since(writer, hello.plan_version)
             self._keep_instances_if_stale(status)
             _write(writer, self._sent_suspects)
-            _write(writer, status.heartbeat())
+            _write(writer, status.heartbeat(self._timers.now()))
             while True:
                 message = await _read(reader)
                 if isinstance(message, InstanceReport):
@@ -358,6 +359,9 @@
     _instance_count: Callable[[], int] = lambda: 1
     _heartbeat: Heartbeat | None = field(default=None, init=False)
     _heartbeat_at: float = field(default=float("-inf"), init=False)
+    # Smallest difference between the own clock at the arrival of a heartbeat and the leader's at
+    # its sending; None if the leader doesn't state the latter.
+    _clock_offset_s: float | None = field(default=None, init=False)
     _heartbeat_received: asyncio.Event = field(factory=asyncio.Event, init=False)
     _writer: asyncio.StreamWriter | None = field(default=None, init=False)
 
@@ -392,7 +396,28 @@
         return min(CONFIGURATION_FRESH_S - age_s, HEARTBEAT_FRESH_S - self._heartbeat_age_s())
 
     def _heartbeat_age_s(self) -> float:
-        return self._timers.now() - self._heartbeat_at
+        """Return the time since the leader sent the last heartbeat.
+
+        A heartbeat may have waited in the buffers of a slow connection. The fastest one on a link
+        shows how far apart the two clocks are.
+        """
+        if self._heartbeat is None:
+            return float("inf")
+        if self._clock_offset_s is None or self._heartbeat.sent_at is None:
+            return self._timers.now() - self._heartbeat_at
+        return self._timers.now() - self._clock_offset_s - self._heartbeat.sent_at
+
+    def _accept_heartbeat(self, heartbeat: Heartbeat) -> None:
+        now = self._timers.now()
+        self._heartbeat, self._heartbeat_at = heartbeat, now
+        if heartbeat.sent_at is None:
+            self._clock_offset_s = None
+        else:
+            offset_s = now - heartbeat.sent_at
+            known = self._clock_offset_s
+            self._clock_offset_s = offset_s if known is None else min(known, offset_s)
+        received, self._heartbeat_received = self._heartbeat_received, asyncio.Event()
+        received.set()
 
     def request_servers(self) -> None:
         """Request all registrations from the leader."""
@@ -412,7 +437,7 @@
 
     async def follow(self, address: str, stay: Callable[[Heartbeat], bool]) -> None:
         """Follow until `stay` returns False; raise PeerUnavailableError if the link is lost."""
-        self._heartbeat = None
+        self._heartbeat = self._clock_offset_s = None
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -441,10 +466,9 @@
             async with asyncio.timeout(LINK_SILENCE_S):
                 message = await _read(reader)
             if isinstance(message, Heartbeat):
-                self._heartbeat, self._heartbeat_at = message, self._timers.now()
-                received, self._heartbeat_received = self._heartbeat_received, asyncio.Event()
-                received.set()
-                if not stay(message):
+                self._accept_heartbeat(message)
+                age_s = message.store_age_s + self._heartbeat_age_s()
+                if not stay(evolve(message, store_age_s=age_s)):
                     return
             elif isinstance(message, ServerUpdate):
                 self._on_servers(message)
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -77,6 +77,8 @@
     plan_version: int = -1
     # Time since the store showed that no later configuration exists; None if that is unknown.
     configuration_age_s: float | None = None
+    # Time of sending on the leader's clock; None from builds that don't state it.
+    sent_at: float | None = None
 
 
 @frozen
@@ -194,6 +196,8 @@
     heartbeat.planVersion = message.plan_version
     if message.configuration_age_s is not None:
         heartbeat.configurationAgeMs = min(MAX_MS, _milliseconds(message.configuration_age_s) + 1)
+    if message.sent_at is not None:
+        heartbeat.sentMs = int(message.sent_at * 1000)
 
 
 @_fill.register
@@ -318,6 +322,7 @@
         heartbeat.serversDigest,
         heartbeat.planVersion,
         (heartbeat.configurationAgeMs - 1) / 1000 if heartbeat.configurationAgeMs else None,
+        heartbeat.sentMs / 1000 if heartbeat.sentMs else None,
     )
 
 
