Bound the whole age of the leader's registrations

What callers could see: a request at a server more than 2 s after it was confirmed to leave, where the leader's reads and heartbeats end together.

Cause: the age of the registrations in a heartbeat (at most 1 s) and that of the heartbeat (at most 0.7 s) were judged apart, and 0.5 s of the interval of own reads come on top.

Change: their sum may be 1.2 s.

Evidence: the row with registrations of 0.9 s and a silence of 0.45 s fails with the ages judged apart.

--- a/features/gateway_configuration_age.feature
+++ b/features/gateway_configuration_age.feature
@@ -17,6 +17,19 @@
     And the heartbeat's registrations replace no reads of the follower
     And the follower takes the leader's confirmation by the store to be at least 0.9 s old
 
+  Scenario Outline: Registrations of a leader that falls silent become too old in time
+    Guards against registrations that are used for 1.7 s after the leader read them, so that with
+    the interval of own reads a leaving server is noticed after more than 2 s.
+    Given a follower of a leader whose heartbeats have registrations that are <age> s old
+    When heartbeats arrive at once for 0.5 s and then none for <silent> s
+    Then the heartbeat's registrations replace <reads> of the follower
+
+    Examples:
+      | age | silent | reads    |
+      | 0.9 | 0.1    | reads    |
+      | 0.9 | 0.45   | no reads |
+      | 0.3 | 0.45   | reads    |
+
   Scenario: A leader of an earlier build doesn't replace reads of the configuration
     Guards against an unknown age that counts as none.
     Given a follower of a leader whose heartbeats have a configuration of unknown age
--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -77,13 +77,14 @@
     def __init__(self, heartbeat):
         self.heartbeat = heartbeat
         self.late_s = 0.0
+        self.silent = False
 
     async def serve(self, _, writer):
         due = []
         while True:
             now = time.clock_gettime(time.CLOCK_BOOTTIME)
             due.append((now + self.late_s, now))
-            while due and due[0][0] <= now:
+            while due and due[0][0] <= now and not self.silent:
                 data = encode(self._at(due.pop(0)[1]))
                 writer.write(struct.pack(">I", len(data)) + data)
             await asyncio.sleep(INTERVAL_S)
@@ -119,15 +120,18 @@
     await asyncio.gather(context.following, return_exceptions=True)
 
 
-@given("a follower of a leader whose heartbeats have a configuration {age}")
-def step_follower(context, age):
-    known = "unknown" not in age
-    age_s = float(age.split()[2]) if known else None
-    context.sending = _SendingLeader(Heartbeat(0.1, 5, 0.1, configuration_age_s=age_s))
+def _start_follower(context, heartbeat):
+    context.sending = _SendingLeader(heartbeat)
     context.run(_link(context))
     context.add_cleanup(lambda: context.run(_unlink(context)))
 
 
+@given("a follower of a leader whose heartbeats have a configuration {age}")
+def step_follower(context, age):
+    age_s = None if "unknown" in age else float(age.split()[2])
+    _start_follower(context, Heartbeat(0.1, 5, 0.1, configuration_age_s=age_s))
+
+
 @when("heartbeats arrive at once for {seconds:g} s and then {late_s:g} s late")
 def step_late(context, seconds, late_s):
     async def play():
@@ -144,10 +148,25 @@
     assert low - 0.001 <= age_s <= high, age_s
 
 
-@then("the heartbeat's registrations replace no reads of the follower")
-def step_not_fresh(context):
+@given("a follower of a leader whose heartbeats have registrations that are {age_s:g} s old")
+def step_follower_of_registrations(context, age_s):
+    _start_follower(context, Heartbeat(0.1, 5, age_s, configuration_age_s=0.1))
+
+
+@when("heartbeats arrive at once for {seconds:g} s and then none for {silent_s:g} s")
+def step_silent(context, seconds, silent_s):
+    async def play():
+        await asyncio.sleep(seconds)
+        context.sending.silent = True
+        await asyncio.sleep(silent_s)
+
+    context.run(play())
+
+
+@then("the heartbeat's registrations replace {reads} of the follower")
+def step_replace(context, reads):
     assert context.link.heartbeat is not None
-    assert context.link.fresh_heartbeat() is None
+    assert (context.link.fresh_heartbeat() is None) == (reads == "no reads")
 
 
 @then("the leader's configuration replaces no reads of the follower")
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -33,11 +33,11 @@
 
 # Three heartbeats fit into LINK_SILENCE_S.
 HEARTBEAT_INTERVAL_S = 0.3
-# A heartbeat older than HEARTBEAT_FRESH_S, or with registrations older than SERVERS_FRESH_S, no
-# longer replaces reads of the store. Both times and one read fit into the time in which a leaving
-# server must be detected.
+# A heartbeat older than HEARTBEAT_FRESH_S no longer replaces reads of the store.
 HEARTBEAT_FRESH_S = 0.7
-SERVERS_FRESH_S = 1.0
+# Nor do the leader's registrations at this age. With the interval of own reads (0.5 s) and one read
+# it fits into the time in which a leaving server must be detected, 2 s at the least.
+SERVERS_FRESH_S = 1.2
 # The leader's configuration replaces own reads until this time after the store showed the leader
 # that there is no later one. It covers the leader's long poll and two heartbeats, and leaves 0.5 s
 # of the shortest time in which a configuration must be in force for an own read.
@@ -374,7 +374,8 @@
         """Return the last heartbeat if it is fresh enough to replace reads of registrations."""
         if self._heartbeat is None or self._heartbeat_age_s() > HEARTBEAT_FRESH_S:
             return None
-        return self._heartbeat if self._heartbeat.servers_age_s <= SERVERS_FRESH_S else None
+        age_s = self._heartbeat.servers_age_s + self._heartbeat_age_s()
+        return self._heartbeat if age_s <= SERVERS_FRESH_S else None
 
     def configuration_version(self) -> int:
         """Return the configuration version in the last heartbeat, 0 if that is too old."""
