Don't vouch for a configuration if a later one couldn't be decoded

What callers could see, in a deployment with two builds: requests handled by an older configuration at instances that could read the newer one.

Cause: a leader that can't decode the newest configuration skips it, and its next read shows nothing new. Its heartbeats announced the one before as if it were the newest.

Change: the feed says whether the newest record was rejected; until a later one is decoded, the leader's configuration has an unknown age and the others read the store.

--- a/features/gateway_configuration_age.feature
+++ b/features/gateway_configuration_age.feature
@@ -9,6 +9,14 @@
     And configuration 9 without the route is published while requests go to the other instances
     Then every request sent there 2 s after the publication or later is answered 404
 
+  Scenario: A leader that can't decode a configuration doesn't vouch for the one before
+    Guards against instances that wait for a leader of another build, which skips the newest
+    configuration and announces the one before as if there were no later one.
+    Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1,i2,i3"
+    When the leader can't decode the next configuration
+    And configuration 9 without the route is published while requests go to the other instances
+    Then every request sent there 2 s after the publication or later is answered 404
+
   Scenario: A single unanswered read doesn't make a configuration late
     Guards against a long poll that is waited for until it is too late for the next read.
     Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1"
--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -60,6 +60,24 @@
     _leave_reads_unanswered(context.leader.client, may_hang)
 
 
+class _UndecodableRecords:
+    """A cursor whose next records can't be decoded."""
+
+    def __init__(self, cursor):
+        self._cursor = cursor
+
+    async def next(self, wait_s):
+        records, complete = await self._cursor.next(wait_s)
+        return tuple(evolve(record, value=b"{") for record in records), complete
+
+
+@when("the leader can't decode the next configuration")
+def step_cannot_decode(context):
+    _find_leader(context)
+    feed = context.leader.daemon._configuration._feed
+    feed._cursor = _UndecodableRecords(feed._cursor)
+
+
 async def _publish(context, version, names):
     """Publish a configuration without the route, and record the answers of some instances."""
     deployment = context.deployment
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -60,6 +60,8 @@
 
 
 class _Configurations:
+    newest_rejected = False
+
     def __init__(self):
         self.stored = [_table(5)]
         self.read = 0
--- a/features/steps/gateway_outage_steps.py
+++ b/features/steps/gateway_outage_steps.py
@@ -46,6 +46,8 @@
 
 
 class _Configurations:
+    newest_rejected = False
+
     def __init__(self, store):
         self.store = store
         self.read = 0
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -75,6 +75,11 @@
 class ConfigurationFeed(Protocol):
     """Source of configurations."""
 
+    @property
+    def newest_rejected(self) -> bool:
+        """Return whether the newest configuration that was read can't be decoded."""
+        ...
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         ...
@@ -172,7 +177,10 @@
             emit(Event.LOG_RECOVERED, use="configuration")
         # The store answers a long poll at once if there is something new, else at its end.
         known_at = started_at if tables else min(self._timers.now(), started_at + wait_s)
-        self._age.record_read(known_at)
+        if self._feed.newest_rejected:
+            self._age.record_rejected()
+        else:
+            self._age.record_read(known_at)
         self._read_at = self._timers.now()
         announced = self._leader.configuration_version()
         for table in tables:
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -58,6 +58,12 @@
 
     def __init__(self, client: StoreClient) -> None:
         self._cursor = _Cursor(client, OPERATOR_TOPIC)
+        self._newest_rejected = False
+
+    @property
+    def newest_rejected(self) -> bool:
+        """Return whether the newest configuration that was read can't be decoded."""
+        return self._newest_rejected
 
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
@@ -68,7 +74,9 @@
                 continue
             try:
                 tables.append(decode_configuration(record.value))
+                self._newest_rejected = False
             except InputError as error:
+                self._newest_rejected = True
                 emit(Event.RECORD_REJECTED, source="configuration", error=error)
         return tuple(tables)
 
