Share the extra retries by a count that holds when links and leaders change

Cause: each instance divided the extra by the length of the leader's list. The list serves the queues: whoever loses its link is taken off, though it may run and send, and a new leader's list begins with itself. A leader that lost its links took the whole extra for itself, beside the shares of the others; each further leader did the same; a restarted process began with a new share.

Change: the leader counts processes, for 13 s (the window and 3 s) after their links have ended. A process uses its share once the same term of a leader has counted it for 13 s, and for 3 s after the store last confirmed that leader. Otherwise it uses the ratio of its own first sends only. The list of instances no longer says whether a leader has sent it; nothing else used that.

Undisturbed instances still share the whole extra. That a link's gap ends a count isn't shown by a schedule.

--- a/features/steps/gateway_retry_share_steps.py
+++ b/features/steps/gateway_retry_share_steps.py
@@ -10,11 +10,13 @@
 from behave import given, then, when
 
 from support.gateway_deployment import Deployment
+from support.retry_share_model import EXTRA, RATIO, RetryShareModel
 
 SERVICE = "desk"
 PATH = "/photos/x"
 WINDOW_S = 10.0
 LEADER_LIMIT_S = 6.0
+SCHEDULE_S = 90.0
 
 
 class _Arrivals:
@@ -161,3 +163,40 @@
 @then("at least {count:d} requests were repeated")
 def step_repeated(context, count):
     assert len(context.arrivals.repeated_at) >= count, len(context.arrivals.repeated_at)
+
+
+@when(
+    "{count:d} processes that get {rate:d} requests a second and repeat all they may meet kills,"
+    " lost links, lost stores and leaders that follow each other, with seeds from {first:d} to"
+    " {last:d}"
+)
+def step_schedules(context, count, rate, first, last):
+    context.models = [RetryShareModel(seed, count, rate) for seed in range(first, last + 1)]
+    for model in context.models:
+        model.play(SCHEDULE_S)
+
+
+@then("no 10 s of any schedule have more repeats than {ratio:g} of the requests and {extra:d}")
+def step_schedules_bound(context, ratio, extra):
+    excess = {number: item.worst_excess(ratio, extra) for number, item in enumerate(context.models)}
+    worst = max(excess, key=excess.get)
+    assert excess[worst] <= 0, (worst, excess[worst])
+    # Each schedule must have had several leaders, or it shows nothing.
+    assert min(item.terms for item in context.models) >= 2
+
+
+@when(
+    "{count:d} processes that get {rate:d} requests a second and repeat all they may run"
+    " undisturbed for {seconds:d} s"
+)
+def step_undisturbed(context, count, rate, seconds):
+    context.model = RetryShareModel(1, count, rate, faults=False)
+    context.model.play(seconds)
+
+
+@then("the last 10 s have at least {least:g} and at most {most:g} of the allowance")
+def step_whole(context, least, most):
+    model, end = context.model, context.model.clock.time
+    repeats = _count(model.repeats, end - WINDOW_S, end)
+    allowed = RATIO * _count(model.first_sends, end - WINDOW_S, end) + EXTRA
+    assert least * allowed <= repeats <= most * allowed, (repeats, allowed)
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -29,6 +29,7 @@
 from hyssopwood.gateway.queue_link import QueueLink
 from hyssopwood.gateway.queue_messages import Leads
 from hyssopwood.gateway.retry_budget import RetryBudget
+from hyssopwood.gateway.retry_share import SharedRetries
 from hyssopwood.gateway.route_table import CallerLimits, RouteTables
 from hyssopwood.gateway.server_connection import Dial, dial
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
@@ -60,10 +61,6 @@
 SHUTDOWN_POLL_S = 0.05
 # Interval at which a cut off leader checks whether another instance reaches the servers.
 HAND_OVER_CHECK_S = 0.2
-# Number of instances that share the retry budget until a leader has sent the list; the largest
-# deployment has 85. Too high a number only reduces retries until then.
-ASSUMED_INSTANCES = 100
-
 
 # Instances of each failure domain that check frequently whether the leader has failed. If all did,
 # they would only add reads of the store: 600 a second for 195 instances.
@@ -137,6 +134,11 @@
             build_id(),
         )
         self._instances = InstanceList(self._record)
+        self._retries = SharedRetries(
+            timers,
+            settings.bounds.retry_window_s,
+            (settings.instance, self._identity.incarnation),
+        )
         self._health = ServerHealth(timers)
         self._paths = ServerPaths(
             self._record,
@@ -175,6 +177,7 @@
             self._instances.apply,
             self._crashes.set_suspects,
             lambda: self._instances.count,
+            self._retries.record,
         )
         self._link_server = LinkServer(
             settings.peer_address,
@@ -187,11 +190,11 @@
             self._instances,
             self._announce_leadership,
             self._find_suspects,
+            self._retries.handle_link,
         )
         self._availability = StoreAvailability(
             timers, random.Random(), longest_interval_s(settings.bounds.apply_s)
         )
-        self._configuration_age = ConfigurationAge(timers, self._leader_configuration_age_s)
         self._configuration = ConfigurationFollower(
             adapters.configuration,
             self._tables,
@@ -199,7 +202,7 @@
             self._link,
             self._link_server.send_heartbeat,
             self._availability,
-            self._configuration_age,
+            ConfigurationAge(timers, self._leader_configuration_age_s),
         )
         self._servers = ServerFollower(
             adapters.servers, self._directory, timers, self._link, self._availability
@@ -367,7 +370,7 @@
     def _dispatcher_dependencies(self) -> DispatcherDependencies:
         return DispatcherDependencies(
             tables=self._tables,
-            configuration_age=self._configuration_age,
+            configuration_age=self._configuration.age,
             directory=self._directory,
             plan=self._view,
             pool=self._paths.pool,
@@ -406,6 +409,7 @@
         )
         manager.inherit(claim.plan, claim.predecessor_ended, claim.doubtful)
         self._claim_version = -1 if claim.plan is None else claim.plan.version
+        self._retries.begin_term()
         self._manager, self._predecessor = manager, claim.predecessor
         self._load.reset_counts()
         self._crash_counter.reset()
@@ -415,6 +419,7 @@
             await manager.run()
         finally:
             self._manager = None
+            self._retries.end_term()
             own_reports.cancel()
 
     def _on_link_opened(self, hello: Hello) -> None:
@@ -500,13 +505,16 @@
         if age_s is None:
             return None
         table = self._tables.current
+        term, sharers = self._retries.announce(age_s)
         return LeaderStatus(
             age_s,
             0 if table is None else table.version,
             self._timers.now() - self._servers.read_at,
             self._directory.digest(),
             self._view.version,
-            self._configuration_age.own_age_s(),
+            self._configuration.age.own_age_s(),
+            term,
+            sharers,
         )
 
     def _leader_configuration_age_s(self) -> float | None:
@@ -516,17 +524,13 @@
             return None
         return self._link.configuration_age_s()
 
-    def _retry_budget_instances(self) -> int:
-        count = self._instances.count
-        return count if self._instances.has_leader_list else ASSUMED_INSTANCES
-
     def _new_budget(self) -> RetryBudget:
         bounds = self._settings.bounds
         return RetryBudget(
             bounds.retry_ratio,
             bounds.retry_extra,
             bounds.retry_window_s,
-            self._retry_budget_instances,
+            self._retries.sharers,
         )
 
     def _caller_limits(self) -> CallerLimits | None:
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -225,7 +225,7 @@
                 window_sends=allowance.first_sends,
                 window_retries=allowance.retries,
                 allowed=round(allowance.allowed, 2),
-                shared_by=allowance.instances,
+                shared_by=allowance.sharers,
             )
         return permitted
 
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -114,6 +114,11 @@
     # Newest version for which the store was called although it was considered unavailable.
     _called_for_version: int = field(default=0, init=False)
 
+    @property
+    def age(self) -> ConfigurationAge:
+        """Return the age of what this instance knows of the newest configuration."""
+        return self._age
+
     async def run(self) -> None:
         """Follow the feed until cancelled."""
         while True:
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -51,16 +51,10 @@
     _own: InstanceRecord
     _records: dict[str, InstanceRecord] = field(factory=dict, init=False)
     _ranked: dict[tuple[str, str], tuple[InstanceRecord, ...]] = field(factory=dict, init=False)
-    _has_leader_list: bool = field(default=False, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._records[self._own.instance] = self._own
 
-    @property
-    def has_leader_list(self) -> bool:
-        """Return whether a leader, possibly this instance, has sent the list of instances."""
-        return self._has_leader_list
-
     @property
     def count(self) -> int:
         """Return the number of known instances."""
@@ -88,7 +82,6 @@
 
     def apply(self, update: InstanceUpdate) -> bool:
         """Apply an update from the leader, and return whether it changed anything."""
-        self._has_leader_list = True
         previous = dict(self._records)
         if update.complete:
             self._records.clear()
--- a/src/hyssopwood/gateway/retry_budget.py
+++ b/src/hyssopwood/gateway/retry_budget.py
@@ -1,4 +1,4 @@
-"""Retry budget that each instance derives from its own share of all requests."""
+"""Retry budget that each instance derives from its own requests and its share of the extra."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 
     first_sends: int
     retries: int
-    # Number of instances that share the extra retries.
-    instances: int
+    # Number of processes that share the extra retries; None if this one has no share.
+    sharers: int | None
     allowed: float
 
     @property
@@ -36,8 +36,8 @@
     # Retries allowed in each window in addition to the ratio, over all instances.
     _extra: float
     _window_s: float
-    # Number of instances that share the allowance.
-    _instances: Callable[[], int]
+    # Number of processes that share the extra retries; None while this one may use none of them.
+    _sharers: Callable[[], int | None]
     _sends: deque[float] = field(factory=deque, init=False)
     _retries: deque[float] = field(factory=deque, init=False)
 
@@ -50,10 +50,11 @@
         for times in (self._sends, self._retries):
             while times and times[0] <= now - self._window_s:
                 times.popleft()
-        instances = max(1, self._instances())
+        sharers = self._sharers()
+        extra = 0.0 if sharers is None else self._extra / sharers
         sends = len(self._sends)
-        allowed = SAFETY_SHARE * (self._ratio * sends + self._extra / instances)
-        return Allowance(sends, len(self._retries), instances, allowed)
+        allowed = SAFETY_SHARE * (self._ratio * sends + extra)
+        return Allowance(sends, len(self._retries), sharers, allowed)
 
     def available(self, now: float) -> float:
         """Return how many retries are allowed now."""
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -119,6 +119,10 @@
   configurationAgeMs @5 :UInt32;
   # The leader's clock when it sent this; 0 in heartbeats of earlier builds.
   sentMs @6 :UInt64;
+  # Random number of the leader's term of office; 0 in heartbeats of earlier builds.
+  term @7 :UInt64;
+  # Number of processes that share the extra retries.
+  retrySharers @8 :UInt32;
 }
 
 struct OwnerChange {
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -111,6 +111,8 @@
     servers_digest: int
     plan_version: int
     configuration_age_s: float | None = None
+    term: int = 0
+    retry_sharers: int = 0
 
     def heartbeat(self, now: float) -> Heartbeat:
         """Return the heartbeat with this state."""
@@ -122,6 +124,8 @@
             self.plan_version,
             self.configuration_age_s,
             now,
+            self.term,
+            self.retry_sharers,
         )
 
     def _oldest_age_s(self) -> float:
@@ -151,6 +155,8 @@
     # Sends a datagram to an instance's address that announces this one as the leader.
     _announce: Callable[[str], None]
     _suspects: Callable[[], Suspects] = Suspects
+    # Called with an instance and its incarnation, and whether a link of it was opened or closed.
+    _on_link: Callable[[tuple[str, str], bool], None] = lambda process, opened: None
     # Suspects that all linked instances were last sent.
     _sent_suspects: Suspects = field(factory=Suspects, init=False)
     # Instances without a link, and the time at which that was first noticed.
@@ -165,6 +171,7 @@
     )
     _pending_resyncs: dict[asyncio.StreamWriter, Resync] = field(factory=dict, init=False)
     _writers: dict[asyncio.StreamWriter, str] = field(factory=dict, init=False)
+    _processes: dict[asyncio.StreamWriter, tuple[str, str]] = field(factory=dict, init=False)
 
     async def start(self) -> asyncio.Server:
         """Accept links."""
@@ -309,16 +316,7 @@
             status = self._status()
             if status is None or not isinstance(hello, Hello):
                 return
-            self._change_instances(InstanceUpdate((hello.record,)))
-            self._writers[writer] = hello.record.instance
-            emit(Event.PEER_CONNECTED, instance=hello.record.instance, build=hello.record.build)
-            self._on_hello(hello)
-            if hello.instances_digest != self._instances.digest():
-                _write(writer, InstanceUpdate(self._instances.records(), complete=True))
-            self._send_plan_since(writer, hello.plan_version)
-            self._keep_instances_if_stale(status)
-            _write(writer, self._sent_suspects)
-            _write(writer, status.heartbeat(self._timers.now()))
+            self._open_link(writer, hello, status)
             while True:
                 message = await _read(reader)
                 if isinstance(message, InstanceReport):
@@ -330,16 +328,37 @@
         except ProtocolError as error:
             emit(Event.PEER_REJECTED, error=error)
         finally:
-            instance = self._writers.pop(writer, None)
-            self._pending_resyncs.pop(writer, None)
-            writer.close()
-            if instance and instance not in self._writers.values() and self._status() is not None:
-                record = self._instances.get(instance)
-                now = self._timers.now()
-                if record is not None:
-                    self._unlinked[instance] = record, now
-                if now >= self._keep_until:
-                    self._change_instances(InstanceUpdate((), (instance,)))
+            self._close_link(writer)
+
+    def _open_link(self, writer: asyncio.StreamWriter, hello: Hello, status: LeaderStatus) -> None:
+        """Count an instance in and send it what it lacks."""
+        self._change_instances(InstanceUpdate((hello.record,)))
+        self._writers[writer] = hello.record.instance
+        self._processes[writer] = hello.record.instance, hello.incarnation
+        self._on_link(self._processes[writer], True)
+        emit(Event.PEER_CONNECTED, instance=hello.record.instance, build=hello.record.build)
+        self._on_hello(hello)
+        if hello.instances_digest != self._instances.digest():
+            _write(writer, InstanceUpdate(self._instances.records(), complete=True))
+        self._send_plan_since(writer, hello.plan_version)
+        self._keep_instances_if_stale(status)
+        _write(writer, self._sent_suspects)
+        _write(writer, status.heartbeat(self._timers.now()))
+
+    def _close_link(self, writer: asyncio.StreamWriter) -> None:
+        instance = self._writers.pop(writer, None)
+        process = self._processes.pop(writer, None)
+        if process is not None:
+            self._on_link(process, False)
+        self._pending_resyncs.pop(writer, None)
+        writer.close()
+        if instance and instance not in self._writers.values() and self._status() is not None:
+            record = self._instances.get(instance)
+            now = self._timers.now()
+            if record is not None:
+                self._unlinked[instance] = record, now
+            if now >= self._keep_until:
+                self._change_instances(InstanceUpdate((), (instance,)))
 
 
 @define
@@ -357,6 +376,11 @@
     _on_instances: Callable[[InstanceUpdate], object]
     _on_suspects: Callable[[Suspects], None] = lambda suspects: None
     _instance_count: Callable[[], int] = lambda: 1
+    # Called with the leader's term, the number of processes that share the extra retries, and the
+    # ages of that number and of the leader's last confirmation.
+    _on_count: Callable[[int, int, float, float], None] = lambda term, count, age_s, store_age_s: (
+        None
+    )
     _heartbeat: Heartbeat | None = field(default=None, init=False)
     _heartbeat_at: float = field(default=float("-inf"), init=False)
     # Smallest difference between the own clock at the arrival of a heartbeat and the leader's at
@@ -468,8 +492,10 @@
                 message = await _read(reader)
             if isinstance(message, Heartbeat):
                 self._accept_heartbeat(message)
-                age_s = message.store_age_s + self._heartbeat_age_s()
-                if not stay(evolve(message, store_age_s=age_s)):
+                age_s = self._heartbeat_age_s()
+                store_age_s = message.store_age_s + age_s
+                self._on_count(message.term, message.retry_sharers, age_s, store_age_s)
+                if not stay(evolve(message, store_age_s=store_age_s)):
                     return
             elif isinstance(message, ServerUpdate):
                 self._on_servers(message)
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -79,6 +79,9 @@
     configuration_age_s: float | None = None
     # Time of sending on the leader's clock; None from builds that don't state it.
     sent_at: float | None = None
+    # Number of the leader's term, and of the processes that share the extra retries; 0 if unknown.
+    term: int = 0
+    retry_sharers: int = 0
 
 
 @frozen
@@ -198,6 +201,8 @@
         heartbeat.configurationAgeMs = min(MAX_MS, _milliseconds(message.configuration_age_s) + 1)
     if message.sent_at is not None:
         heartbeat.sentMs = int(message.sent_at * 1000)
+    heartbeat.term = message.term
+    heartbeat.retrySharers = message.retry_sharers
 
 
 @_fill.register
@@ -323,6 +328,8 @@
         heartbeat.planVersion,
         (heartbeat.configurationAgeMs - 1) / 1000 if heartbeat.configurationAgeMs else None,
         heartbeat.sentMs / 1000 if heartbeat.sentMs else None,
+        heartbeat.term,
+        heartbeat.retrySharers,
     )
 
 
