Hold messages and records of earlier builds against this one's

What callers could see: two leaders, or instances without a link to the leader, while machines are replaced one after the other.

Cause: nothing checked that builds read each other.

Change: both are passed over. mixed_builds.feature fills every field of every message of seven earlier landings (schemas and records as data files with their origin), reads and writes them with this build and compares; it also checks which of this build's kinds, states and records the earlier ones read.

The last scenario failed before the change.

--- /dev/null
+++ b/features/mixed_builds.feature
@@ -0,0 +1,56 @@
+Feature: Builds side by side read each other's messages and records
+
+  Scenario Outline: Messages of an earlier build survive decoding and encoding by this one
+    Guards against a message of which one of two builds reads another value than the other wrote
+    (incident of 2026-12-05, CONFIG and BUDGET, on days with two builds).
+    Given the schemas and records of build "<build>"
+    Then every link message of that build is the same after it was read and written by this one
+    And every queue message of that build is the same after it was read and written by this one
+
+    Examples:
+      | build   |
+      | c515a00 |
+      | 0188336 |
+      | ea34235 |
+      | 4b449ff |
+      | 7ac106f |
+      | 4911bc0 |
+      | 5adfd0b |
+
+  Scenario Outline: What this build sends is known to an earlier one
+    Guards against a new kind of message or state that ends the links between two builds.
+    Given the schemas and records of build "<build>"
+    Then that build doesn't know the messages or states "<unknown>"
+
+    Examples:
+      | build   | unknown                                  |
+      | c515a00 | suspects                                 |
+      | 0188336 | none                                     |
+      | ea34235 | none                                     |
+      | 4b449ff | none                                     |
+      | 7ac106f | none                                     |
+      | 4911bc0 | none                                     |
+      | 5adfd0b | none                                     |
+
+  Scenario Outline: Stored records are read by earlier builds and by this one
+    Guards against an instance that deposes each leader whose record it can't read.
+    Given the schemas and records of build "<build>"
+    Then this build reads the plan and the leader that the build stored
+    And this build stores the same plan as that build
+    And that build <reads> the leader's record of this one
+
+    Examples:
+      | build   | reads        |
+      | c515a00 | doesn't read |
+      | 0188336 | doesn't read |
+      | ea34235 | reads        |
+      | 4b449ff | reads        |
+      | 7ac106f | reads        |
+      | 4911bc0 | reads        |
+      | 5adfd0b | reads        |
+
+  Scenario: What a later build adds to a record or to the kinds of messages is passed over
+    Guards against an instance that takes a leader of a later build for none, and against links that
+    end at every message that it doesn't know.
+    Then a leader's record with a sixth field is read
+    And a link message of an unknown kind is read as one to be passed over
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -102,6 +102,11 @@
     complete: bool = False
 
 
+@frozen
+class Unknown:
+    """A message of a kind that a later build has added."""
+
+
 LinkMessage: TypeAlias = (
     Hello
     | InstanceReport
@@ -113,6 +118,7 @@
     | InstanceUpdate
     | Resync
     | Suspects
+    | Unknown
 )
 
 
@@ -349,7 +355,10 @@
     """Return the decoded message; raise ProtocolError if the bytes are malformed."""
     try:
         wire = _SCHEMA.LinkMessage.from_bytes_packed(data, traversal_limit_in_words=TRAVERSAL_WORDS)
-        kind = wire.which()
+        try:
+            kind = wire.which()
+        except capnp.KjException:
+            return Unknown()
         if kind == "hello":
             return _read_hello(wire.hello)
         if kind == "report":
--- a/src/hyssopwood/keyspace/plan_codec.py
+++ b/src/hyssopwood/keyspace/plan_codec.py
@@ -62,8 +62,8 @@
     """Return the leader; raise InputError if it is malformed."""
     try:
         instance, incarnation, address, *rest = parse_document(value)
-        # Records written by earlier versions have no claim.
-        claim, has_unrecorded_leases = rest if rest else (-1, False)
+        # Records of earlier builds have no claim, and those of later ones may have more fields.
+        claim, has_unrecorded_leases, *_ = rest if rest else (-1, False)
         claim = check_integer(int(claim), minimum=-1)
     except (ValueError, TypeError) as error:
         raise _malformed("leader", f"{type(error).__name__}: {error}") from error
