Ask an instance of another failure domain before a server is blamed

Cause: two failed relays blame the server. Where old connections live on, instances don't know of a cut for a while; two of the same failure domain had lost the same links, and instances near the server or the asking one come first.

Change: after a failure the next instance to be asked is one of a failure domain in which none has failed, if there is one.

--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -72,3 +72,17 @@
       | a length of 65535        |
       | no bytes                 |
       | a request and more bytes |
+
+  Scenario Outline: Instances of one failure domain alone don't show that a server has failed
+    Guards against a server that is blamed because two instances that lost the same links, and don't
+    know it yet, were asked to relay (gateway_cut_off.feature, a whole failure domain cut off).
+    Given instances "<reaching>" that reach a server and "<cut>" that don't, by failure domain
+    When relayed connections to the server are asked for with 40 seeds
+    Then <result>
+
+    Examples:
+      | reaching | cut         | result                               |
+      | b1       | a2,a3,a4    | every one is opened                  |
+      | b1,c1    | a2,a3,a4,a5 | every one is opened                  |
+      |          | a2,b1       | every one fails as the server's fault |
+      |          | a2,a3       | every one fails as the server's fault |
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -331,3 +331,62 @@
 @then("a request over a relayed connection still gets its answer")
 def step_still(context):
     assert context.run(_run_exchange(context)) == "the whole answer"
+
+
+class _KnownRelays(ServerRelays):
+    """Ask instances of which it is known whether they reach the server."""
+
+    reaching = frozenset()
+
+    async def _connect_by(self, record, server):
+        if record.instance in self.reaching:
+            return record.instance
+        raise NotSentError("no connection")
+
+
+@given('instances "{reaching}" that reach a server and "{cut}" that don\'t, by failure domain')
+def step_known_relays(context, reaching, cut):
+    names = [name for name in f"{reaching},{cut}".split(",") if name]
+    records = tuple(
+        InstanceRecord(name, f"{name}:1", name[0], relay_address=f"{name}:2") for name in names
+    )
+    own = InstanceRecord("a1", "a1:1", "a")
+    context.known_instances = InstanceList(own)
+    context.known_instances.apply(InstanceUpdate((own, *records), complete=True))
+    context.reaching = frozenset(reaching.split(","))
+    context.own_record = own
+
+
+@given('instances "" that reach a server and "{cut}" that don\'t, by failure domain')
+def step_no_known_relays(context, cut):
+    step_known_relays(context, "", cut)
+
+
+@when("relayed connections to the server are asked for with {count:d} seeds")
+def step_ask_with_seeds(context, count):
+    context.opened = []
+    for seed in range(count):
+        timers = SystemTimers()
+        relays = _KnownRelays(
+            context.own_record,
+            context.known_instances,
+            ServerHealth(timers),
+            timers,
+            Metrics(),
+            random.Random(seed),
+        )
+        relays.reaching = context.reaching
+        try:
+            context.opened.append(context.run(relays.connect(_record("127.0.0.1:1"))))
+        except NotSentError as error:
+            context.opened.append(type(error))
+
+
+@then("every one is opened")
+def step_all_opened(context):
+    assert set(context.opened) <= context.reaching, context.opened
+
+
+@then("every one fails as the server's fault")
+def step_all_fail(context):
+    assert set(context.opened) == {NotSentError}, context.opened
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -36,7 +36,7 @@
 # Servers for which the instances that relay to them are remembered.
 MAX_REMEMBERED_SERVERS = 2048
 # Instances that must fail to connect to a server before that counts as its failure. One of them may
-# be cut off without having noticed.
+# be cut off without having noticed, and others of its failure domain with it.
 FAILED_RELAYS_TO_BLAME = 2
 
 
@@ -116,18 +116,21 @@
         Raises NotSentError if an instance that reaches other servers can't connect to this one, and
         NoPathError if no instance was found that reaches any.
         """
-        failures: list[NotSentError] = []
-        for record in self._choose(server):
+        candidates = self._rank(server)
+        failures: dict[InstanceRecord, NotSentError] = {}
+        for _ in range(min(MAX_ASKED, len(candidates))):
+            record = _next_to_ask(candidates, failures)
+            candidates.remove(record)
             try:
                 return await self._connect_by(record, server)
             except NotSentError as error:
-                failures.append(error)
+                failures[record] = error
                 if len(failures) == FAILED_RELAYS_TO_BLAME:
                     break
             except (OSError, TimeoutError, ProtocolError):
                 self._mark_unusable(record, server.service)
         if failures:
-            raise failures[-1]
+            raise list(failures.values())[-1]
         raise NoPathError(f"no instance relays a connection to {server.server}")
 
     def has_candidates(self, service: str) -> bool:
@@ -190,8 +193,8 @@
         detail = f"{record.instance} can't connect to {server.server}: {reply.result.value}"
         raise NotSentError(detail)
 
-    def _choose(self, server: ServerRecord) -> list[InstanceRecord]:
-        """Return the instances to ask, in random order.
+    def _rank(self, server: ServerRecord) -> list[InstanceRecord]:
+        """Return the instances that may be asked, in random order.
 
         By way of an instance in the server's or the own failure domain, bytes cross domains no more
         often than on the direct path.
@@ -200,7 +203,7 @@
         usable = list(self._usable(server.service))
         self._rng.shuffle(usable)
         usable.sort(key=lambda record: record.failure_domain not in near)
-        return usable[:MAX_ASKED]
+        return usable
 
     def _usable(self, service: str) -> Iterable[InstanceRecord]:
         now = self._timers.now()
@@ -218,3 +221,12 @@
             key: until for key, until in self._unusable_until.items() if until > now
         }
         self._unusable_until[record.instance, service] = now + UNUSABLE_S
+
+
+def _next_to_ask(
+    candidates: list[InstanceRecord], failed: Iterable[InstanceRecord]
+) -> InstanceRecord:
+    """Return the first candidate of a failure domain in which none has failed, if there is one."""
+    domains = {record.failure_domain for record in failed}
+    others = (record for record in candidates if record.failure_domain not in domains)
+    return next(others, candidates[0])
