Pause a range only once its release can be sent

What callers saw: 503 'the plan has no owner for the key' at all instances for 1.8 to 3.1 s, while the owner ran.

Cause, from the traces: the leader had lost the way to new connections while old ones lived on, so nothing told it of the cut. A range that it wanted to move was paused at every attempt to release it, and no attempt could connect.

Change: the pause is announced when the release has a connection. Until then the owner keeps serving the range.

--- a/features/keyspace_channels.feature
+++ b/features/keyspace_channels.feature
@@ -17,3 +17,15 @@
     Given a server that repeats its answer to the first release instead of one to the second
     When two ranges are released at it
     Then only the first release counts as done
+
+  Scenario Outline: A range is paused only once its release can be sent
+    Guards against keys that all instances refuse for seconds although their owner runs, because the
+    leader can't connect to the owner (gateway_cut_off.feature, rows @1.3 and @1.10).
+    Given a server that <accepts> connections
+    When a range is released at it
+    Then the range was paused <count> times and the release is <done>
+
+    Examples:
+      | accepts | count | done     |
+      | accepts | 1     | done     |
+      | refuses | 0     | not done |
--- a/features/steps/gateway_command_answer_steps.py
+++ b/features/steps/gateway_command_answer_steps.py
@@ -61,7 +61,7 @@
     if command == "grant":
         sent = context.commands.grant(context.record, keys, LEASE_S, None, None)
     else:
-        sent = context.commands.release(context.record, keys, RELEASE_LIMIT_S)
+        sent = context.commands.release(context.record, keys, RELEASE_LIMIT_S, lambda: None)
     context.command_result = asyncio.run(sent)
 
 
--- a/features/steps/keyspace_channel_steps.py
+++ b/features/steps/keyspace_channel_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from hyssopwood.gateway.exchange import NotSentError, ServerAnswer
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.keyspace.grant_channels import GrantChannels
@@ -109,9 +110,62 @@
         writer.close()
 
 
+def _ignore():
+    return None
+
+
 @given("a server that repeats its answer to the first release instead of one to the second")
 def step_repeating_server(context):
     context.serve = _repeat_answer
+    context.before_sending = _ignore
+
+
+@given("a server that {accepts} connections")
+def step_accepting_server(context, accepts):
+    context.accepts = accepts == "accepts"
+    context.pauses = 0
+
+
+@when("a range is released at it")
+def step_release_one(context):
+    async def connect(server):
+        if not context.accepts:
+            raise NotSentError("no connection")
+        return _Releasing()
+
+    class _Releasing:
+        usable = False
+
+        async def exchange(self, *arguments):
+            assert context.pauses == 1, "the range wasn't paused before the release was sent"
+            return ServerAnswer(200, ((b"handover", b"h"),), b"")
+
+        def close(self):
+            pass
+
+    def pause():
+        context.pauses += 1
+
+    record = ServerRecord(
+        server="s1",
+        service="portal",
+        address="127.0.0.1:1",
+        failure_domain="a",
+        slots=1,
+        draining=False,
+        warmup_left_s=0.0,
+        born_ms=1,
+        sequence=1,
+    )
+    commands = PlatformKeyCommands(ServerPool(_LoopTimers(), None, connect), GrantChannels())
+    keys = KeyRange(0, 9, "s1", 1, 5)
+    context.released = asyncio.run(commands.release(record, keys, 1.0, pause))
+
+
+@then("the range was paused {count:d} times and the release is {done}")
+def step_paused(context, count, done):
+    assert context.pauses == count, context.pauses
+    assert context.released.done == (done == "done"), context.released
 
 
 @when("two ranges are released at it")
@@ -133,7 +187,9 @@
         pool = ServerPool(_LoopTimers(), None)
         commands = PlatformKeyCommands(pool, GrantChannels())
         answers = [
-            await commands.release(record, KeyRange(first, first + 9, "s1", 1, 5), 1.0)
+            await commands.release(
+                record, KeyRange(first, first + 9, "s1", 1, 5), 1.0, context.before_sending
+            )
             for first in (0, 10)
         ]
         pool.abort_idle(record)
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -296,7 +296,8 @@
             return CommandAnswer(done=False)
         return CommandAnswer(done=True)
 
-    async def release(self, server, keys, limit_s):
+    async def release(self, server, keys, limit_s, before_sending):
+        before_sending()
         return CommandAnswer(done=True, handover="h")
 
 
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -289,9 +289,10 @@
         """Open a connection to the process that listens at a server's address."""
         return await self.connect(record.address)
 
-    async def exchange(self, record, request):
+    async def exchange(self, record, request, before_sending):
         """Send a command over a new connection."""
         connection = await self.connect(record.address)
+        before_sending()
         return await connection.exchange(record.address, request, None)
 
     def _is_cut(self, server):
@@ -411,8 +412,8 @@
     async def grant(self, server, keys, lease_s, handover, channel):
         return await self._finish(self._commands.grant(server, keys, lease_s, handover, channel))
 
-    async def release(self, server, keys, limit_s):
-        return await self._finish(self._commands.release(server, keys, limit_s))
+    async def release(self, server, keys, limit_s, before_sending):
+        return await self._finish(self._commands.release(server, keys, limit_s, before_sending))
 
     async def _finish(self, command):
         answer = await command
--- a/src/hyssopwood/gateway/server_pool.py
+++ b/src/hyssopwood/gateway/server_pool.py
@@ -16,6 +16,10 @@
 MAX_IDLE_PER_SERVER = 4
 
 
+def _do_nothing() -> None:
+    return None
+
+
 async def _connect_directly(server: ServerRecord) -> ServerConnection:
     return await connect(server.address)
 
@@ -35,16 +39,23 @@
         """Return the number of connections opened so far."""
         return self._opened
 
-    async def exchange(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
+    async def exchange(
+        self,
+        server: ServerRecord,
+        request: ServerRequest,
+        before_sending: Callable[[], None] = _do_nothing,
+    ) -> ServerAnswer:
         """Send a request over a pooled or a new connection and return the answer.
 
-        A streamed answer keeps its connection until the stream has ended. Raises NotSentError if
-        no byte was sent, and ExchangeBrokenError if some were.
+        `before_sending` is called once there is a connection. A streamed answer keeps its
+        connection until the stream has ended. Raises NotSentError if no byte was sent, and
+        ExchangeBrokenError if some were.
         """
         connection = self._acquire(server)
         if connection is None:
             connection = await self._connect(server)
             self._opened += 1
+        before_sending()
         stream: BodyStream | None = None
         try:
             answer = await connection.exchange(server.address, request, self._id_header)
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from enum import Enum
+from functools import partial
 from typing import Protocol
 
 from attrs import define, evolve, field, frozen
@@ -96,8 +97,17 @@
         """
         ...
 
-    async def release(self, server: ServerRecord, keys: KeyRange, limit_s: float) -> CommandAnswer:
-        """Release a range and wait until the server has ended its work on it."""
+    async def release(
+        self,
+        server: ServerRecord,
+        keys: KeyRange,
+        limit_s: float,
+        before_sending: Callable[[], None],
+    ) -> CommandAnswer:
+        """Release a range and wait until the server has ended its work on it.
+
+        `before_sending` is called once there is a connection to the server.
+        """
         ...
 
 
@@ -723,10 +733,13 @@
         if not lease.may_release(now):
             return CommandAnswer(done=False, sent=False)
         keys = lease.keys
-        self._deps.pause(RangePause(lease.service, keys.first, keys.last, keys.fence))
+        # A server that can't be connected to keeps serving the range.
+        pause = partial(
+            self._deps.pause, RangePause(lease.service, keys.first, keys.last, keys.fence)
+        )
         limit_s = max(lease.leased_until, lease.inherited_until) - now
         self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
-        return await self._deps.commands.release(record, lease.sent_keys, limit_s)
+        return await self._deps.commands.release(record, lease.sent_keys, limit_s, pause)
 
     def _has_ended(self, lease: RangeLease) -> bool:
         """Return whether the owner has ended and no other server can have its lease."""
--- a/src/hyssopwood/platform/key_commands.py
+++ b/src/hyssopwood/platform/key_commands.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -140,12 +141,17 @@
         return _decode_answer(server.server, answered.answer, False, answered.channel)
 
     async def release(
-        self, server: ServerRecord, keys: KeyRange, timeout_s: float
+        self,
+        server: ServerRecord,
+        keys: KeyRange,
+        timeout_s: float,
+        before_sending: Callable[[], None],
     ) -> CommandAnswer:
         """Release a range and wait until the server has finished its requests."""
+        command = encode_release(server.server, keys)
         try:
             async with asyncio.timeout(timeout_s):
-                answer = await self._pool.exchange(server, encode_release(server.server, keys))
+                answer = await self._pool.exchange(server, command, before_sending)
         except NotSentError:
             return CommandAnswer(done=False, sent=False)
         except (ExchangeBrokenError, TimeoutError):
