--- a/features/steps/gateway_truncation_steps.py
+++ b/features/steps/gateway_truncation_steps.py
@@ -470,7 +470,7 @@
         keys = KeyRange(first=0, last=9, server="s", born_ms=1, fence=1)
         for cut in answer.cuts():
             server.cut = cut
-            result = await commands.release(context.record, keys, READ_LIMIT_S)
+            result = await commands.release(context.record, keys, READ_LIMIT_S, lambda: None)
             whole = answer.result(cut, ends == "closes") is not None
             context.tried += 1
             if (result.done, result.handover) != (whole, HANDOVER if whole else None):
