Test the age that followers of earlier builds are told

Cause: switching off the age of an old configuration in the heartbeat's field for registrations failed no test. Two rows fail without it now.

--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -54,3 +54,15 @@
     end at every message that it doesn't know.
     Then a leader's record with a sixth field is read
     And a link message of an unknown kind is read as one to be passed over
+
+  Scenario Outline: Followers of earlier builds don't rely on a leader's old configuration
+    Guards against followers that judge the configuration by the age of the registrations, the only
+    age that their build reads.
+    When the registrations of a leader are 0.2 s old and its configuration is <age>
+    Then followers of earlier builds are told that the registrations are <at least> s old or more
+
+    Examples:
+      | age       | at least |
+      | 1.6 s old | 1.6      |
+      | unknown   | 3600     |
+
--- a/features/steps/mixed_build_steps.py
+++ b/features/steps/mixed_build_steps.py
@@ -2,10 +2,11 @@
 
 import json
 
-from behave import given, then
+from behave import given, then, when
 
 from hyssopwood.gateway import queue_messages
 from hyssopwood.keyspace import link_codec
+from hyssopwood.keyspace.link import LeaderStatus
 from hyssopwood.keyspace.plan import KeyRange, Leader, Plan
 from hyssopwood.keyspace.plan_codec import decode_leader, decode_plan, encode_leader, encode_plan
 from support.earlier_builds import (
@@ -112,3 +113,15 @@
     later = load_schema(DATA / "later", "cluster.capnp").LinkMessage
     data = later.new_message(addedLater="x").to_bytes_packed()
     assert link_codec.decode(data) == link_codec.Unknown()
+
+
+@when("the registrations of a leader are {servers_age_s:g} s old and its configuration is {age}")
+def step_leader_status(context, servers_age_s, age):
+    age_s = None if age == "unknown" else float(age.split()[0])
+    context.heartbeat = LeaderStatus(0.1, 5, servers_age_s, 7, -1, age_s).heartbeat(1.0)
+
+
+@then("followers of earlier builds are told that the registrations are {least:g} s old or more")
+def step_told(context, least):
+    heartbeat = link_codec.decode(link_codec.encode(context.heartbeat))
+    assert heartbeat.servers_age_s >= least, heartbeat
