--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -349,19 +349,23 @@
         self._record.add(f"{self.name}: grant {first}-{last} fence {fence} until {ends:.3f}")
         return 200
 
+    def notices(self) -> Headers:
+        """Return the headers of all answers: an upstream that leaves says so."""
+        return {"Server-Leaving": "1"} if self.state == "draining" else {}
+
     def holds(self, key: int) -> bool:
         now = self._record.now()
         return any(item.first <= key <= item.last and now < item.ends for item in self.leases)
 
     async def handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
-        headers = {}
+        headers = self.notices()
         if "request-id" in request.headers:
             headers["Request-Id"] = request.headers["request-id"]
         if request.headers.get("target-instance", self.name) != self.name:
             writer.write(encode_answer(421, {**headers, "Instance-Id": self.name}, b""))
             return True
         if request.path == "/hyssopwood/grant":
-            writer.write(encode_answer(self._grant(json.loads(request.body)), {}, b""))
+            writer.write(encode_answer(self._grant(json.loads(request.body)), headers, b""))
             return True
         if request.path == "/hyssopwood/release":
             body = json.loads(request.body)
@@ -369,10 +373,10 @@
             proof = f"{random.getrandbits(64):016x}"
             span = f"{body['from_revision']}-{body['to']}"
             self._record.add(f"{self.name}: release {span} fence {body['fence']}")
-            writer.write(encode_answer(200, {"Handover": proof}, b""))
+            writer.write(encode_answer(200, {**headers, "Handover": proof}, b""))
             return True
         if request.path == "/health":
-            writer.write(encode_answer(200, {"Instance-Id": self.name}, b""))
+            writer.write(encode_answer(200, {**headers, "Instance-Id": self.name}, b""))
             return True
         key = request.headers.get("shard-key")
         if self.sharded and (key is None or not self.holds(int(key))):
