--- a/review/2/case.py
+++ b/review/2/case.py
@@ -86,7 +86,11 @@
         self.ran[name] = self.ran.get(name, 0) + 1
         self._record.add(f"{self.name}: runs {request.method} id {name}, connection {peer}")
         await asyncio.sleep(self.work_s)
-        lines = ["HTTP/1.1 200 OK", f"Request-Id: {name}", f"Response-Signature: {self.name}.{name}"]
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {name}",
+            f"Response-Signature: {self.name}.{name}",
+        ]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + BODY[:FIRST_PART])
         await writer.drain()
         self._record.add(f"{self.name}: has sent the head and {FIRST_PART} of {len(BODY)} bytes")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -94,7 +94,11 @@
             headers["Response-Signature"] = f"{self.name}.{name}"
             writer.write(encode_answer(200, headers, BODY))
             return True
-        lines = ["HTTP/1.1 200 OK", f"Request-Id: {name}", f"Response-Signature: {self.name}.{name}"]
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Request-Id: {name}",
+            f"Response-Signature: {self.name}.{name}",
+        ]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + BODY[:FIRST_PART])
         await writer.drain()
         self._record.add(f"{self.name}: has sent the head and {FIRST_PART} of {len(BODY)} bytes")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -337,9 +337,7 @@
     def _grant(self, body: dict) -> int:
         now = self._record.now()
         first, last, fence = body["from_revision"], body["to"], body["fence"]
-        seen = [
-            lease.fence for lease in self.held() if lease.first <= last and first <= lease.last
-        ]
+        seen = [lease.fence for lease in self.held() if lease.first <= last and first <= lease.last]
         if any(item > fence for item in seen):
             self._record.add(f"{self.name}: grant {first}-{last} fence {fence} refused with 409")
             return 409
