--- a/review/2/case.py
+++ b/review/2/case.py
@@ -185,4 +185,4 @@
     return answer is None or not answer.complete or answer.status >= 300 or answer.body == BODY
 
 
-run_case(case, Path(__file__).resolve().parent)
+run_case(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -199,4 +199,4 @@
     )
 
 
-run_case(case, Path(__file__).resolve().parent)
+run_case(case, Path(__file__).resolve().parent / "record.txt")
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -674,10 +674,10 @@
     ).encode()
 
 
-def run_case(case: Callable[[Record, Path, bool], Awaitable[bool]], folder: Path) -> None:
-    """Run a case in a temporary folder and exit with 0 if the rule held, 1 if not, 2 if not run."""
+def run_case(case: Callable[[Record, Path, bool], Awaitable[bool]], record_file: Path) -> None:
+    """Run a case and write its record; exit with 0 if the rule held, 1 if not, 2 if not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder / "record.txt")
+    record = Record(record_file)
 
     async def run() -> bool:
         with tempfile.TemporaryDirectory() as temporary:
