Log how a relayed connection ends within an exchange

From logs and metrics it can't be told whether (1) the asking instance takes the end of the relaying process for the server's, (2) the relaying instance passes a server's reset on as an orderly close, or (3) the length of the answer is counted wrongly.

Change: E517 tells for a request how its relayed connection ended and what the answer counted as; relayed_connections_ended counts the connections that a relaying instance ends itself.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -108,6 +108,7 @@
         515, "INFO", "backend servers of a service can be connected to again"
     )
     REQUEST_REPEATED = EventSpec(516, "INFO", "request is sent once more")
+    RELAY_ENDED = EventSpec(517, "INFO", "relayed connection ended within an exchange")
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -208,14 +208,19 @@
         """Close the relayed connections without a request, so that they carry no further one."""
         for end in list(self._ends):
             if not end.awaits_answer and end.transport is not None:
+                self._count_end("idle")
                 end.transport.close()
 
     def close_idle_to(self, incarnation: tuple[str, int]) -> None:
         """Close the relayed connections to a server that asked this instance to back off."""
         for end in list(self._ends):
             if end.server == incarnation and not end.awaits_answer and end.transport is not None:
+                self._count_end("idle")
                 end.transport.close()
 
+    def _count_end(self, ended_by: str) -> None:
+        self._metrics.count("relayed_connections_ended", ended_by)
+
     def _apply_back_off(self, request: RelayRequest) -> None:
         incarnation = request.server, request.born_ms
         self._health.record_back_off(incarnation, min(MAX_BACK_OFF_S, request.back_off_s))
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -77,6 +77,16 @@
         """Return whether the connection carries no further exchange."""
         return not self._usable
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Return whether an exchange is under way."""
+        return self._stream is not None or (self._result is not None and not self._result.done())
+
+    @property
+    def request_id(self) -> bytes:
+        """Return the id of the last request."""
+        return self._request_id
+
     @property
     def idle_limit_s(self) -> float:
         """Return how long the connection may stay idle before it must not be reused."""
@@ -139,7 +149,7 @@
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
     def received(self, data: bytes) -> None:
-        if not self._expects_bytes():
+        if not self.awaits_answer:
             # Bytes after a complete answer belong to no request.
             self.abort()
             return
@@ -148,7 +158,7 @@
         except ExchangeBrokenError as error:
             self._fail(str(error))
             return
-        if not self._expects_bytes() and not self._reader.at_start:
+        if not self.awaits_answer and not self._reader.at_start:
             # The start of an extra answer must not be continued by the answer to the next request.
             self.abort()
 
@@ -163,7 +173,7 @@
 
     def answer_started(self, start: AnswerStart) -> None:
         """Handle an answer's head; one for another request ends the reuse of the connection."""
-        if not self._expects_bytes():
+        if not self.awaits_answer:
             self._usable = False
             return
         self._start = start
@@ -210,9 +220,6 @@
             self._body.clear()
             self._result.set_result(ServerAnswer(start.status, start.headers, body))
 
-    def _expects_bytes(self) -> bool:
-        return self._stream is not None or (self._result is not None and not self._result.done())
-
     def _begin_stream(self, start: AnswerStart) -> None:
         """Return the answer's head and stream its body from here on."""
         if self._result is None or self._result.done():
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Iterable
+from functools import partial
 
 from attrs import define, field
 
@@ -43,8 +44,9 @@
 class RelayedConnection(ServerConnection):
     """A connection to a server by way of another instance."""
 
-    def __init__(self) -> None:
+    def __init__(self, relay: str = "") -> None:
         super().__init__()
+        self._relay = relay
         loop = asyncio.get_running_loop()
         self._frame: RelayFrame | None = RelayFrame()
         self._reply: asyncio.Future[RelayReply] = loop.create_future()
@@ -81,12 +83,27 @@
 
     def eof_received(self) -> bool:
         self._end_reply(ConnectionResetError("the relaying instance closed the connection"))
+        awaited = self.awaits_answer
+        whole = self._reader.end()
+        if awaited:
+            self._log_end("close", whole)
         return super().eof_received()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._end_reply(ConnectionResetError(f"the relaying instance was lost: {exc or 'closed'}"))
+        if self.awaits_answer:
+            self._log_end("reset", False)
         super().connection_lost(exc)
 
+    def _log_end(self, end: str, whole: bool) -> None:
+        emit(
+            Event.RELAY_ENDED,
+            id=self.request_id.decode("latin-1"),
+            relay=self._relay,
+            end=end,
+            answer="whole" if whole else "broken",
+        )
+
     def _end_reply(self, error: Exception) -> None:
         if not self._reply.done():
             self._reply.set_exception(error)
@@ -168,7 +185,9 @@
         kept = False
         try:
             async with asyncio.timeout(RELAY_TIMEOUT_S):
-                _, connection = await loop.create_connection(RelayedConnection, host, int(port))
+                _, connection = await loop.create_connection(
+                    partial(RelayedConnection, record.instance), host, int(port)
+                )
                 reply = await connection.request(request)
             kept = reply.result is RelayResult.CONNECTED
             return connection, reply
