--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -86,3 +86,68 @@
       | b1,c1    | a2,a3,a4,a5 | every one is opened                  |
       |          | a2,b1       | every one fails as the server's fault |
       |          | a2,a3       | every one fails as the server's fault |
+
+  Scenario Outline: The end of a relaying process doesn't complete an answer
+    Guards against a part of an answer without a length that counts as whole, as the kernel of a
+    killed process closes its connections in order (review of 2026-12-05, case 2).
+    Given a process that relays to a server which answers <answers> and pauses after <first> bytes
+    When a request is sent over a relayed connection and the process <process> in the pause
+    Then the exchange ends with <result>
+
+    Examples:
+      | answers                | first  | process   | result           |
+      | without a length       | 0      | is killed | a broken answer  |
+      | without a length       | 8000   | is killed | a broken answer  |
+      | without a length       | 200000 | is killed | a broken answer  |
+      | in chunks              | 8000   | is killed | a broken answer  |
+      | with a length          | 8000   | is killed | a broken answer  |
+      | without a length       | 0      | lives on  | the whole answer |
+      | without a length       | 8000   | lives on  | the whole answer |
+      | without a length       | 200000 | lives on  | the whole answer |
+      | in chunks              | 8000   | lives on  | the whole answer |
+      | with a length          | 8000   | lives on  | the whole answer |
+
+  Scenario Outline: An instance that reads no frames gets an orderly close from the server only
+    Guards against an instance of an earlier build that takes the end of the relaying process for the
+    server's, while builds run side by side.
+    Given a process that relays to a server which answers without a length and pauses after <first> bytes
+    When an instance that reads no frames sends a request, reads <reading>, and the process <process> in the pause
+    Then that instance sees <result>
+
+    Examples:
+      | first  | reading | process   | result                               |
+      | 8000   | at once | is killed | a reset                              |
+      | 200000 | at once | is killed | a reset                              |
+      | 307200 | late    | is killed | a reset                              |
+      | 8000   | at once | lives on  | the whole answer and an orderly close |
+      | 200000 | late    | lives on  | the whole answer and an orderly close |
+
+  Scenario Outline: An answer by way of an instance that sends no frames needs a length
+    Guards against the end of a relaying process of an earlier build that completes an answer, while
+    builds run side by side.
+    Given an instance of an earlier build that relays an answer <answers> and then closes
+    When a request is sent over a relayed connection
+    Then the exchange ends with <result>
+
+    Examples:
+      | answers          | result           |
+      | without a length | a broken answer  |
+      | in chunks        | the whole answer |
+      | with a length    | the whole answer |
+
+  Scenario: Frames are read in whatever pieces they arrive
+    Guards against bytes of an answer that are lost, repeated or taken for a frame's header.
+    When 400 sequences of frames are cut into pieces at random with seed 45
+    Then each is read as it was sent, with at most one piece held in memory
+
+  Scenario Outline: Malformed frames end the relayed connection
+    Guards against an instance that reads on behind bytes that it can't tell apart.
+    Given an instance of an earlier build that relays frames of <form> and then closes
+    When a request is sent over a relayed connection
+    Then the exchange ends with a broken answer
+
+    Examples:
+      | form                   |
+      | an unknown kind        |
+      | a close that has bytes |
+      | a header cut short     |
--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -16,6 +16,7 @@
       | 7ac106f |
       | 4911bc0 |
       | 5adfd0b |
+      | 51457f8 |
 
   Scenario Outline: What this build sends is known to an earlier one
     Guards against a new kind of message or state that ends the links between two builds.
@@ -31,6 +32,7 @@
       | 7ac106f | none                                     |
       | 4911bc0 | none                                     |
       | 5adfd0b | none                                     |
+      | 51457f8 | none                                     |
 
   Scenario Outline: Stored records are read by earlier builds and by this one
     Guards against an instance that deposes each leader whose record it can't read.
@@ -48,6 +50,18 @@
       | 7ac106f | reads        |
       | 4911bc0 | reads        |
       | 5adfd0b | reads        |
+      | 51457f8 | reads        |
+
+  Scenario Outline: Builds that read no frames relay with this one
+    Guards against a relayed connection of which one end sends frames that the other doesn't read.
+    Given the schema of relay messages of build "<build>"
+    Then that build reads the requests and replies of this one as its own
+    And this build reads the requests and replies of that one as ones without frames
+
+    Examples:
+      | build   |
+      | 5adfd0b |
+      | 51457f8 |
 
   Scenario: What a later build adds to a record or to the kinds of messages is passed over
     Guards against an instance that takes a leader of a later build for none, and against links that
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -1,27 +1,32 @@
 """Steps for connections that an instance relays to servers."""
 
 import asyncio
+import os
 import random
 import struct
+import subprocess
+import sys
+from pathlib import Path
 
 from behave import given, then, when
 
 from hyssopwood.gateway.exchange import ExchangeBrokenError, NotSentError, ServerRequest
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.read_buffer import reset
-from hyssopwood.gateway.relay_codec import RelayRequest
+from hyssopwood.gateway.relay_codec import RelayReply, RelayRequest, RelayResult
+from hyssopwood.gateway.relay_frames import Frame, FrameKind, FrameReader
 from hyssopwood.gateway.relay_server import RelayServer
 from hyssopwood.gateway.server_connector import ServerConnector
-from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
+from hyssopwood.gateway.server_directory import ServerDirectory
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_relays import ServerRelays
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import SystemTimers
 from support.gateway_deployment import free_addresses
+from support.relaying_process import OwnLinks, server_record
 
 ID_HEADER = b"request-id"
 BODY = b"x" * 300 * 1024
-SERVICE = "portal"
 LIMIT_S = 5.0
 
 
@@ -81,41 +86,6 @@
             writer.close()
 
 
-class _Reach:
-    """What the relaying instance knows of its own links."""
-
-    def __init__(self):
-        self.is_cut_off = False
-
-    def cut_off(self, service):
-        return self.is_cut_off
-
-    def in_doubt(self, service):
-        return self.is_cut_off
-
-    def record_connected(self, service):
-        """Ignore a connection."""
-
-    def record_unconnected(self, server):
-        """Ignore a failed connection."""
-
-
-def _record(address, **changes):
-    fields = {
-        "server": "s1",
-        "service": SERVICE,
-        "address": address,
-        "failure_domain": "a",
-        "slots": 2,
-        "draining": False,
-        "warmup_left_s": 0.0,
-        "born_ms": 1,
-        "sequence": 1,
-        **changes,
-    }
-    return ServerRecord(**fields)
-
-
 @given("an instance that relays to a server which {does}")
 def step_relay(context, does):
     timers, metrics = SystemTimers(), Metrics()
@@ -123,17 +93,17 @@
     address = context.run(context.server.start())
     context.add_cleanup(context.server.close)
     (relay_address,) = free_addresses(1)
-    directory, health, reach = ServerDirectory(), ServerHealth(timers), _Reach()
+    directory, health, reach = ServerDirectory(), ServerHealth(timers), OwnLinks()
     context.relaying_health = health
     context.stopping = does == "answers, though the instance stops"
     reach.is_cut_off = does == "can't be reached by the instance either"
-    context.record = _record(address)
+    context.record = server_record(address)
     if does == "doesn't listen":
         context.server.close()
     if does == "has started again since":
-        directory.put(_record(address, born_ms=2))
+        directory.put(server_record(address, born_ms=2))
     elif does != "isn't registered":
-        directory.put(_record(address, draining=does == "is draining"))
+        directory.put(server_record(address, draining=does == "is draining"))
     if does == "has told the instance to back off":
         health.record_back_off(("s1", 1), 5.0)
     context.asking_health = ServerHealth(timers)
@@ -377,7 +347,7 @@
         )
         relays.reaching = context.reaching
         try:
-            context.opened.append(context.run(relays.connect(_record("127.0.0.1:1"))))
+            context.opened.append(context.run(relays.connect(server_record("127.0.0.1:1"))))
         except NotSentError as error:
             context.opened.append(type(error))
 
@@ -390,3 +360,216 @@
 @then("every one fails as the server's fault")
 def step_all_fail(context):
     assert set(context.opened) == {NotSentError}, context.opened
+
+
+PAUSE_S = 0.4
+FIRST_PART_LIMIT_S = 3.0
+CHUNK_BYTES = 4096
+
+
+def _encode_body(framing, data):
+    if framing != "in chunks":
+        return data
+    pieces = (data[first : first + CHUNK_BYTES] for first in range(0, len(data), CHUNK_BYTES))
+    return b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+
+
+def _encode_head(framing):
+    headers = {
+        "without a length": b"Connection: close\r\n",
+        "in chunks": b"Transfer-Encoding: chunked\r\n",
+        "with a length": b"Content-Length: %d\r\n" % len(BODY),
+    }
+    return b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + headers[framing] + b"\r\n"
+
+
+class _PausingServer:
+    """A server that pauses within the body of each answer."""
+
+    def __init__(self, framing, first):
+        self.framing, self.first = framing, first
+        self.pauses = asyncio.Event()
+        self.requests = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                writer.write(_encode_head(self.framing))
+                writer.write(_encode_body(self.framing, BODY[: self.first]))
+                self.pauses.set()
+                await asyncio.sleep(PAUSE_S)
+                writer.write(_encode_body(self.framing, BODY[self.first :]))
+                if self.framing == "in chunks":
+                    writer.write(b"0\r\n\r\n")
+                await writer.drain()
+                if self.framing == "without a length":
+                    return
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        finally:
+            writer.close()
+
+
+def _relays_by_way_of(relay_address):
+    """Return an instance's relays by way of the only other instance."""
+    timers, metrics = SystemTimers(), Metrics()
+    own = InstanceRecord("i1", "127.0.0.1:1", "a")
+    other = InstanceRecord("i2", "127.0.0.1:2", "a", relay_address=relay_address)
+    instances = InstanceList(own)
+    instances.apply(InstanceUpdate((own, other), complete=True))
+    return ServerRelays(own, instances, ServerHealth(timers), timers, metrics)
+
+
+@given("a process that relays to a server which answers {framing} and pauses after {first:d} bytes")
+def step_relaying_process(context, framing, first):
+    context.server = _PausingServer(framing, first)
+    address = context.run(context.server.start())
+    context.add_cleanup(context.server.close)
+    (context.relay_address,) = free_addresses(1)
+    script = Path(__file__).parent.parent / "support" / "relaying_process.py"
+    command = [sys.executable, str(script), context.relay_address, address]
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+    context.process = subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+    context.add_cleanup(context.process.stdout.close)
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+    assert context.process.stdout.readline() == b"ready\n"
+    context.relays = _relays_by_way_of(context.relay_address)
+    context.record = server_record(address)
+
+
+async def _end_in_pause(context, ending):
+    async with asyncio.timeout(FIRST_PART_LIMIT_S):
+        await context.server.pauses.wait()
+    await asyncio.sleep(PAUSE_S / 4)
+    if ending == "is killed":
+        context.process.kill()
+
+
+@when("a request is sent over a relayed connection and the process {ending} in the pause")
+def step_end_process(context, ending):
+    async def run():
+        task = asyncio.ensure_future(_run_exchange(context))
+        await _end_in_pause(context, ending)
+        return await task
+
+    context.result = context.run(run())
+
+
+async def _read_without_frames(context, reading, ending):
+    """Send a request as builds do that read no frames, and return how the answer ends."""
+    host, _, port = context.relay_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(RelayRequest("s1", 1).encode())
+    (size,) = struct.unpack(">H", await reader.readexactly(2))
+    await reader.readexactly(size)
+    writer.write(b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n")
+    ended = asyncio.ensure_future(_end_in_pause(context, ending))
+    if reading == "late":
+        await ended
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            data = await reader.read(-1)
+    except ConnectionResetError:
+        return "a reset"
+    finally:
+        await ended
+        writer.close()
+    whole = data == _encode_head(context.server.framing) + BODY
+    return f"{'the whole answer' if whole else len(data)} and an orderly close"
+
+
+@when(
+    "an instance that reads no frames sends a request, reads {reading}, and the process {ending}"
+    " in the pause"
+)
+def step_read_without_frames(context, reading, ending):
+    context.seen = context.run(_read_without_frames(context, reading, ending))
+
+
+@then("that instance sees {result}")
+def step_seen(context, result):
+    assert context.seen == result, context.seen
+
+
+def _start_plain_relay(context, reply, sent):
+    """Start an instance that accepts each relay and sends given bytes after the request."""
+
+    async def serve(reader, writer):
+        (size,) = struct.unpack(">H", await reader.readexactly(2))
+        await reader.readexactly(size)
+        writer.write(reply.encode())
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await writer.drain()
+        writer.close()
+
+    async def start():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        context.add_cleanup(server.close)
+        host, port = server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    context.relays = _relays_by_way_of(context.run(start()))
+    context.record = server_record("127.0.0.1:1")
+
+
+@given("an instance of an earlier build that relays an answer {framing} and then closes")
+def step_earlier_relay(context, framing):
+    sent = _encode_head(framing) + _encode_body(framing, BODY)
+    if framing == "in chunks":
+        sent += b"0\r\n\r\n"
+    _start_plain_relay(context, RelayReply(RelayResult.CONNECTED), sent)
+
+
+@given("an instance of an earlier build that relays frames of {form} and then closes")
+def step_malformed_frames(context, form):
+    answer = Frame(FrameKind.BYTES, _encode_head("without a length") + BODY).encode()
+    sent = {
+        "an unknown kind": answer + struct.pack(">BI", 77, 0),
+        "a close that has bytes": answer + struct.pack(">BI", FrameKind.SERVER_CLOSED.value, 1),
+        "a header cut short": answer + Frame(FrameKind.SERVER_CLOSED).encode()[:-1],
+    }
+    _start_plain_relay(context, RelayReply(RelayResult.CONNECTED, framed=True), sent[form])
+
+
+def _random_frames(rng):
+    frames = [
+        Frame(FrameKind.BYTES, rng.randbytes(rng.choice((0, 1, 4, 5, 6, 300, 70_000))))
+        for _ in range(rng.randrange(6))
+    ]
+    return [*frames, Frame(FrameKind.SERVER_CLOSED)] if rng.random() < 0.5 else frames
+
+
+@when("{count:d} sequences of frames are cut into pieces at random with seed {seed:d}")
+def step_cut_frames(context, count, seed):
+    rng = random.Random(seed)
+    context.wrong = []
+    for _ in range(count):
+        frames = _random_frames(rng)
+        data = b"".join(frame.encode() for frame in frames)
+        frame_reader, body, closed, position = FrameReader(), b"", False, 0
+        while position < len(data):
+            size = rng.choice((1, 2, 5, 6, 1000, 65_536))
+            for frame in frame_reader.feed(data[position : position + size]):
+                assert len(frame.data) <= size and not closed
+                body += frame.data
+                closed = frame.kind is FrameKind.SERVER_CLOSED
+            position += size
+        expected = b"".join(frame.data for frame in frames)
+        if (body, closed) != (expected, Frame(FrameKind.SERVER_CLOSED) in frames):
+            context.wrong.append(frames)
+
+
+@then("each is read as it was sent, with at most one piece held in memory")
+def step_frames_read(context):
+    assert not context.wrong, len(context.wrong)
--- a/features/steps/mixed_build_steps.py
+++ b/features/steps/mixed_build_steps.py
@@ -5,6 +5,14 @@
 from behave import given, then, when
 
 from hyssopwood.gateway import queue_messages
+from hyssopwood.gateway.relay_codec import (
+    RelayFrame,
+    RelayReply,
+    RelayRequest,
+    RelayResult,
+    decode_reply,
+    decode_request,
+)
 from hyssopwood.keyspace import link_codec
 from hyssopwood.keyspace.link import LeaderStatus
 from hyssopwood.keyspace.plan import KeyRange, Leader, Plan
@@ -102,6 +110,35 @@
     assert accepted == (reads == "reads"), (fields, context.records["accepted_leader_fields"])
 
 
+@given('the schema of relay messages of build "{build}"')
+def step_relay_schema(context, build):
+    context.relay = load_schema(DATA / build, "gateway/relay.capnp")
+
+
+def _message(framed_message):
+    return RelayFrame().feed(framed_message)
+
+
+@then("that build reads the requests and replies of this one as its own")
+def step_relay_read_by_earlier(context):
+    data = _message(RelayRequest("s1", 7, 1.5, framed=True).encode())
+    request = context.relay.RelayRequest.from_bytes_packed(data)
+    assert request.to_dict() == {"server": "s1", "bornMs": 7, "backOffMs": 1500}
+    for result in RelayResult:
+        data = _message(RelayReply(result, 1.5, framed=True).encode())
+        reply = context.relay.RelayReply.from_bytes_packed(data)
+        assert reply.to_dict() == {"result": result.value, "backOffMs": 1500}
+
+
+@then("this build reads the requests and replies of that one as ones without frames")
+def step_earlier_relay_read(context):
+    wire = context.relay.RelayRequest.new_message(server="s1", bornMs=7, backOffMs=1500)
+    assert decode_request(wire.to_bytes_packed()) == RelayRequest("s1", 7, 1.5, framed=False)
+    for result in RelayResult:
+        wire = context.relay.RelayReply.new_message(result=result.value, backOffMs=1500)
+        assert decode_reply(wire.to_bytes_packed()) == RelayReply(result, 1.5, framed=False)
+
+
 @then("a leader's record with a sixth field is read")
 def step_sixth(context):
     row = [*json.loads(encode_leader(LEADER)), "later"]
--- a/scripts/record_build.py
+++ b/scripts/record_build.py
@@ -16,7 +16,12 @@
 from hyssopwood.keyspace.plan import KeyRange, Leader, Plan
 from hyssopwood.keyspace.plan_codec import decode_leader, encode_leader, encode_plan
 
-SCHEMAS = ("keyspace/cluster.capnp", "gateway/queue.capnp", "gateway/limits.capnp")
+SCHEMAS = (
+    "keyspace/cluster.capnp",
+    "gateway/queue.capnp",
+    "gateway/relay.capnp",
+    "gateway/limits.capnp",
+)
 # Leader's records with three fields, and with those that were added to them.
 LEADER_ROW = ["i1", "0a1b", "10.1.0.10:7720", 4711, False, "later"]
 PLAN = Plan(
--- a/src/hyssopwood/gateway/relay.capnp
+++ b/src/hyssopwood/gateway/relay.capnp
@@ -9,12 +9,17 @@
   # If not 0, no connection is wanted: the server asked for this back-off over a connection that the
   # receiver relays.
   backOffMs @2 :UInt32;
+  # Whether the sender reads frames.
+  framed @3 :Bool;
 }
 
 struct RelayReply {
   result @0 :Result;
   # With backedOff: time for which the server asked the relaying instance to send nothing.
   backOffMs @1 :UInt32;
+  # Whether the server's bytes follow in frames (`relay_frames.py`). Without frames the connection's
+  # end doesn't tell whether the server has closed it.
+  framed @2 :Bool;
 
   enum Result {
     connected @0;
--- a/src/hyssopwood/gateway/relay_codec.py
+++ b/src/hyssopwood/gateway/relay_codec.py
@@ -49,12 +49,15 @@
     server: str
     born_ms: int
     back_off_s: float = 0.0
+    # Whether the sender reads the server's bytes in frames.
+    framed: bool = False
 
     def encode(self) -> bytes:
         """Return the framed message."""
         wire = _SCHEMA.RelayRequest.new_message()
         wire.server, wire.bornMs = self.server, self.born_ms
         wire.backOffMs = _to_milliseconds(self.back_off_s)
+        wire.framed = self.framed
         return _frame(wire)
 
 
@@ -64,12 +67,15 @@
 
     result: RelayResult
     back_off_s: float = 0.0
+    # Whether the server's bytes follow in frames.
+    framed: bool = False
 
     def encode(self) -> bytes:
         """Return the framed message."""
         wire = _SCHEMA.RelayReply.new_message()
         wire.result = self.result.value
         wire.backOffMs = _to_milliseconds(self.back_off_s)
+        wire.framed = self.framed
         return _frame(wire)
 
 
@@ -119,7 +125,7 @@
     """Return a request; raise ProtocolError if the bytes are malformed."""
     try:
         wire = _read(_SCHEMA.RelayRequest, data)
-        return RelayRequest(wire.server, wire.bornMs, wire.backOffMs / MS_PER_S)
+        return RelayRequest(wire.server, wire.bornMs, wire.backOffMs / MS_PER_S, wire.framed)
     except (capnp.KjException, ValueError) as error:
         raise ProtocolError(f"malformed relay request: {error}") from error
 
@@ -128,6 +134,7 @@
     """Return a reply; raise ProtocolError if the bytes are malformed."""
     try:
         wire = _read(_SCHEMA.RelayReply, data)
-        return RelayReply(RelayResult(str(wire.result)), wire.backOffMs / MS_PER_S)
+        result = RelayResult(str(wire.result))
+        return RelayReply(result, wire.backOffMs / MS_PER_S, wire.framed)
     except (capnp.KjException, ValueError) as error:
         raise ProtocolError(f"malformed relay reply: {error}") from error
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -1,8 +1,8 @@
 """Relays connections of instances that are cut off from the servers.
 
 The asking instance decides everything about a request; this one only connects to the server and
-copies bytes both ways. A reset or a close at one end is passed on to the other one, so that a
-broken answer never looks complete.
+copies bytes both ways. The server's orderly close is passed on as what it is, and any other end of
+the connection as a broken one, so that a broken answer never looks complete.
 """
 
 from __future__ import annotations
@@ -25,6 +25,14 @@
     RelayResult,
     decode_request,
 )
+from hyssopwood.gateway.relay_output import (
+    FramedOutput,
+    PlainOutput,
+    close_sent,
+    open_output,
+    pass_bytes,
+    pass_close,
+)
 from hyssopwood.gateway.server_connection import UNACKNOWLEDGED_TIMEOUT_MS
 from hyssopwood.gateway.server_connector import ServerConnector
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
@@ -46,7 +54,7 @@
 
 
 class _RelayEnd(BufferedConnection):
-    """One end of a relayed connection; what it receives is written to the other end."""
+    """One end of a relayed connection; what it receives is passed on by the other end."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -58,45 +66,36 @@
         if raw is not None:
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS)
 
-    def join(self, other: _RelayEnd) -> None:
-        """Copy between this end and another one from now on."""
-        self.other, other.other = other, self
+    @property
+    def writable(self) -> bool:
+        """Return whether this end still takes bytes."""
+        return self.transport is not None and not self.transport.is_closing()
 
-    def write(self, data: bytes) -> None:
-        """Write to this end."""
-        if data and self.transport is not None and not self.transport.is_closing():
-            self.transport.write(data)
+    def pass_on(self, data: bytes) -> None:
+        """Send bytes that the other end has received."""
+        raise NotImplementedError
 
     def received(self, data: bytes) -> None:
         if self.other is None:
             # A server that speaks first, or a request before the reply, breaks the protocol.
             self.reset()
             return
-        self.other.write(data)
+        self.other.pass_on(data)
 
     def pause_writing(self) -> None:
         other = self.other
-        if other is not None and other.transport is not None and not other.transport.is_closing():
+        if other is not None and other.transport is not None and other.writable:
             other.transport.pause_reading()
 
     def resume_writing(self) -> None:
         other = self.other
-        if other is not None and other.transport is not None and not other.transport.is_closing():
+        if other is not None and other.transport is not None and other.writable:
             other.transport.resume_reading()
 
     def eof_received(self) -> bool:
-        # The transport closes itself, and the other end is closed when that has happened.
+        # The transport closes itself.
         return False
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        other, self.other = self.other, None
-        if other is None:
-            return
-        if exc is None and other.transport is not None:
-            other.transport.close()
-        else:
-            other.reset()
-
     def reset(self) -> None:
         """Reset this end, and the other one with it."""
         if self.transport is not None:
@@ -106,6 +105,32 @@
             other.reset()
 
 
+class _ServerEnd(_RelayEnd):
+    """The server's end."""
+
+    other: _AskingEnd | None
+
+    def join(self, asking: _AskingEnd) -> None:
+        """Copy between the two ends from now on."""
+        self.other, asking.other = asking, self
+
+    def pass_on(self, data: bytes) -> None:
+        if self.transport is not None and self.writable:
+            self.transport.write(data)
+
+    def eof_received(self) -> bool:
+        asking, self.other = self.other, None
+        if asking is not None:
+            asking.pass_server_close()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        # An orderly close of the server has been handled before.
+        other, self.other = self.other, None
+        if other is not None:
+            other.reset()
+
+
 class _AskingEnd(_RelayEnd):
     """The end of the instance that asks for the connection."""
 
@@ -115,6 +140,7 @@
         self._frame: RelayFrame | None = RelayFrame()
         self._expiry: TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
+        self._output: FramedOutput | PlainOutput | None = None
         self._awaits_answer = True
         self._answered_at = 0.0
         # Incarnation of the server, once the connection is relayed.
@@ -129,9 +155,26 @@
         """Return whether the last bytes went to the server, or may have more bytes behind them."""
         return self._awaits_answer or self._relays.now() - self._answered_at < QUIET_S
 
-    def write(self, data: bytes) -> None:
-        super().write(data)
+    def accept(self, framed: bool) -> None:
+        """Send the reply that the connection is relayed; the server's bytes follow."""
+        if self.transport is None or not self.writable:
+            return
+        self.transport.write(RelayReply(RelayResult.CONNECTED, framed=framed).encode())
+        self._output = open_output(self.transport, framed)
+
+    def pass_on(self, data: bytes) -> None:
         self._awaits_answer, self._answered_at = False, self._relays.now()
+        if self.writable:
+            pass_bytes(self._output, data)
+
+    def pass_server_close(self) -> None:
+        """Pass on that the server has closed the connection in order."""
+        if self.writable:
+            pass_close(self._output)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        close_sent(self._output)
 
     def received(self, data: bytes) -> None:
         if self._frame is None:
@@ -158,12 +201,18 @@
         if self._task is not None:
             self._task.cancel()
         self._relays.forget(self)
-        super().connection_lost(exc)
+        other, self.other = self.other, None
+        if other is None:
+            return
+        if exc is None and other.transport is not None:
+            other.transport.close()
+        else:
+            other.reset()
 
     def refuse(self, reply: RelayReply) -> None:
         """Send a reply that ends the connection."""
-        self.write(reply.encode())
-        if self.transport is not None:
+        if self.transport is not None and self.writable:
+            self.transport.write(reply.encode())
             self.transport.close()
 
     def _cancel_expiry(self) -> None:
@@ -254,24 +303,23 @@
             except NotSentError:
                 reply = RelayReply(RelayResult.UNREACHABLE)
             else:
-                reply = self._join(end, server_end)
+                reply = self._join(end, server_end, request.framed)
                 end.server = server.incarnation
         reply = reply or RelayReply(RelayResult.UNKNOWN_SERVER)
         self._metrics.count("relayed_connections", reply.result.value)
         if reply.result is not RelayResult.CONNECTED:
             end.refuse(reply)
 
-    def _join(self, end: _AskingEnd, server_end: _RelayEnd) -> RelayReply:
+    def _join(self, end: _AskingEnd, server_end: _ServerEnd, framed: bool) -> RelayReply:
         """Begin to relay unless the server has closed the connection already."""
-        if server_end.transport is None or server_end.transport.is_closing():
+        if not server_end.writable:
             return RelayReply(RelayResult.UNREACHABLE)
-        reply = RelayReply(RelayResult.CONNECTED)
-        end.write(reply.encode())
-        end.join(server_end)
-        return reply
+        end.accept(framed)
+        server_end.join(end)
+        return RelayReply(RelayResult.CONNECTED)
 
-    async def _connect(self, server: ServerRecord) -> _RelayEnd:
-        return await self._connector.open_directly(_RelayEnd, server, RELAY_CONNECT_TIMEOUT_S)
+    async def _connect(self, server: ServerRecord) -> _ServerEnd:
+        return await self._connector.open_directly(_ServerEnd, server, RELAY_CONNECT_TIMEOUT_S)
 
     def _accept(self) -> _AskingEnd:
         end = _AskingEnd(self)
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -20,6 +20,7 @@
     RelayResult,
     decode_reply,
 )
+from hyssopwood.gateway.relay_frames import FrameKind, FrameReader
 from hyssopwood.gateway.server_connection import ServerConnection
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
@@ -49,6 +50,7 @@
         self._relay = relay
         loop = asyncio.get_running_loop()
         self._frame: RelayFrame | None = RelayFrame()
+        self._frames: FrameReader | None = None
         self._reply: asyncio.Future[RelayReply] = loop.create_future()
         self._retired_at = loop.time() + MAX_AGE_S
 
@@ -64,7 +66,7 @@
 
     def received(self, data: bytes) -> None:
         if self._frame is None:
-            super().received(data)
+            self._receive_relayed(data)
             return
         try:
             message = self._frame.feed(data)
@@ -76,33 +78,43 @@
             self.abort()
             return
         rest, self._frame = self._frame.rest, None
+        self._frames = FrameReader() if reply.framed else None
         if not self._reply.done():
             self._reply.set_result(reply)
         if rest:
-            super().received(rest)
+            self._receive_relayed(rest)
 
     def eof_received(self) -> bool:
-        self._end_reply(ConnectionResetError("the relaying instance closed the connection"))
-        awaited = self.awaits_answer
-        whole = self._reader.end()
-        if awaited:
-            self._log_end("close", whole)
-        return super().eof_received()
+        # This is the relaying instance's end of the connection, not the server's.
+        self._lose_relay("close", "the relaying instance closed the connection")
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end_reply(ConnectionResetError(f"the relaying instance was lost: {exc or 'closed'}"))
-        if self.awaits_answer:
-            self._log_end("reset", False)
+        self._lose_relay("reset", f"the relaying instance was lost: {exc or 'closed'}")
         super().connection_lost(exc)
 
-    def _log_end(self, end: str, whole: bool) -> None:
-        emit(
-            Event.RELAY_ENDED,
-            id=self.request_id.decode("latin-1"),
-            relay=self._relay,
-            end=end,
-            answer="whole" if whole else "broken",
-        )
+    def _receive_relayed(self, data: bytes) -> None:
+        """Handle bytes that follow the reply."""
+        if self._frames is None:
+            super().received(data)
+            return
+        try:
+            for frame in self._frames.feed(data):
+                if frame.kind is FrameKind.SERVER_CLOSED:
+                    super().eof_received()
+                else:
+                    super().received(frame.data)
+        except ProtocolError as error:
+            emit(Event.PEER_REJECTED, error=error)
+            self._lose_relay("malformed", str(error))
+
+    def _lose_relay(self, end: str, cause: str) -> None:
+        """End the connection, and the exchange under way, without the server's answer."""
+        self._end_reply(ConnectionResetError(cause))
+        if self.awaits_answer:
+            request_id = self.request_id.decode("latin-1")
+            emit(Event.RELAY_ENDED, id=request_id, relay=self._relay, end=end)
+        self._fail(cause)
 
     def _end_reply(self, error: Exception) -> None:
         if not self._reply.done():
@@ -197,7 +209,9 @@
 
     async def _connect_by(self, record: InstanceRecord, server: ServerRecord) -> ServerConnection:
         """Connect by way of an instance; raise ConnectionError if it can't relay now."""
-        connection, reply = await self._ask(record, RelayRequest(server.server, server.born_ms))
+        connection, reply = await self._ask(
+            record, RelayRequest(server.server, server.born_ms, framed=True)
+        )
         self._metrics.count("relay_requests", reply.result.value)
         if reply.result is RelayResult.CONNECTED:
             if len(self._relayed) >= MAX_REMEMBERED_SERVERS:
