--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -48,7 +48,56 @@
     Given an instance that relays to a server which answers after 0.5 s
     When a request is sent over a relayed connection and the instance stops 0.1 s later
     Then the exchange ends with the whole answer
-    And the instance counts as busy until then, and the idle connection is closed after it
+    And the instance counts as busy until then, and the asking one closes the connection after it
+
+  Scenario Outline: A pause within an answer isn't its end
+    Guards against an instance that closes a relayed connection within an answer because no byte of it
+    came for a while (review of 2026-12-05, case 3).
+    Given an instance that relays to a server which answers <answers> and pauses after <first> bytes
+    When a request is sent over a relayed connection and <event> in the pause
+    Then the exchange ends with the whole answer
+    And no further request is sent over that connection, which is closed
+
+    Examples:
+      | answers          | first  | event                           |
+      | without a length | 0      | the instance stops              |
+      | without a length | 8000   | the instance stops              |
+      | without a length | 200000 | the instance stops              |
+      | in chunks        | 8000   | the instance stops              |
+      | with a length    | 8000   | the instance stops              |
+      | without a length | 8000   | its server asks for a back-off  |
+      | without a length | 200000 | its server asks for a back-off  |
+      | in chunks        | 8000   | its server asks for a back-off  |
+      | with a length    | 8000   | its server asks for a back-off  |
+
+  Scenario Outline: A pause within an answer isn't its end for an instance of an earlier build either
+    Guards against the same while builds run side by side: such an instance can't be asked to send no
+    further request.
+    Given an instance that relays to a server which answers with a length and pauses after 8000 bytes
+    When an instance that reads no frames sends a request, and <event> in the pause
+    Then that instance sees the whole answer
+    And its next request <next>
+
+    Examples:
+      | event                          | next                            |
+      | the instance stops             | is answered, too                |
+      | its server asks for a back-off | is reset and reaches no server  |
+
+  Scenario: An idle relayed connection of a stopping instance is left at once
+    Guards against a request that is sent over a connection which the relaying instance is about to
+    close.
+    Given an instance that relays to a server which answers
+    When a request is sent over a relayed connection and the instance stops after its answer
+    Then the asking instance has closed the connection within 0.1 s
+    And a request over it fails before it is sent, as this instance's own loss of a path
+
+  Scenario: A relayed connection that is opened while the instance begins to stop isn't used
+    Guards against a connection that is asked for before the stop, and accepted after every other one
+    was retired.
+    Given an instance that relays to a server which answers
+    When the instance stops while it connects to the server
+    Then asking fails with NoPathError
+    And the server got no request
 
   Scenario: A back-off that a server asks for holds for the instance that relays to it, too
     Guards against a server that gets requests from an instance that it has told to back off, because
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -3,14 +3,21 @@
 import asyncio
 import os
 import random
+import re
 import struct
 import subprocess
 import sys
 from pathlib import Path
+from unittest.mock import patch
 
 from behave import given, then, when
 
-from hyssopwood.gateway.exchange import ExchangeBrokenError, NotSentError, ServerRequest
+from hyssopwood.gateway.exchange import (
+    ExchangeBrokenError,
+    NotSentError,
+    OwnLinkError,
+    ServerRequest,
+)
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.read_buffer import reset
 from hyssopwood.gateway.relay_codec import RelayReply, RelayRequest, RelayResult
@@ -19,6 +26,7 @@
 from hyssopwood.gateway.server_connector import ServerConnector
 from hyssopwood.gateway.server_directory import ServerDirectory
 from hyssopwood.gateway.server_health import ServerHealth
+from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.server_relays import ServerRelays
 from hyssopwood.metrics import Metrics
 from hyssopwood.timers import SystemTimers
@@ -86,10 +94,15 @@
             writer.close()
 
 
+def _server_that(does):
+    match = re.fullmatch(r"answers (.+) and pauses after (\d+) bytes", does)
+    return _PausingServer(match[1], int(match[2])) if match else _Server(does)
+
+
 @given("an instance that relays to a server which {does}")
 def step_relay(context, does):
     timers, metrics = SystemTimers(), Metrics()
-    context.server = _Server(does)
+    context.server = _server_that(does)
     address = context.run(context.server.start())
     context.add_cleanup(context.server.close)
     (relay_address,) = free_addresses(1)
@@ -138,13 +151,16 @@
 
 
 async def _exchange(context):
-    connection = await context.relays.connect(context.record)
-    context.connection = connection
-    await asyncio.sleep(0.02)
+    async def connect(record):
+        context.connection = await context.relays.connect(record)
+        await asyncio.sleep(0.02)
+        return context.connection
+
+    context.pool = ServerPool(SystemTimers(), ID_HEADER, connect)
     request = ServerRequest(
         method=b"GET", target=b"/x", headers=((b"Request-Id", b"r1"),), body=b"", request_id=b"r1"
     )
-    answer = await connection.exchange("s1", request, ID_HEADER)
+    answer = await context.pool.exchange(context.record, request)
     body = answer.body
     while answer.stream is not None and (data := await answer.stream.read()):
         body += data
@@ -220,20 +236,18 @@
         task = asyncio.ensure_future(_run_exchange(context))
         await asyncio.sleep(seconds)
         context.stopping = True
+        context.relay_server.retire()
         context.busy_while_running = []
         while not task.done():
-            context.relay_server.close_idle()
             context.busy_while_running.append(context.relay_server.busy)
             await asyncio.sleep(0.05)
-        await asyncio.sleep(0.3)
-        context.relay_server.close_idle()
         await asyncio.sleep(0.05)
         return task.result()
 
     context.result = context.run(stop())
 
 
-@then("the instance counts as busy until then, and the idle connection is closed after it")
+@then("the instance counts as busy until then, and the asking one closes the connection after it")
 def step_busy(context):
     assert min(context.busy_while_running) == 1, context.busy_while_running
     assert context.relay_server.busy == 0
@@ -247,7 +261,6 @@
 def step_back_off(context, seconds):
     async def back_off():
         assert await _run_exchange(context) == "the whole answer"
-        await asyncio.sleep(0.25)
         context.relays.report_back_off(context.record, seconds)
         await asyncio.sleep(0.1)
 
@@ -573,3 +586,134 @@
 @then("each is read as it was sent, with at most one piece held in memory")
 def step_frames_read(context):
     assert not context.wrong, len(context.wrong)
+
+
+def _happen(context, event):
+    if event == "the instance stops":
+        context.stopping = True
+        context.relay_server.retire()
+    else:
+        context.relaying_health.record_back_off(("s1", 1), 5.0)
+        context.relay_server.refuse_requests_to(("s1", 1))
+
+
+async def _happen_in_pause(context, event):
+    async with asyncio.timeout(FIRST_PART_LIMIT_S):
+        await context.server.pauses.wait()
+    # Without this, the announcement could arrive before the request is sent.
+    await asyncio.sleep(PAUSE_S / 4)
+    _happen(context, event)
+
+
+@when("a request is sent over a relayed connection and {event} in the pause")
+def step_event_in_pause(context, event):
+    async def run():
+        task = asyncio.ensure_future(_run_exchange(context))
+        await _happen_in_pause(context, event)
+        return await task
+
+    context.result = context.run(run())
+
+
+@then("no further request is sent over that connection, which is closed")
+def step_not_reused(context):
+    async def settle():
+        await asyncio.sleep(0.1)
+
+    context.run(settle())
+    assert context.connection.ended
+    assert context.relay_server.busy == 0
+    assert context.server.requests == 1, context.server.requests
+
+
+async def _read_answer_with_length(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    return head + await reader.readexactly(len(BODY))
+
+
+async def _request_without_frames(context, event):
+    host, _, port = context.relay_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(RelayRequest("s1", 1).encode())
+    (size,) = struct.unpack(">H", await reader.readexactly(2))
+    await reader.readexactly(size)
+    request = b"GET /x HTTP/1.1\r\nRequest-Id: r1\r\n\r\n"
+    writer.write(request)
+    await _happen_in_pause(context, event)
+    expected = _encode_head(context.server.framing) + BODY
+    async with asyncio.timeout(LIMIT_S):
+        whole = await _read_answer_with_length(reader) == expected
+        writer.write(request)
+        try:
+            again = await _read_answer_with_length(reader)
+        except (ConnectionResetError, asyncio.IncompleteReadError) as error:
+            again = type(error)
+    writer.close()
+    return "the whole answer" if whole else "another answer", again
+
+
+@when("an instance that reads no frames sends a request, and {event} in the pause")
+def step_event_without_frames(context, event):
+    context.seen, context.again = context.run(_request_without_frames(context, event))
+
+
+@then("its next request is answered, too")
+def step_next_answered(context):
+    assert context.again == _encode_head(context.server.framing) + BODY
+    assert context.server.requests == 2
+
+
+@then("its next request is reset and reaches no server")
+def step_next_reset(context):
+    assert context.again is ConnectionResetError, context.again
+    assert context.server.requests == 1
+
+
+@when("a request is sent over a relayed connection and the instance stops after its answer")
+def step_stop_when_idle(context):
+    async def run():
+        assert await _run_exchange(context) == "the whole answer"
+        assert context.connection.usable
+        _happen(context, "the instance stops")
+
+    context.run(run())
+
+
+@then("the asking instance has closed the connection within {seconds:g} s")
+def step_closed_within(context, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while context.relay_server.busy or not context.connection.ended:
+                await asyncio.sleep(0.005)
+
+    context.run(wait())
+
+
+@then("a request over it fails before it is sent, as this instance's own loss of a path")
+def step_fails_unsent(context):
+    request = ServerRequest(method=b"GET", target=b"/x", headers=(), body=b"")
+
+    async def send():
+        try:
+            await context.connection.exchange("s1", request, ID_HEADER)
+        except OwnLinkError:
+            return True
+        return False
+
+    assert context.run(send())
+    assert context.server.requests == 1
+
+
+@when("the instance stops while it connects to the server")
+def step_stop_while_connecting(context):
+    connect = context.relay_server._connect
+
+    async def connect_slowly(server):
+        end = await connect(server)
+        _happen(context, "the instance stops")
+        return end
+
+    with patch.object(
+        type(context.relay_server), "_connect", lambda _, server: connect_slowly(server)
+    ):
+        step_ask(context)
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -302,6 +302,7 @@
         emit(Event.SHUTDOWN_STARTED, busy=self._callers.busy)
         self._callers.disable_keep_alive()
         self._queues.declining = True
+        self._paths.relay_server.retire()
         self._dispatcher.begin_shutdown(times)
         while (now := self._timers.now()) < times.ends_at:
             await self._timers.sleep(min(SHUTDOWN_POLL_S, times.ends_at - now))
@@ -310,7 +311,6 @@
                 continue
             self._callers.close()
             self._callers.close_idle()
-            self._paths.relay_server.close_idle()
             relayed = self._paths.relay_server.busy
             if not self._callers.busy and not self._dispatcher.detached and not relayed:
                 break
--- a/src/hyssopwood/gateway/relay_frames.py
+++ b/src/hyssopwood/gateway/relay_frames.py
@@ -23,6 +23,9 @@
     BYTES = 0
     # The server has closed the connection in order. No frame follows.
     SERVER_CLOSED = 1
+    # The instance relays no further request on the connection. The asking instance closes it after
+    # the answer that is under way, as only that instance knows where an answer ends.
+    RETIRED = 2
 
 
 @frozen
--- a/src/hyssopwood/gateway/relay_output.py
+++ b/src/hyssopwood/gateway/relay_output.py
@@ -85,3 +85,15 @@
     if output.closes_when_sent and not output.transport.is_closing():
         set_reset_on_close(output.transport, False)
         output.transport.close()
+
+
+@singledispatch
+def announce_retirement(output: object) -> bool:
+    """Ask the other instance for no further request; return whether its build can be asked."""
+    return False
+
+
+@announce_retirement.register
+def _(output: FramedOutput) -> bool:
+    output.transport.write(Frame(FrameKind.RETIRED).encode())
+    return True
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -28,6 +28,7 @@
 from hyssopwood.gateway.relay_output import (
     FramedOutput,
     PlainOutput,
+    announce_retirement,
     close_sent,
     open_output,
     pass_bytes,
@@ -47,8 +48,6 @@
 REQUEST_TIMEOUT_S = 1.0
 # Time for the connection to the server. The asking instance waits a little longer.
 RELAY_CONNECT_TIMEOUT_S = 0.35
-# An answer counts as complete if no more of it arrives for this time.
-QUIET_S = 0.2
 # Limit on the time for which another instance's notice keeps this one away from a server.
 MAX_BACK_OFF_S = 60.0
 
@@ -141,8 +140,9 @@
         self._expiry: TimerHandle | None = None
         self._task: asyncio.Task[None] | None = None
         self._output: FramedOutput | PlainOutput | None = None
-        self._awaits_answer = True
-        self._answered_at = 0.0
+        # Whether bytes of an answer have come since the last ones of a request.
+        self._answered = False
+        self._refuses_requests = False
         # Incarnation of the server, once the connection is relayed.
         self.server: tuple[str, int] | None = None
 
@@ -150,11 +150,6 @@
         super().connection_made(transport)
         self._expiry = self._relays.start_expiry(self.reset)
 
-    @property
-    def awaits_answer(self) -> bool:
-        """Return whether the last bytes went to the server, or may have more bytes behind them."""
-        return self._awaits_answer or self._relays.now() - self._answered_at < QUIET_S
-
     def accept(self, framed: bool) -> None:
         """Send the reply that the connection is relayed; the server's bytes follow."""
         if self.transport is None or not self.writable:
@@ -163,7 +158,7 @@
         self._output = open_output(self.transport, framed)
 
     def pass_on(self, data: bytes) -> None:
-        self._awaits_answer, self._answered_at = False, self._relays.now()
+        self._answered = True
         if self.writable:
             pass_bytes(self._output, data)
 
@@ -172,14 +167,22 @@
         if self.writable:
             pass_close(self._output)
 
+    def announce_retirement(self) -> bool:
+        """Ask for no further request, and for the connection's close; return whether that works."""
+        return self.writable and announce_retirement(self._output)
+
+    def refuse_requests(self) -> None:
+        """Pass on the answer that is under way, and no further request."""
+        # If the other instance is told, only a request that crosses the message may follow.
+        self._refuses_requests = not self.announce_retirement()
+
     def resume_writing(self) -> None:
         super().resume_writing()
         close_sent(self._output)
 
     def received(self, data: bytes) -> None:
         if self._frame is None:
-            self._awaits_answer = True
-            super().received(data)
+            self._receive_request(data)
             return
         try:
             message = self._frame.feed(data)
@@ -209,6 +212,14 @@
         else:
             other.reset()
 
+    def _receive_request(self, data: bytes) -> None:
+        if self._refuses_requests and self._answered:
+            # These are the first bytes of another request.
+            self.reset()
+            return
+        self._answered = False
+        super().received(data)
+
     def refuse(self, reply: RelayReply) -> None:
         """Send a reply that ends the connection."""
         if self.transport is not None and self.writable:
@@ -250,34 +261,26 @@
 
     @property
     def busy(self) -> int:
-        """Return the number of relayed connections on which an answer may be under way."""
-        return sum(end.awaits_answer for end in self._ends)
+        """Return the number of connections that the asking instances have not closed."""
+        return len(self._ends)
 
-    def close_idle(self) -> None:
-        """Close the relayed connections without a request, so that they carry no further one."""
+    def retire(self) -> None:
+        """Let the requests that are relayed end, and ask for no further ones."""
+        self._metrics.count("relayed_connections_retired", "stopping", len(self._ends))
         for end in list(self._ends):
-            if not end.awaits_answer and end.transport is not None:
-                self._count_end("idle")
-                end.transport.close()
+            end.announce_retirement()
 
-    def close_idle_to(self, incarnation: tuple[str, int]) -> None:
-        """Close the relayed connections to a server that asked this instance to back off."""
+    def refuse_requests_to(self, incarnation: tuple[str, int]) -> None:
+        """Relay no further requests to a server that asked this instance to back off."""
         for end in list(self._ends):
-            if end.server == incarnation and not end.awaits_answer and end.transport is not None:
-                self._count_end("idle")
-                end.transport.close()
-
-    def _count_end(self, ended_by: str) -> None:
-        self._metrics.count("relayed_connections_ended", ended_by)
+            if end.server == incarnation:
+                self._metrics.count("relayed_connections_retired", "back-off")
+                end.refuse_requests()
 
     def _apply_back_off(self, request: RelayRequest) -> None:
         incarnation = request.server, request.born_ms
         self._health.record_back_off(incarnation, min(MAX_BACK_OFF_S, request.back_off_s))
-        self.close_idle_to(incarnation)
-
-    def now(self) -> float:
-        """Return the time on the timers' clock."""
-        return self._timers.now()
+        self.refuse_requests_to(incarnation)
 
     def start_expiry(self, expire: Callable[[], None]) -> TimerHandle:
         """Limit the time for a request."""
@@ -303,18 +306,25 @@
             except NotSentError:
                 reply = RelayReply(RelayResult.UNREACHABLE)
             else:
-                reply = self._join(end, server_end, request.framed)
-                end.server = server.incarnation
+                reply = self._join(end, server_end, request)
         reply = reply or RelayReply(RelayResult.UNKNOWN_SERVER)
         self._metrics.count("relayed_connections", reply.result.value)
         if reply.result is not RelayResult.CONNECTED:
             end.refuse(reply)
 
-    def _join(self, end: _AskingEnd, server_end: _ServerEnd, framed: bool) -> RelayReply:
-        """Begin to relay unless the server has closed the connection already."""
+    def _join(self, end: _AskingEnd, server_end: _ServerEnd, request: RelayRequest) -> RelayReply:
+        """Begin to relay, unless the connection isn't wanted any more or the server has closed it.
+
+        The process may have begun to stop, or the server to leave, since the request.
+        """
+        refusal = self._find_refusal(request)
+        if refusal is not None:
+            server_end.reset()
+            return refusal
         if not server_end.writable:
             return RelayReply(RelayResult.UNREACHABLE)
-        end.accept(framed)
+        end.server = request.server, request.born_ms
+        end.accept(request.framed)
         server_end.join(end)
         return RelayReply(RelayResult.CONNECTED)
 
--- a/src/hyssopwood/gateway/server_paths.py
+++ b/src/hyssopwood/gateway/server_paths.py
@@ -103,7 +103,7 @@
 
         The server doesn't tell a relaying instance's requests from those that it relays.
         """
-        self._relay_server.close_idle_to(server.incarnation)
+        self._relay_server.refuse_requests_to(server.incarnation)
         self._relays.report_back_off(server, seconds)
 
     async def is_relayed(self) -> bool:
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -11,7 +11,13 @@
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.events import Event, emit
-from hyssopwood.gateway.exchange import NoPathError, NotSentError
+from hyssopwood.gateway.exchange import (
+    NoPathError,
+    NotSentError,
+    OwnLinkError,
+    ServerAnswer,
+    ServerRequest,
+)
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
 from hyssopwood.gateway.relay_codec import (
     RelayFrame,
@@ -20,7 +26,7 @@
     RelayResult,
     decode_reply,
 )
-from hyssopwood.gateway.relay_frames import FrameKind, FrameReader
+from hyssopwood.gateway.relay_frames import Frame, FrameKind, FrameReader
 from hyssopwood.gateway.server_connection import ServerConnection
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
@@ -58,6 +64,14 @@
     def usable(self) -> bool:
         return super().usable and asyncio.get_running_loop().time() < self._retired_at
 
+    async def exchange(
+        self, host: str, request: ServerRequest, id_header: bytes | None
+    ) -> ServerAnswer:
+        """Send a request; raise OwnLinkError if the relaying instance has ended the connection."""
+        if not self.usable:
+            raise OwnLinkError("the relaying instance has ended the connection")
+        return await super().exchange(host, request, id_header)
+
     async def request(self, request: RelayRequest) -> RelayReply:
         """Return the other instance's reply; raise OSError or ProtocolError if there is none."""
         if self._transport is not None:
@@ -100,14 +114,25 @@
             return
         try:
             for frame in self._frames.feed(data):
-                if frame.kind is FrameKind.SERVER_CLOSED:
-                    super().eof_received()
-                else:
-                    super().received(frame.data)
+                self._apply(frame)
         except ProtocolError as error:
             emit(Event.PEER_REJECTED, error=error)
             self._lose_relay("malformed", str(error))
 
+    def _apply(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.BYTES:
+            super().received(frame.data)
+        elif frame.kind is FrameKind.SERVER_CLOSED:
+            super().eof_received()
+        else:
+            self._retire()
+
+    def _retire(self) -> None:
+        """Send no further request; the pool closes the connection after the answer under way."""
+        self._retired_at = float("-inf")
+        if not self.awaits_answer:
+            self.close()
+
     def _lose_relay(self, end: str, cause: str) -> None:
         """End the connection, and the exchange under way, without the server's answer."""
         self._end_reply(ConnectionResetError(cause))
