Fix: interim answers without end no longer fill the memory of a process

Cause: aiohttp bounds heads and trailers, and its users bound the bodies that they read, but it queues interim answers, and answers to no request, without a limit. The connections to servers in the gateway have a parser of their own with limits for both. The store's client, the log's client, sessions with servers and requests of the entry daemon go through aiohttp.

Change: one connector for all users of aiohttp parses in slices of 16 KiB and aborts a connection at the ninth interim answer, or at a second answer to one request. In the gateway, the bodies of answers to other requests, which are discarded, are bounded to 8 MiB; before, only the deadline ended them.

Not tried: pouring servers against the whole gateway program.

--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -21,7 +21,7 @@
 )
 MIB = 1_048_576
 # Exceeds every limit of the readers.
-MAX_FED_BYTES = 4 * MIB
+MAX_FED_BYTES = 16 * MIB
 ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
@@ -38,6 +38,7 @@
     "trailer lines": (ANSWER + CHUNKED + b"0\r\n", b"X: y\r\n"),
     "trailer value": (ANSWER + CHUNKED + b"0\r\nX: ", b"y"),
     "other answers": (b"", b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 1\r\n\r\nx"),
+    "another body": (b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", b"y"),
 }
 REQUESTS = {
     "target": (b"GET /", b"y"),
@@ -98,7 +99,7 @@
 
 @given("an answer of {form} without end")
 def step_answer(context, form):
-    if form == "other answers":
+    if form in ("other answers", "another body"):
         context.feed = _connection_feed()
     else:
         context.feed = AnswerReader(_Answers()).feed
--- a/src/hyssopwood/backend.py
+++ b/src/hyssopwood/backend.py
@@ -12,6 +12,7 @@
 from aiohttp import hdrs
 from multidict import CIMultiDict
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.connection_pool import (
     Attempt,
     BackendServer,
@@ -349,7 +350,7 @@
         timeout = aiohttp.ClientTimeout(total=self._timing.server_timeout_ms / 1000)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(connector=BoundedConnector(), timeout=timeout) as session,
                 session.get(f"http://{server.address}/hyssopwood/load") as response,
             ):
                 report = json.loads(await response.content.read(MAX_LOAD_BYTES))
@@ -362,7 +363,7 @@
         url = f"http://{request.server.address}/hyssopwood/cancel"
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout) as session,
+                aiohttp.ClientSession(connector=BoundedConnector(), timeout=timeout) as session,
                 session.post(url, json={"request_id": request.request_id}),
             ):
                 return
--- a/src/hyssopwood/cli.py
+++ b/src/hyssopwood/cli.py
@@ -16,6 +16,7 @@
 import aiohttp
 from attrs import define
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.errors import (
     HyssopwoodError,
     InputError,
@@ -522,7 +523,7 @@
     timeout = aiohttp.ClientTimeout(total=timeout_s)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(connector=BoundedConnector(), timeout=timeout) as session,
             session.get(f"{url}/hyssopwood/status", allow_redirects=False) as response,
         ):
             content = await response.content.read(MAX_STATUS_BYTES + 1)
--- a/src/hyssopwood/connection_pool.py
+++ b/src/hyssopwood/connection_pool.py
@@ -6,13 +6,14 @@
 from collections.abc import Callable, Mapping
 from enum import Enum, auto
 
-from aiohttp import ClientRequest, ClientResponse, ClientTimeout, TCPConnector, hdrs
+from aiohttp import ClientRequest, ClientResponse, ClientTimeout, hdrs
 from aiohttp.connector import Connection
 from aiohttp.helpers import TimerNoop
 from attrs import define, frozen
 from multidict import CIMultiDict
 from yarl import URL
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.errors import HyssopwoodError
 from hyssopwood.outcomes import Reason
 from hyssopwood.timers import Timers
@@ -157,7 +158,7 @@
         self._base = f"http://{server.address}"
         self._retired = False
         self._timer = TimerNoop()
-        self._connector = TCPConnector(
+        self._connector = BoundedConnector(
             limit=server.connections, keepalive_timeout=KEEPALIVE_S, use_dns_cache=False
         )
 
--- a/src/hyssopwood/control_channel.py
+++ b/src/hyssopwood/control_channel.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.errors import BackendServerUnavailableError, ProtocolError
 from hyssopwood.timers import Timers
 from hyssopwood.waiting import WaitTimeoutError, within
@@ -111,7 +112,7 @@
             return answer.status, _parse(data)
 
     def _open(self) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=KEEPALIVE_S)
+        connector = BoundedConnector(limit=1, keepalive_timeout=KEEPALIVE_S)
         return aiohttp.ClientSession(
             connector=connector,
             trace_configs=[_trace(self._require)],
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -36,6 +36,8 @@
 STREAM_THRESHOLD_BYTES = 65_536
 # Late answers to other requests that are discarded before an exchange counts as broken.
 MAX_MISMATCHED_ANSWERS = 4
+# Bytes of their bodies.
+MAX_DISCARDED_BYTES = 8_388_608
 # Failed requests after which a connection is not reused; it keeps their ids.
 MAX_FAILED_REQUESTS = 64
 
@@ -62,6 +64,7 @@
         self._id_header: bytes | None = None
         self._usable = True
         self._mismatched_answers = 0
+        self._discarded_bytes = 0
         # Ids of the requests whose answers reported a failure.
         self._failed_ids: set[bytes] = set()
         self._idle_limit_s = DEFAULT_IDLE_TIMEOUT_S
@@ -197,7 +200,12 @@
     def answer_body(self, data: bytes) -> None:
         """Handle a piece of the body."""
         start = self._start
-        if start is None or self._is_mismatched(start):
+        if start is None:
+            return
+        if self._is_mismatched(start):
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                raise ExchangeBrokenError("too large answers to other requests")
             return
         if self._stream is not None:
             self._stream.put(data)
--- a/src/hyssopwood/log_client.py
+++ b/src/hyssopwood/log_client.py
@@ -10,6 +10,7 @@
 import aiohttp
 from attrs import frozen
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.errors import (
     LogProtocolError,
     LogResponseTooLargeError,
@@ -142,6 +143,7 @@
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
+                connector=BoundedConnector(),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
                 # A compressed response would evade the bound on its size.
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -9,6 +9,7 @@
 import aiohttp
 from attrs import frozen
 
+from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.documents import parse_document, shorten
 from hyssopwood.errors import (
     AppendConflictError,
@@ -242,7 +243,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, keepalive_timeout=20)
+            connector = BoundedConnector(limit=MAX_CONNECTIONS, keepalive_timeout=20)
             self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
         return self._session
 
