Fix: silent connections to the store are given up together

What callers would see: after the open connections to the store have gone silent for good, an old configuration stays in force for up to 4.4 s, 1.4 s longer than the 3 s after which an instance counts as in touch again (CONFIG).

Cause: the client keeps a pool of connections, and a call that had no answer until its timeout only ended its own. The next call took another silent connection from the pool, and waited again: up to 1.5 s each, with new connections working all the while.

Change: after a call without an answer, calls use new connections; the others end with the calls that are under way. A connection that was idle for 1 s isn't used again, so that an instance which reads only what its leader announces doesn't begin with a silent one.

The stand-in of the store can silence a share of its open connections.

--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -4,10 +4,12 @@
 
 import base64
 import struct
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
-from attrs import frozen
+from attrs import define, frozen
 
 from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.documents import parse_document, shorten
@@ -29,6 +31,9 @@
 # of a configuration's poll (0.9 s), this, a pause and a read fit into the time in which a
 # configuration must be in force (2 s at the least); a slowed down store answers in 0.24 s.
 POLL_SLACK_S = 0.6
+# A connection that was idle for longer isn't used again: it may have gone silent meanwhile, and the
+# call would wait until its timeout. Polls follow each other faster.
+IDLE_TIMEOUT_S = 1.0
 # Requested maximum size of a read; the store uses the same where a request states none.
 MAX_READ_KB = 1024
 # Concurrent calls: long poll, registrations, plan and the leader's writes, and as many again that
@@ -122,13 +127,51 @@
     return ReadPage(tuple(records), offset, era)
 
 
+@define(eq=False)
+class _Connections:
+    """Connections that are closed after the last call over them, once they are retired."""
+
+    _session: aiohttp.ClientSession
+    _calls: int = 0
+    _retired: bool = False
+
+    @classmethod
+    def open(cls) -> _Connections:
+        """Return an empty pool of connections."""
+        connector = BoundedConnector(limit=MAX_CONNECTIONS, keepalive_timeout=IDLE_TIMEOUT_S)
+        return cls(aiohttp.ClientSession(connector=connector, auto_decompress=False))
+
+    @asynccontextmanager
+    async def lend(self) -> AsyncIterator[aiohttp.ClientSession]:
+        """Lend the session for one call."""
+        self._calls += 1
+        try:
+            yield self._session
+        finally:
+            self._calls -= 1
+            await self._close_if_unused()
+
+    async def retire(self) -> None:
+        """Close the idle connections, and the others after their calls."""
+        self._retired = True
+        await self._close_if_unused()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    async def _close_if_unused(self) -> None:
+        if self._retired and not self._calls:
+            await self._session.close()
+
+
 class StoreClient:
     """Call the platform's store; every call ends within its timeout."""
 
     def __init__(self, address: str, metrics: Metrics) -> None:
         self._base = f"http://{address}"
         self._metrics = metrics
-        self._session: aiohttp.ClientSession | None = None
+        self._connections: _Connections | None = None
         self._era = 0
 
     @property
@@ -138,8 +181,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        if self._connections is not None:
+            await self._connections.close()
 
     async def append(self, topic: str, records: tuple[KeyedRecord, ...], at: int) -> Appended:
         """Append records if the partition ends at `at`; return its new end and the era.
@@ -215,16 +258,36 @@
     ) -> _Answer:
         self._metrics.count("store_calls", path.rsplit("/", 1)[-1])
         timeout = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
-        session = self._get_session()
+        if self._connections is None:
+            self._connections = _Connections.open()
+        connections = self._connections
+        answered = False
         try:
-            async with session.request(
-                method, self._base + path, params=params, data=body or None, timeout=timeout
-            ) as answer:
+            async with (
+                connections.lend() as session,
+                session.request(
+                    method, self._base + path, params=params, data=body or None, timeout=timeout
+                ) as answer,
+            ):
                 era = self._accept_era(answer.headers.getall(STORE_ERA, []))
-                return _Answer(answer.status, await _read_bounded(answer, path), era)
+                data = await _read_bounded(answer, path)
+                answered = True
+                return _Answer(answer.status, data, era)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._metrics.count("store_failures", type(error).__name__)
             raise LogUnavailableError(f"{path}: {type(error).__name__}: {error}") from error
+        finally:
+            if not answered:
+                await self._distrust(connections)
+
+    async def _distrust(self, connections: _Connections) -> None:
+        """Open new connections from now on, after a call over these has had no answer.
+
+        Whatever silenced one of them may have silenced them all.
+        """
+        if self._connections is connections:
+            self._connections = None
+            await connections.retire()
 
     def _accept_era(self, values: list[str]) -> int:
         """Return an answer's era; raise LogUnavailableError if it is earlier than a known one."""
@@ -241,12 +304,6 @@
         self._era = era
         return era
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = BoundedConnector(limit=MAX_CONNECTIONS, keepalive_timeout=20)
-            self._session = aiohttp.ClientSession(connector=connector, auto_decompress=False)
-        return self._session
-
 
 async def _read_bounded(answer: aiohttp.ClientResponse, path: str) -> bytes:
     """Return a body; raise LogUnavailableError if it exceeds the maximum size of an answer."""
--- a/src/hyssopwood_standins/keyed_store.py
+++ b/src/hyssopwood_standins/keyed_store.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import base64
+import random
 import struct
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from attrs import define, evolve, field
@@ -71,6 +73,8 @@
         # Incremented each time the store is restored from a snapshot; 0 is not sent.
         self.era = 0
         self._topics: dict[str, _Partition] = {}
+        self._open: set[asyncio.BaseTransport] = set()
+        self._silent: set[asyncio.BaseTransport] = set()
         self._runner: web.AppRunner | None = None
         self.address = ""
 
@@ -97,14 +101,38 @@
         for partition in replaced.values():
             partition.changed.set()
 
-    async def _add_era_header(self, request: web.Request, response: web.StreamResponse) -> None:
+    def silence_connections(self, share: float, rng: random.Random) -> int:
+        """Read and write nothing more on a share of the open connections; return their number."""
+        self._open = {item for item in self._open if not item.is_closing()}
+        silent = [item for item in self._open - self._silent if rng.random() < share]
+        self._silent.update(silent)
+        return len(silent)
+
+    @web.middleware
+    async def _track_connection(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Remember the connection; on a silent one, neither run nor answer the request."""
+        assert request.transport is not None
+        self._open.add(request.transport)
+        await self._wait_if_silent(request)
+        return await handler(request)
+
+    async def _wait_if_silent(self, request: web.Request) -> None:
+        if request.transport in self._silent:
+            await asyncio.Event().wait()
+
+    async def _prepare(self, request: web.Request, response: web.StreamResponse) -> None:
+        await self._wait_if_silent(request)
         for value in self.faults.era_headers or ([str(self.era)] if self.era else []):
             response.headers.add("Store-Era", value)
 
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
-        app = web.Application()
-        app.on_response_prepare.append(self._add_era_header)
+        app = web.Application(middlewares=[self._track_connection])
+        app.on_response_prepare.append(self._prepare)
         app.router.add_post("/hyssopwood/log-append", self._append)
         app.router.add_get("/hyssopwood/log-read", self._read)
         app.router.add_get("/hyssopwood/log-newest", self._newest)
