Fix: a read cut off between two records no longer vouches for a configuration

A read of the store without a length that ends early, at the end of a record, looks like a whole one. Its records were read again from the right offset, but the configuration before counted as the newest, and a leader told its followers so.

Change: an answer to a read states the partition's end. Only a read that reaches it shows that there is no later configuration.

Before: the new scenario fails with an age of 0.0003 s where 1 s or more is right. After: it passes, with the rest of gateway_configuration_age, gateway_feeds and gateway_relays. Two rows are added there for a relaying process that is paused and then killed; they pass without this change.

--- a/features/gateway_configuration_age.feature
+++ b/features/gateway_configuration_age.feature
@@ -17,6 +17,14 @@
     And configuration 9 without the route is published while requests go to the other instances
     Then every request sent there 2 s after the publication or later is answered 404
 
+  Scenario: A read that is cut off between two records doesn't vouch for a configuration
+    Guards against an answer without a length that ends early, at the end of a record, and is taken
+    for all that the store has: the configuration before would count as the newest.
+    Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1"
+    When answers to reads end before their first record for 2 s from the publication of configuration 9
+    Then the instance's knowledge of the newest configuration is 1 s old or more at the end
+    And the instance answers 404 within 1 s
+
   Scenario: A single unanswered read doesn't make a configuration late
     Guards against a long poll that is waited for until it is too late for the next read.
     Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1"
--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -150,6 +150,8 @@
       | without a length       | 200000 | is killed | a broken answer  |
       | in chunks              | 8000   | is killed | a broken answer  |
       | with a length          | 8000   | is killed | a broken answer  |
+      | without a length       | 8000   | is paused, and killed after it, | a broken answer |
+      | without a length       | 200000 | is paused, and killed after it, | a broken answer |
       | without a length       | 0      | lives on  | the whole answer |
       | without a length       | 8000   | lives on  | the whole answer |
       | without a length       | 200000 | lives on  | the whole answer |
--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -66,6 +66,10 @@
     def __init__(self, cursor):
         self._cursor = cursor
 
+    @property
+    def at_end(self):
+        return self._cursor.at_end
+
     async def next(self, wait_s):
         records, complete = await self._cursor.next(wait_s)
         return tuple(evolve(record, value=b"{") for record in records), complete
@@ -228,3 +232,38 @@
 @then("the follower takes the leader's confirmation by the store to be at least {low:g} s old")
 def step_store_age(context, low):
     assert context.heard[-1].store_age_s >= low - 0.001, context.heard[-1]
+
+
+@when(
+    "answers to reads end before their first record for {seconds:g} s from the publication of"
+    " configuration {version:d}"
+)
+def step_cut_reads(context, seconds, version):
+    deployment = context.deployment
+    (context.only,) = deployment.instances.values()
+
+    async def play():
+        deployment.store.faults.without_records = True
+        deployment.publish(version, with_route=False)
+        await asyncio.sleep(seconds)
+        context.age_s = context.only.daemon._configuration.age.own_age_s()
+        deployment.store.faults.without_records = False
+
+    context.run(play())
+
+
+@then(
+    "the instance's knowledge of the newest configuration is {seconds:g} s old or more at the end"
+)
+def step_old(context, seconds):
+    assert context.age_s is None or context.age_s >= seconds, context.age_s
+
+
+@then("the instance answers {status:d} within {seconds:g} s")
+def step_answers(context, status, seconds):
+    async def wait():
+        async with asyncio.timeout(seconds):
+            while await context.deployment.send(context.only, 1) != status:
+                await asyncio.sleep(INTERVAL_S)
+
+    context.run(wait())
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -61,6 +61,7 @@
 
 class _Configurations:
     newest_rejected = False
+    at_end = True
 
     def __init__(self):
         self.stored = [_table(5)]
--- a/features/steps/gateway_outage_steps.py
+++ b/features/steps/gateway_outage_steps.py
@@ -47,6 +47,7 @@
 
 class _Configurations:
     newest_rejected = False
+    at_end = True
 
     def __init__(self, store):
         self.store = store
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -4,6 +4,7 @@
 import os
 import random
 import re
+import signal
 import struct
 import subprocess
 import sys
@@ -464,7 +465,10 @@
     async with asyncio.timeout(FIRST_PART_LIMIT_S):
         await context.server.pauses.wait()
     await asyncio.sleep(PAUSE_S / 4)
-    if ending == "is killed":
+    if ending.startswith("is paused"):
+        context.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(2 * PAUSE_S)
+    if "killed" in ending:
         context.process.kill()
 
 
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -80,6 +80,11 @@
         """Return whether the newest configuration that was read can't be decoded."""
         ...
 
+    @property
+    def at_end(self) -> bool:
+        """Return whether the last read reached the newest configuration."""
+        ...
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         ...
@@ -184,8 +189,11 @@
         known_at = started_at if tables else min(self._timers.now(), started_at + wait_s)
         if self._feed.newest_rejected:
             self._age.record_rejected()
-        else:
+        elif self._feed.at_end:
             self._age.record_read(known_at)
+        elif not tables:
+            # Such a read ends at once, unlike one that waits for a record.
+            await self._timers.sleep(RETRY_INTERVAL_S)
         self._read_at = self._timers.now()
         announced = self._leader.configuration_version()
         for table in tables:
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -25,6 +25,12 @@
     _offset: int | None = field(default=None, init=False)
     # Era of the store to which the offset belongs; None before the first read.
     _era: int | None = field(default=None, init=False)
+    _at_end: bool = field(default=False, init=False)
+
+    @property
+    def at_end(self) -> bool:
+        """Return whether the last read reached the end of the topic."""
+        return self._at_end
 
     @property
     def era(self) -> int | None:
@@ -40,6 +46,7 @@
         if self._offset is None or self._client.era != self._era:
             newest = await self._client.newest(self._topic)
             self._offset, self._era = newest.end_offset, newest.era
+            self._at_end = True
             return newest.records, True
         try:
             page = await self._client.read(self._topic, self._offset, wait_s)
@@ -49,7 +56,7 @@
         if page.era != self._era:
             # The offset belongs to an earlier era, so records may have been skipped.
             return await self.next(wait_s)
-        self._offset = page.next_offset
+        self._offset, self._at_end = page.next_offset, page.reaches_end
         return page.records, False
 
 
@@ -65,6 +72,11 @@
         """Return whether the newest configuration that was read can't be decoded."""
         return self._newest_rejected
 
+    @property
+    def at_end(self) -> bool:
+        """Return whether the last read reached the newest configuration."""
+        return self._cursor.at_end
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         records, _ = await self._cursor.next(wait_s)
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -65,6 +65,16 @@
     next_offset: int
     # Era of the store at the read; offsets of different eras can't be compared.
     era: int = 0
+    # The partition's end at the read.
+    end_offset: int = 0
+
+    @property
+    def reaches_end(self) -> bool:
+        """Return whether the partition had no record behind these.
+
+        An answer may be cut off between two records, or hold only a part of what is stored.
+        """
+        return self.next_offset >= self.end_offset
 
 
 @frozen
@@ -109,6 +119,7 @@
     """Return the records of a read that began at `start`; raise LogProtocolError if malformed."""
     if len(data) < _BOUNDS.size:
         raise LogProtocolError(f"a read returned {len(data)} bytes")
+    end_offset, _ = _BOUNDS.unpack_from(data)
     position = _BOUNDS.size
     offset = start
     records: list[KeyedRecord] = []
@@ -124,7 +135,7 @@
             records.append(record)
         position += length
         offset += 1
-    return ReadPage(tuple(records), offset, era)
+    return ReadPage(tuple(records), offset, era, end_offset)
 
 
 @define(eq=False)
--- a/src/hyssopwood_standins/keyed_store.py
+++ b/src/hyssopwood_standins/keyed_store.py
@@ -57,6 +57,8 @@
     lose_answers: int = 0
     # Bytes cut off the end of each answer to a read.
     cut_bytes: int = 0
+    # Whether answers to reads end before their first record, as if they were whole.
+    without_records: bool = False
     # Whether the body of an answer to a read never ends.
     endless: bool = False
     page_items: int = PAGE_ITEMS
@@ -186,6 +188,8 @@
                 return web.json_response({"first_offset": 0}, status=410)
         body = struct.pack(">QQ", partition.end, partition.first)
         for content in partition.records[start - partition.first :]:
+            if self.faults.without_records:
+                break
             body += struct.pack(">I", len(content)) + content
         return web.Response(body=body[: len(body) - self.faults.cut_bytes])
 
