Log a lost relay only if it was lost, and share the tables of endless answers

Found in the read-through: E517 also blamed the relaying instance when this one ended a streamed answer itself, at its deadline or after its caller had left. An end without an error is this instance's own. 1 of 2 rows of the new scenario fails without the change, and both pass with it.

The tests of endless answers took their forms from two tables, and two stand-ins had the same listener; each is there once now. 103 scenarios of gateway_relays and gateway_limits pass.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -27,7 +27,7 @@
       | trailer value   | 7     | 64    |
       | trailer value   | 65536 | 128   |
       | other answers   | 100   | 64    |
-      | another body    | 65536 | 8320  |
+      | body of another answer | 65536 | 8320 |
 
   Scenario Outline: An endless request is refused early
     Guards against a caller that exhausts an instance's memory or blocks its event loop.
--- a/features/gateway_relays.feature
+++ b/features/gateway_relays.feature
@@ -158,6 +158,23 @@
       | in chunks              | 8000   | lives on  | the whole answer |
       | with a length          | 8000   | lives on  | the whole answer |
 
+  Scenario: The log names the request of a relay that is lost within an exchange
+    Guards against failed requests whose logs don't tell that another instance has ended.
+    Given a process that relays to a server which answers without a length and pauses after 8000 bytes
+    When the process is killed in the pause of an answer, and the log is read
+    Then the log has "id=r1 relay=i2 end=close" for it
+
+  Scenario Outline: An exchange that this instance gives up is no lost relay
+    Guards against a log that blames another instance for this one's deadline or for a caller who left.
+    Given a process that relays to a server which answers without a length and pauses after <first> bytes
+    When a request is sent over a relayed connection which this instance <gives up> in the pause
+    Then the log has no lost relay
+
+    Examples:
+      | first  | gives up              |
+      | 8000   | cancels               |
+      | 200000 | lets expire           |
+
   Scenario Outline: An instance that reads no frames gets an orderly close from the server only
     Guards against an instance of an earlier build that takes the end of the relaying process for the
     server's, while builds run side by side.
--- a/features/steps/gateway_limit_steps.py
+++ b/features/steps/gateway_limit_steps.py
@@ -15,6 +15,7 @@
 from hyssopwood.gateway.request_reader import RequestReader, RequestRefusedError
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.gateway.server_connection import ServerConnection
+from support.pouring_server import ANSWER, CHUNKED, FORMS
 
 LIMITS = CallerLimits(
     header_bytes=8_192, body_bytes=65_536, header_timeout_s=3.0, idle_timeout_s=15.0
@@ -22,24 +23,8 @@
 MIB = 1_048_576
 # Exceeds every limit of the readers.
 MAX_FED_BYTES = 16 * MIB
-ANSWER = b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 REQUEST = b"POST /x HTTP/1.1\r\nHost: a\r\n"
-# Start of each kind of answer or request, and the bytes that are repeated after it.
-ANSWERS = {
-    "header lines": (ANSWER, b"X: y\r\n"),
-    "header value": (ANSWER + b"X: ", b"y"),
-    "header name": (ANSWER, b"y"),
-    "status reason": (b"HTTP/1.1 200 ", b"y"),
-    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"),
-    "empty lines": (b"", b"\r\n"),
-    "chunk extension": (ANSWER + CHUNKED + b"2;", b"y"),
-    "chunk size": (ANSWER + CHUNKED, b"0"),
-    "trailer lines": (ANSWER + CHUNKED + b"0\r\n", b"X: y\r\n"),
-    "trailer value": (ANSWER + CHUNKED + b"0\r\nX: ", b"y"),
-    "other answers": (b"", b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nContent-Length: 1\r\n\r\nx"),
-    "another body": (b"HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n", b"y"),
-}
+# Start of each kind of request, and the bytes that are repeated after it.
 REQUESTS = {
     "target": (b"GET /", b"y"),
     "header lines": (REQUEST, b"X: y\r\n"),
@@ -99,11 +84,11 @@
 
 @given("an answer of {form} without end")
 def step_answer(context, form):
-    if form in ("other answers", "another body"):
+    if form in ("other answers", "body of another answer"):
         context.feed = _connection_feed()
     else:
         context.feed = AnswerReader(_Answers()).feed
-    context.form = ANSWERS[form]
+    context.form = FORMS[form]
 
 
 def _connection_feed():
--- a/features/steps/gateway_relay_steps.py
+++ b/features/steps/gateway_relay_steps.py
@@ -12,6 +12,7 @@
 from unittest.mock import patch
 
 from behave import given, then, when
+from loguru import logger
 
 from hyssopwood.gateway.exchange import (
     ExchangeBrokenError,
@@ -39,13 +40,11 @@
 LIMIT_S = 5.0
 
 
-class _Server:
-    """A server that answers each request in one way."""
+class _Listener:
+    """A server that counts its requests."""
 
-    def __init__(self, does):
-        self.does = does
+    def __init__(self):
         self.requests = 0
-        self.ended = asyncio.Event()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -55,6 +54,15 @@
     def close(self):
         self._server.close()
 
+
+class _Server(_Listener):
+    """A server that answers each request in one way."""
+
+    def __init__(self, does):
+        super().__init__()
+        self.does = does
+        self.ended = asyncio.Event()
+
     async def _serve(self, reader, writer):
         try:
             if self.does == "speaks before the request":
@@ -397,21 +405,13 @@
     return b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + headers[framing] + b"\r\n"
 
 
-class _PausingServer:
+class _PausingServer(_Listener):
     """A server that pauses within the body of each answer."""
 
     def __init__(self, framing, first):
+        super().__init__()
         self.framing, self.first = framing, first
         self.pauses = asyncio.Event()
-        self.requests = 0
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
-
-    def close(self):
-        self._server.close()
 
     async def _serve(self, reader, writer):
         try:
@@ -721,3 +721,56 @@
         type(context.relay_server), "_connect", lambda _, server: connect_slowly(server)
     ):
         step_ask(context)
+
+
+@when("a request is sent over a relayed connection which this instance {gives_up} in the pause")
+def step_give_up(context, gives_up):
+    async def read_stream():
+        connection = await context.relays.connect(context.record)
+        request = ServerRequest(method=b"GET", target=b"/x", headers=(), body=b"", request_id=b"r1")
+        answer = await connection.exchange("s1", request, ID_HEADER)
+        if answer.stream is not None:
+            answer.stream.expire()
+
+    async def run():
+        task = asyncio.ensure_future(read_stream())
+        await _end_in_pause(context, "lives on")
+        if gives_up == "cancels":
+            task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.1)
+
+    context.events = _run_and_collect(context, run())
+
+
+@when("the process is killed in the pause of an answer, and the log is read")
+def step_killed_logged(context):
+    async def run():
+        task = asyncio.ensure_future(_run_exchange(context))
+        await _end_in_pause(context, "is killed")
+        await task
+
+    context.events = _run_and_collect(context, run())
+
+
+def _run_and_collect(context, coroutine):
+    """Run a coroutine and return the fields of its events E517."""
+    events = []
+    sink = logger.add(lambda message: events.append(message.record["extra"]), level="INFO")
+    try:
+        context.run(coroutine)
+    finally:
+        logger.remove(sink)
+    return [item["fields"] for item in events if item.get("event") == 517]
+
+
+@then('the log has "{fields}" for it')
+def step_logged(context, fields):
+    (event,) = context.events
+    logged = " ".join(f"{name}={value}" for name, value in event.items())
+    assert logged == fields, logged
+
+
+@then("the log has no lost relay")
+def step_not_logged(context):
+    assert context.events == [], context.events
--- a/src/hyssopwood/gateway/relay_output.py
+++ b/src/hyssopwood/gateway/relay_output.py
@@ -20,7 +20,7 @@
 
 @define
 class PlainOutput:
-    """Pass bytes on as they are, for builds before 2026-12-06, which read no frames.
+    """Pass bytes on as they are, for builds up to 51457f8, which read no frames.
 
     They take an orderly close for the server's, so any other end must reset the connection, also if
     this process is killed.
--- a/src/hyssopwood/gateway/server_relays.py
+++ b/src/hyssopwood/gateway/server_relays.py
@@ -104,7 +104,11 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._lose_relay("reset", f"the relaying instance was lost: {exc or 'closed'}")
+        if exc is None:
+            # This instance has ended the connection itself.
+            self._end_reply(ConnectionResetError("the connection was closed"))
+        else:
+            self._lose_relay("reset", f"the relaying instance was lost: {exc}")
         super().connection_lost(exc)
 
     def _receive_relayed(self, data: bytes) -> None:
