Test the gateway's program beside a server that pours without end

With the gateway's program, two sound servers and one that pours each of eight forms, at least 95 in 100 requests are answered within 1 s and the memory stays below 100 MB.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -24,3 +24,22 @@
       | a read of the log      |
       | a session's command    |
       | a backend request      |
+
+  Scenario Outline: Callers are served while one of three servers pours <form>
+    Guards against one faulty server whose bytes keep an instance from serving the callers of the
+    sound ones, or end its process.
+    Given the gateway's program, two sound servers and one that pours <form> without end
+    When 25 requests a second that may repeat are sent to it for 4 s
+    Then at least 95 in 100 are answered 200 by a sound server within 1 s, and none by the other one
+    And the program still runs, and its memory has stayed below 100 MB
+
+    Examples:
+      | form                    |
+      | no answer at all        |
+      | header lines            |
+      | interim answers         |
+      | chunk extension         |
+      | body without a length   |
+      | body in chunks          |
+      | body of a failure       |
+      | body of another answer  |
