--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import subprocess
 import sys
 from pathlib import Path
 
@@ -21,27 +22,33 @@
 CONCURRENT = 4
 
 
-async def _start(script, *arguments):
+def _start(script, *arguments):
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(SUPPORT / script),
-        *arguments,
-        stdout=asyncio.subprocess.PIPE,
+    return subprocess.Popen(
+        [sys.executable, str(SUPPORT / script), *arguments],
+        stdout=subprocess.PIPE,
         env=environment,
     )
 
 
+def _end(process):
+    process.kill()
+    process.communicate()
+
+
+async def _read_port(server):
+    return int(await asyncio.to_thread(server.stdout.readline))
+
+
 async def _read_form(channel, form):
     """Return the growth of memory in KiB, the seconds, and the longest step in seconds."""
-    server = await _start("pouring_server.py", form)
+    server = _start("pouring_server.py", form)
     try:
-        port = int(await server.stdout.readline())
-        reading = await _start("reading_process.py", channel, f"127.0.0.1:{port}")
-        output, _ = await reading.communicate()
+        port = await _read_port(server)
+        reading = _start("reading_process.py", channel, f"127.0.0.1:{port}")
+        output, _ = await asyncio.to_thread(reading.communicate)
     finally:
-        server.kill()
-        await server.wait()
+        _end(server)
     assert reading.returncode == 0, (channel, form, reading.returncode)
     return tuple(float(value) for value in output.split())
 
@@ -113,8 +120,7 @@
 @given("the gateway's program, two sound servers and one that pours {form} without end")
 def step_program(context, form):
     async def start():
-        context.pouring = await _start("pouring_server.py", form)
-        port = int(await context.pouring.stdout.readline())
+        port = await _read_port(context.pouring)
         await context.store.start()
         context.store.put("keyed.op", "config", _configuration())
         servers = [KeyServer(name, SERVICE, sharded=False) for name in ("s1", "s2", "poured")]
@@ -124,18 +130,19 @@
         context.heartbeats = asyncio.ensure_future(_send_heartbeats(context.store, servers))
         context.sound = servers[:2]
         context.program = GatewayProcess("i1", context.store.address)
-        await context.program.start()
+        context.program.launch()
+        await context.program.wait_ready()
 
     async def stop():
-        await context.program.end()
+        context.program.end()
         context.heartbeats.cancel()
-        context.pouring.kill()
-        await context.pouring.wait()
+        _end(context.pouring)
         for server in context.sound:
             await server.stop()
         await context.store.stop()
 
     context.store = KeyedStore()
+    context.pouring = _start("pouring_server.py", form)
     context.add_cleanup(lambda: context.run(stop()))
     context.run(start())
 
--- a/features/support/gateway_process.py
+++ b/features/support/gateway_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -65,19 +66,21 @@
         )
         self._process = None
 
-    async def start(self):
-        """Start the process and wait until it is ready."""
+    def launch(self):
+        """Start the process."""
         environment = {
             **os.environ,
             "HYSSOPWOOD_BOOT": str(self._settings),
             "PYTHONPATH": str(SOURCE),
         }
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(SOURCE / "gateway_main.py"),
+        self._process = subprocess.Popen(
+            [sys.executable, str(SOURCE / "gateway_main.py")],
             env=environment,
-            stdout=asyncio.subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
         )
+
+    async def wait_ready(self):
+        """Wait until the process is ready."""
         async with asyncio.timeout(START_LIMIT_S), aiohttp.ClientSession() as session:
             while not await self._is_ready(session):
                 await asyncio.sleep(POLL_S)
@@ -92,7 +95,7 @@
     @property
     def running(self):
         """Return whether the process runs."""
-        return self._process is not None and self._process.returncode is None
+        return self._process is not None and self._process.poll() is None
 
     def peak_kib(self):
         """Return the peak of the process's memory in KiB."""
@@ -100,9 +103,9 @@
         (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
         return int(line.split()[1])
 
-    async def end(self):
+    def end(self):
         """Kill the process."""
         if self.running:
             self._process.kill()
-            await self._process.wait()
+            self._process.wait()
         self._folder.cleanup()
