Restore the time bound of endless answers, and list the rows that broke it

A trace of 116 processes explains stalls of 1.9 s, not the 5.4 s that were seen, so the cause is open.

--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -75,17 +75,18 @@
     assert not too_much, f"KiB: {too_much}"
 
 
-@then(
-    "it gives up within {limit_s:g} s, and no step of its event loop takes {step_s:g} s of"
-    " processor time"
-)
-def step_times(context, limit_s, step_s):
-    wrong = {
-        form: (seconds, longest_s)
-        for form, (_, seconds, longest_s) in context.measured.items()
-        if seconds > limit_s or longest_s > step_s
+@then("no step of its event loop takes {step_s:g} s of processor time")
+def step_loop(context, step_s):
+    longest = {form: step for form, (_, _, step) in context.measured.items() if step > step_s}
+    assert not longest, longest
+
+
+@then("it gives up within {limit_s:g} s")
+def step_times(context, limit_s):
+    late = {
+        form: seconds for form, (_, seconds, _) in context.measured.items() if seconds > limit_s
     }
-    assert not wrong, wrong
+    assert not late, late
 
 
 HOST = "shop.example"
