Log how calls to the store went, and how a configuration came

E216 for each call without a whole answer: call, topic, time to the first byte and from there to the last, bytes. E210 has the same of the read that brought the version, and how long ago the version can have been stored at most. Metrics: store_wait and store_transfer by call, store_bytes.

--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -70,6 +70,10 @@
     def at_end(self):
         return self._cursor.at_end
 
+    @property
+    def transfer(self):
+        return self._cursor.transfer
+
     async def next(self, wait_s):
         records, complete = await self._cursor.next(wait_s)
         return tuple(evolve(record, value=b"{") for record in records), complete
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -15,6 +15,7 @@
 from hyssopwood.keyspace.plan import KeyRange, Plan, PlanChange, divide_evenly
 from hyssopwood.keyspace.plan_codec import decode_plan, encode_plan
 from hyssopwood.timers import SystemTimers
+from hyssopwood.transfers import Transfer
 
 RECORD = ServerRecord(
     server="s1",
@@ -62,6 +63,7 @@
 class _Configurations:
     newest_rejected = False
     at_end = True
+    transfer = Transfer()
 
     def __init__(self):
         self.stored = [_table(5)]
--- a/features/steps/gateway_outage_steps.py
+++ b/features/steps/gateway_outage_steps.py
@@ -13,6 +13,7 @@
 from hyssopwood.gateway.server_directory import ServerDirectory
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
 from hyssopwood.keyspace.link_codec import Heartbeat
+from hyssopwood.transfers import Transfer
 from support.virtual_time import SimulatedProcess, VirtualLoop
 
 LIMITS = CallerLimits(header_bytes=1, body_bytes=1, header_timeout_s=1, idle_timeout_s=1)
@@ -48,6 +49,7 @@
 class _Configurations:
     newest_rejected = False
     at_end = True
+    transfer = Transfer()
 
     def __init__(self, store):
         self.store = store
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -83,6 +83,7 @@
     CONFIGURATION_LEFT_TO_LEADER = EventSpec(
         215, "INFO", "leader announces configurations in place of own reads"
     )
+    STORE_CALL_ENDED = EventSpec(216, "WARNING", "call to the store ended without a whole answer")
     PLAN_TAKEN = EventSpec(211, "INFO", "newer plan was adopted")
     SERVER_CHANGED = EventSpec(212, "INFO", "registration of a backend server changed")
     LEADERSHIP_HANDED_OVER = EventSpec(
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -11,12 +11,13 @@
 
 from hyssopwood.errors import LogError
 from hyssopwood.events import Event, emit
-from hyssopwood.gateway.configuration_age import ConfigurationAge
+from hyssopwood.gateway.configuration_age import ConfigurationAge, KnowledgeOfNewest
 from hyssopwood.gateway.route_table import RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.link_codec import Heartbeat
 from hyssopwood.timers import Timers
+from hyssopwood.transfers import Transfer
 
 # Duration of the store's long poll for a configuration. A connection without an answer is abandoned
 # soon afterwards, within the time in which a configuration must be in force.
@@ -85,6 +86,11 @@
         """Return whether the last read reached the newest configuration."""
         ...
 
+    @property
+    def transfer(self) -> Transfer:
+        """Return how the answer to the last read arrived."""
+        ...
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         ...
@@ -185,6 +191,8 @@
         if not self._available:
             self._available = True
             emit(Event.LOG_RECOVERED, use="configuration")
+        # Before the read is recorded: any later version was stored after this time.
+        known = self._age.newest()
         # The store answers a long poll at once if there is something new, else at its end.
         known_at = started_at if tables else min(self._timers.now(), started_at + wait_s)
         if self._feed.newest_rejected:
@@ -198,9 +206,25 @@
         announced = self._leader.configuration_version()
         for table in tables:
             if self._tables.offer(table):
-                emit(Event.CONFIGURATION_TAKEN, version=table.version, announced=announced)
+                self._report_taken(table, announced, known)
                 self._on_applied()
 
+    def _report_taken(
+        self, table: RouteTable, announced: int, known_before: KnowledgeOfNewest
+    ) -> None:
+        """Log a version, how it came, and how long ago it may have been stored at the earliest."""
+        transfer = self._feed.transfer
+        emit(
+            Event.CONFIGURATION_TAKEN,
+            version=table.version,
+            announced=announced,
+            call=transfer.call,
+            waited_ms=transfer.waited_ms,
+            received_ms=transfer.received_ms,
+            received_bytes=transfer.size_bytes,
+            stored_ms_ago_at_most=known_before.age_ms,
+        )
+
     def _leader_has_unread_version(self) -> bool:
         """Return whether the leader has a newer version for which no call was made yet."""
         table = self._tables.current
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -14,6 +14,7 @@
 from hyssopwood.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC, SERVER_TOPIC
 from hyssopwood.platform.server_entries import decode_server_entry
 from hyssopwood.platform.store_client import KeyedRecord, StoreClient
+from hyssopwood.transfers import Transfer
 
 
 @define
@@ -26,6 +27,12 @@
     # Era of the store to which the offset belongs; None before the first read.
     _era: int | None = field(default=None, init=False)
     _at_end: bool = field(default=False, init=False)
+    _transfer: Transfer = field(factory=Transfer, init=False)
+
+    @property
+    def transfer(self) -> Transfer:
+        """Return how the answer to the last read arrived."""
+        return self._transfer
 
     @property
     def at_end(self) -> bool:
@@ -46,7 +53,7 @@
         if self._offset is None or self._client.era != self._era:
             newest = await self._client.newest(self._topic)
             self._offset, self._era = newest.end_offset, newest.era
-            self._at_end = True
+            self._at_end, self._transfer = True, newest.transfer
             return newest.records, True
         try:
             page = await self._client.read(self._topic, self._offset, wait_s)
@@ -57,6 +64,7 @@
             # The offset belongs to an earlier era, so records may have been skipped.
             return await self.next(wait_s)
         self._offset, self._at_end = page.next_offset, page.reaches_end
+        self._transfer = page.transfer
         return page.records, False
 
 
@@ -77,6 +85,11 @@
         """Return whether the last read reached the newest configuration."""
         return self._cursor.at_end
 
+    @property
+    def transfer(self) -> Transfer:
+        """Return how the answer to the last read arrived."""
+        return self._cursor.transfer
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         records, _ = await self._cursor.next(wait_s)
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -4,12 +4,13 @@
 
 import base64
 import struct
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.documents import parse_document, shorten
@@ -20,9 +21,11 @@
     LogUnavailableError,
     RecordsExpiredError,
 )
+from hyssopwood.events import Event, emit
 from hyssopwood.keyspace.position import HIGHEST_ERA
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.names import APPEND_PATH, NEWEST_PATH, READ_PATH, STORE_ERA
+from hyssopwood.transfers import Transfer
 
 # The store answers in 4 ms, or in 240 ms when it is slowed down by a factor of 60.
 CALL_TIMEOUT_S = 1.2
@@ -67,6 +70,7 @@
     era: int = 0
     # The partition's end at the read.
     end_offset: int = 0
+    transfer: Transfer = Transfer()
 
     @property
     def reaches_end(self) -> bool:
@@ -84,6 +88,8 @@
     records: tuple[KeyedRecord, ...]
     end_offset: int
     era: int = 0
+    # Of the last page.
+    transfer: Transfer = Transfer()
 
 
 @frozen
@@ -99,6 +105,33 @@
     status: int
     data: bytes
     era: int
+    transfer: Transfer
+
+
+@define
+class _Progress:
+    """Measure how far a call has come."""
+
+    call: str
+    _started_at: float = field(factory=time.monotonic, init=False)
+    _first_byte_at: float | None = field(default=None, init=False)
+    _last_byte_at: float | None = field(default=None, init=False)
+    size_bytes: int = field(default=0, init=False)
+
+    def add(self, size_bytes: int) -> None:
+        """Count bytes of the answer; the first call marks its beginning."""
+        self._last_byte_at = time.monotonic()
+        if self._first_byte_at is None:
+            self._first_byte_at = self._last_byte_at
+        self.size_bytes += size_bytes
+
+    def transfer(self) -> Transfer:
+        """Return the figures of what has arrived until now."""
+        if self._first_byte_at is None or self._last_byte_at is None:
+            return Transfer(self.call, time.monotonic() - self._started_at)
+        waited_s = self._first_byte_at - self._started_at
+        received_s = self._last_byte_at - self._first_byte_at
+        return Transfer(self.call, waited_s, received_s, self.size_bytes)
 
 
 def _encode_record(record: KeyedRecord) -> bytes:
@@ -115,7 +148,7 @@
     return KeyedRecord(key, content[end:] or None)
 
 
-def parse_page(data: bytes, start: int, era: int = 0) -> ReadPage:
+def parse_page(data: bytes, start: int, era: int = 0, transfer: Transfer | None = None) -> ReadPage:
     """Return the records of a read that began at `start`; raise LogProtocolError if malformed."""
     if len(data) < _BOUNDS.size:
         raise LogProtocolError(f"a read returned {len(data)} bytes")
@@ -135,7 +168,7 @@
             records.append(record)
         position += length
         offset += 1
-    return ReadPage(tuple(records), offset, era, end_offset)
+    return ReadPage(tuple(records), offset, era, end_offset, transfer or Transfer())
 
 
 @define(eq=False)
@@ -236,7 +269,7 @@
             return ReadPage((), start, answer.era)
         if answer.status != 200:
             _raise_for_status(answer.status, READ_PATH)
-        return parse_page(answer.data, start, answer.era)
+        return parse_page(answer.data, start, answer.era, answer.transfer)
 
     async def newest(self, topic: str) -> NewestPage:
         """Return the newest record of every key of a topic, all from the same era."""
@@ -261,13 +294,14 @@
             end = page.end_offset if end is None else end
             records += page.records
             if not page.has_more or not page.records:
-                return NewestPage(tuple(records), end, era)
+                return NewestPage(tuple(records), end, era, answer.transfer)
             after = page.records[-1].key
 
     async def _request(
         self, method: str, path: str, params: dict[str, str], limit_s: float, body: bytes = b""
     ) -> _Answer:
-        self._metrics.count("store_calls", path.rsplit("/", 1)[-1])
+        progress = _Progress(path.rsplit("/", 1)[-1])
+        self._metrics.count("store_calls", progress.call)
         timeout = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
         if self._connections is None:
             self._connections = _Connections.open()
@@ -281,16 +315,33 @@
                 ) as answer,
             ):
                 era = self._accept_era(answer.headers.getall(STORE_ERA, []))
-                data = await _read_bounded(answer, path)
+                progress.add(0)
+                data = await _read_bounded(answer, path, progress)
                 answered = True
-                return _Answer(answer.status, data, era)
+                return _Answer(answer.status, data, era, progress.transfer())
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._metrics.count("store_failures", type(error).__name__)
             raise LogUnavailableError(f"{path}: {type(error).__name__}: {error}") from error
         finally:
+            self._record(progress.transfer(), params["topic"], answered)
             if not answered:
                 await self._distrust(connections)
 
+    def _record(self, transfer: Transfer, topic: str, answered: bool) -> None:
+        """Record how a call went; each one without a whole answer has a log line."""
+        self._metrics.count("store_bytes", transfer.call, transfer.size_bytes)
+        self._metrics.observe("store_wait", transfer.call, transfer.waited_s)
+        self._metrics.observe("store_transfer", transfer.call, transfer.received_s)
+        if not answered:
+            emit(
+                Event.STORE_CALL_ENDED,
+                call=transfer.call,
+                topic=topic,
+                waited_ms=transfer.waited_ms,
+                received_ms=transfer.received_ms,
+                received_bytes=transfer.size_bytes,
+            )
+
     async def _distrust(self, connections: _Connections) -> None:
         """Open new connections from now on, after a call over these has had no answer.
 
@@ -316,11 +367,12 @@
         return era
 
 
-async def _read_bounded(answer: aiohttp.ClientResponse, path: str) -> bytes:
+async def _read_bounded(answer: aiohttp.ClientResponse, path: str, progress: _Progress) -> bytes:
     """Return a body; raise LogUnavailableError if it exceeds the maximum size of an answer."""
     data = bytearray()
     async for piece in answer.content.iter_any():
         data += piece
+        progress.add(len(piece))
         if len(data) > MAX_ANSWER_BYTES:
             answer.close()
             raise LogUnavailableError(f"{path}: the answer exceeds {MAX_ANSWER_BYTES} bytes")
