--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -151,6 +151,7 @@
     async def start(self, servers, instances, version=5):
         self.session = aiohttp.ClientSession()
         await self.store.start()
+        await self.start_links(instances)
         if version:
             self.publish(version)
         for name in servers:
@@ -168,10 +169,17 @@
                 lambda: all(item.daemon.is_ready() for item in self.instances.values())
             )
 
+    async def start_links(self, names):
+        """Prepare the links of instances to the store; direct ones need nothing."""
+
+    def store_address(self, name):
+        """Return the address at which an instance reaches the store."""
+        return self.store.address
+
     def start_instance(self, name):
         self.instances[name] = Instance(
             name,
-            self.store.address,
+            self.store_address(name),
             self.shutdown_s,
             self.domains.get(name, "a"),
             CuttableLinks() if self.cuttable else None,
