Fix: reads of the store end when they stall, not when they take long

Cause: a read was limited from its start to its last byte (0.6 s, 1.2 s or 1.5 s), a limit set from small answers. A version of 1,400 routes has 0.25 MB, and reads got 4.6 Mbit/s. After one lost connection the next read had to bring all versions since, up to 1 MB; it was given up while its bytes arrived, its bytes were dropped, and the next one began at the same offset with one version more.

Change: the limits hold until the first byte. After it, an answer must bring 16 KiB in each 0.6 s. The limit of a probe of an unavailable store ends with the first byte, too. A reader of configurations that is behind ends a large answer with several versions, reads the last one only, and decodes only that; if it can't be used, the ones left out are read after all.

--- a/features/steps/gateway_configuration_age_steps.py
+++ b/features/steps/gateway_configuration_age_steps.py
@@ -25,12 +25,12 @@
     """Let a client's reads of the configuration run into their time limit while `may_hang()`."""
     request = client._request
 
-    async def hang(method, path, params, limit_s, body=b""):
+    async def hang(method, path, params, limit_s, **options):
         reads = path in (READ_PATH, NEWEST_PATH) and params["topic"] == OPERATOR_TOPIC
         if reads and may_hang():
             await asyncio.sleep(limit_s)
             raise LogUnavailableError("no answer")
-        return await request(method, path, params, limit_s, body)
+        return await request(method, path, params, limit_s, **options)
 
     client._request = hang
 
@@ -74,6 +74,9 @@
     def transfer(self):
         return self._cursor.transfer
 
+    def return_to_skipped(self):
+        self._cursor.return_to_skipped()
+
     async def next(self, wait_s):
         records, complete = await self._cursor.next(wait_s)
         return tuple(evolve(record, value=b"{") for record in records), complete
--- a/src/hyssopwood/gateway/store_availability.py
+++ b/src/hyssopwood/gateway/store_availability.py
@@ -16,6 +16,7 @@
 
 from hyssopwood.errors import LogError, LogUnavailableError
 from hyssopwood.timers import Timers
+from hyssopwood.transfers import watch_progress
 
 # Consecutive failures that are tolerated before calls are limited; a store that loses single
 # answers is not in an outage.
@@ -28,8 +29,8 @@
 INTERVAL_GROWTH_FACTOR = 1.6
 # Share by which intervals vary at random.
 JITTER_SHARE = 0.2
-# Timeout of a call while the store is considered unavailable. A store in an outage may leave calls
-# unanswered; one that is 60 times slower than usual answers within 0.24 s.
+# Time to the first byte of an answer while the store is considered unavailable. A store in an
+# outage may leave calls unanswered; one that is 60 times slower than usual answers within 0.24 s.
 PROBE_TIMEOUT_S = 0.6
 # Apply time of deployments whose settings have none; the shortest one of the known deployments.
 DEFAULT_APPLY_S = 2.0
@@ -84,8 +85,10 @@
         """Make a call and record its outcome; raise LogError if it failed."""
         started_at = self._timers.now()
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S if self.unavailable else None):
-                answer = await work()
+            async with asyncio.timeout(PROBE_TIMEOUT_S if self.unavailable else None) as limit:
+                # A large answer may take longer; the client bounds how slowly it arrives.
+                with watch_progress(lambda: limit.reschedule(None)):
+                    answer = await work()
         except TimeoutError as error:
             self.record_failure(started_at)
             raise LogUnavailableError("the store didn't answer before the timeout") from error
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -23,6 +23,11 @@
 
     _client: StoreClient
     _topic: str
+    # Whether records that are followed by later ones may be left out.
+    _newest_only: bool = False
+    # Records before this offset are read although later ones follow.
+    _read_all_before: int = field(default=0, init=False)
+    _skipped_from: int | None = field(default=None, init=False)
     _offset: int | None = field(default=None, init=False)
     # Era of the store to which the offset belongs; None before the first read.
     _era: int | None = field(default=None, init=False)
@@ -48,21 +53,31 @@
         """Start again with the newest records."""
         self._offset = None
 
+    def return_to_skipped(self) -> None:
+        """Make the next calls return the records that the last read left out, if there were any."""
+        if self._skipped_from is None or self._offset is None:
+            return
+        self._read_all_before, self._offset = self._offset, self._skipped_from
+        self._skipped_from, self._at_end = None, False
+
     async def next(self, wait_s: float) -> tuple[tuple[KeyedRecord, ...], bool]:
         """Return the next records, and whether they are a full listing of the topic."""
         if self._offset is None or self._client.era != self._era:
             newest = await self._client.newest(self._topic)
+            self._read_all_before, self._skipped_from = 0, None
             self._offset, self._era = newest.end_offset, newest.era
             self._at_end, self._transfer = True, newest.transfer
             return newest.records, True
         try:
-            page = await self._client.read(self._topic, self._offset, wait_s)
+            newest_only = self._newest_only and self._offset >= self._read_all_before
+            page = await self._client.read(self._topic, self._offset, wait_s, newest_only)
         except RecordsExpiredError:
             self._offset = None
             return await self.next(wait_s)
         if page.era != self._era:
             # The offset belongs to an earlier era, so records may have been skipped.
             return await self.next(wait_s)
+        self._skipped_from = self._offset if page.skipped else None
         self._offset, self._at_end = page.next_offset, page.reaches_end
         self._transfer = page.transfer
         return page.records, False
@@ -72,8 +87,10 @@
     """Follow the operator's configuration."""
 
     def __init__(self, client: StoreClient) -> None:
-        self._cursor = _Cursor(client, OPERATOR_TOPIC)
+        # Each configuration is complete, so only the newest one counts.
+        self._cursor = _Cursor(client, OPERATOR_TOPIC, newest_only=True)
         self._newest_rejected = False
+        self._newest_version = -1
 
     @property
     def newest_rejected(self) -> bool:
@@ -91,19 +108,33 @@
         return self._cursor.transfer
 
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
-        """Return the configurations stored since the last call."""
+        """Return the newest configuration that was stored since the last call, if there is one."""
         records, _ = await self._cursor.next(wait_s)
-        tables = []
-        for record in records:
+        table = self._decode_newest(records)
+        if table is None:
+            # The last record is no usable configuration, so an earlier one counts.
+            self._cursor.return_to_skipped()
+            return ()
+        self._newest_version = table.version
+        return (table,)
+
+    def _decode_newest(self, records: tuple[KeyedRecord, ...]) -> RouteTable | None:
+        """Return the last configuration that is newer than the known ones and can be decoded."""
+        rejected: InputError | None = None
+        for record in reversed(records):
             if record.key != CONFIGURATION_KEY or record.value is None:
                 continue
             try:
-                tables.append(decode_configuration(record.value))
-                self._newest_rejected = False
+                table = decode_configuration(record.value)
             except InputError as error:
-                self._newest_rejected = True
                 emit(Event.RECORD_REJECTED, source="configuration", error=error)
-        return tuple(tables)
+                rejected = rejected or error
+                continue
+            if table.version > self._newest_version:
+                self._newest_rejected = rejected is not None
+                return table
+        self._newest_rejected = self._newest_rejected or rejected is not None
+        return None
 
 
 class PlatformServerFeed:
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
 import aiohttp
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.documents import parse_document, shorten
@@ -25,15 +26,25 @@
 from hyssopwood.keyspace.position import HIGHEST_ERA
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.names import APPEND_PATH, NEWEST_PATH, READ_PATH, STORE_ERA
-from hyssopwood.transfers import Transfer
+from hyssopwood.transfers import Transfer, report_progress
 
-# The store answers in 4 ms, or in 240 ms when it is slowed down by a factor of 60.
+# Time to the first byte of an answer. The store answers in 4 ms, or in 240 ms when it is slowed
+# down by a factor of 60.
 CALL_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
-# Time after the end of a long poll's wait at which its connection counts as unresponsive. The wait
-# of a configuration's poll (0.9 s), this, a pause and a read fit into the time in which a
-# configuration must be in force (2 s at the least); a slowed down store answers in 0.24 s.
+# Time after the end of a long poll's wait at which its connection counts as unresponsive if the
+# answer hasn't begun. The wait of a configuration's poll (0.9 s), this, a pause and a read fit into
+# the time in which a configuration must be in force (2 s at the least); a slowed down store answers
+# in 0.24 s.
 POLL_SLACK_S = 0.6
+# An answer that has begun must bring PROGRESS_BYTES in each span of this length, or end; its whole
+# time isn't limited, as that depends on its size and on the machine's link. The narrowest link has
+# 5 Mbit/s, 23 times that rate.
+STALL_TIMEOUT_S = 0.6
+PROGRESS_BYTES = 16_384
+# Larger answers with several records are ended if the caller needs the last record only. A smaller
+# one has arrived sooner than the answer to another call, over another connection.
+MAX_SUPERSEDED_BYTES = 65_536
 # A connection that was idle for longer isn't used again: it may have gone silent meanwhile, and the
 # call would wait until its timeout. Polls follow each other faster.
 IDLE_TIMEOUT_S = 1.0
@@ -71,6 +82,8 @@
     # The partition's end at the read.
     end_offset: int = 0
     transfer: Transfer = Transfer()
+    # Number of records before these that were left out.
+    skipped: int = 0
 
     @property
     def reaches_end(self) -> bool:
@@ -106,6 +119,28 @@
     data: bytes
     era: int
     transfer: Transfer
+    # Whether the body was read to its end.
+    whole: bool = True
+
+
+# Returns whether the part of a body that has arrived, of a stated length, is all that is needed.
+_IsEnough = Callable[[bytearray, int | None], bool]
+
+
+def _never_enough(data: bytearray, length: int | None) -> bool:
+    return False
+
+
+def _shows_superseded(start: int) -> _IsEnough:
+    """Return a check for reads from `start`: several records, and much of them yet to come."""
+
+    def check(data: bytearray, length: int | None) -> bool:
+        if len(data) < _BOUNDS.size or len(data) == length:
+            return False
+        end, _ = _BOUNDS.unpack_from(data)
+        return end - start > 1 and max(len(data), length or 0) > MAX_SUPERSEDED_BYTES
+
+    return check
 
 
 @define
@@ -210,7 +245,7 @@
 
 
 class StoreClient:
-    """Call the platform's store; every call ends within its timeout."""
+    """Call the platform's store; every call ends once its answer is late to begin or stalls."""
 
     def __init__(self, address: str, metrics: Metrics) -> None:
         self._base = f"http://{address}"
@@ -251,8 +286,13 @@
             _raise_for_status(answer.status, APPEND_PATH)
         return Appended(int(fields["end_offset"]), answer.era)
 
-    async def read(self, topic: str, start: int, wait_s: float) -> ReadPage:
-        """Return the records from `start`; wait up to `wait_s` for the first one."""
+    async def read(
+        self, topic: str, start: int, wait_s: float, newest_only: bool = False
+    ) -> ReadPage:
+        """Return the records from `start`; wait up to `wait_s` for the first one.
+
+        With `newest_only`, several records that are large together are left out but for the last.
+        """
         params = {
             "topic": topic,
             "part": "0",
@@ -262,13 +302,18 @@
         if wait_s > 0:
             params["wait_ms"] = str(int(wait_s * 1000))
         limit_s = wait_s + (POLL_SLACK_S if wait_s > 0 else CALL_TIMEOUT_S)
-        answer = await self._request("GET", READ_PATH, params, limit_s)
+        is_enough = _shows_superseded(start) if newest_only else _never_enough
+        answer = await self._request("GET", READ_PATH, params, limit_s, is_enough=is_enough)
         if answer.status == 410:
             raise RecordsExpiredError(int(_parse_json(answer.data).get("first_offset", 0)))
         if answer.status == 404:
             return ReadPage((), start, answer.era)
         if answer.status != 200:
             _raise_for_status(answer.status, READ_PATH)
+        if not answer.whole:
+            end, _ = _BOUNDS.unpack_from(answer.data)
+            page = await self.read(topic, end - 1, 0.0)
+            return evolve(page, skipped=end - 1 - start)
         return parse_page(answer.data, start, answer.era, answer.transfer)
 
     async def newest(self, topic: str) -> NewestPage:
@@ -298,17 +343,25 @@
             after = page.records[-1].key
 
     async def _request(
-        self, method: str, path: str, params: dict[str, str], limit_s: float, body: bytes = b""
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str],
+        limit_s: float,
+        body: bytes = b"",
+        is_enough: _IsEnough = _never_enough,
     ) -> _Answer:
+        """Make a call whose answer must begin within a limit, and go on without a stall."""
         progress = _Progress(path.rsplit("/", 1)[-1])
         self._metrics.count("store_calls", progress.call)
-        timeout = aiohttp.ClientTimeout(total=limit_s, sock_connect=CONNECT_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         if self._connections is None:
             self._connections = _Connections.open()
         connections = self._connections
         answered = False
         try:
             async with (
+                asyncio.timeout(limit_s) as limit,
                 connections.lend() as session,
                 session.request(
                     method, self._base + path, params=params, data=body or None, timeout=timeout
@@ -316,9 +369,12 @@
             ):
                 era = self._accept_era(answer.headers.getall(STORE_ERA, []))
                 progress.add(0)
-                data = await _read_bounded(answer, path, progress)
+                report_progress()
+                if answer.status != 200:
+                    is_enough = _never_enough
+                data, whole = await _read_body(answer, progress, limit, is_enough)
                 answered = True
-                return _Answer(answer.status, data, era, progress.transfer())
+                return _Answer(answer.status, data, era, progress.transfer(), whole)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self._metrics.count("store_failures", type(error).__name__)
             raise LogUnavailableError(f"{path}: {type(error).__name__}: {error}") from error
@@ -367,16 +423,35 @@
         return era
 
 
-async def _read_bounded(answer: aiohttp.ClientResponse, path: str, progress: _Progress) -> bytes:
-    """Return a body; raise LogUnavailableError if it exceeds the maximum size of an answer."""
+async def _read_body(
+    answer: aiohttp.ClientResponse,
+    progress: _Progress,
+    limit: asyncio.Timeout,
+    is_enough: _IsEnough,
+) -> tuple[bytes, bool]:
+    """Return a body, or the part of it that is enough, and whether it is whole.
+
+    Each PROGRESS_BYTES move the time limit on. Raises LogUnavailableError if the body
+    exceeds the maximum size of an answer.
+    """
+    loop = asyncio.get_running_loop()
     data = bytearray()
+    due_bytes = PROGRESS_BYTES
+    limit.reschedule(loop.time() + STALL_TIMEOUT_S)
     async for piece in answer.content.iter_any():
         data += piece
         progress.add(len(piece))
+        if len(data) >= due_bytes:
+            limit.reschedule(loop.time() + STALL_TIMEOUT_S)
+            due_bytes = len(data) + PROGRESS_BYTES
         if len(data) > MAX_ANSWER_BYTES:
             answer.close()
-            raise LogUnavailableError(f"{path}: the answer exceeds {MAX_ANSWER_BYTES} bytes")
-    return bytes(data)
+            detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
+            raise LogUnavailableError(f"{progress.call}: {detail}")
+        if is_enough(data, answer.content_length):
+            answer.close()
+            return bytes(data), False
+    return bytes(data), True
 
 
 @frozen
--- a/src/hyssopwood/transfers.py
+++ b/src/hyssopwood/transfers.py
@@ -2,11 +2,37 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+
 from attrs import frozen
 
 MS_PER_S = 1000
 
 
+def _ignore() -> None:
+    pass
+
+
+_on_progress: ContextVar[Callable[[], None]] = ContextVar("on_progress", default=_ignore)
+
+
+@contextmanager
+def watch_progress(on_progress: Callable[[], None]) -> Iterator[None]:
+    """Call a function when an answer begins to arrive in a call that is made within."""
+    token = _on_progress.set(on_progress)
+    try:
+        yield
+    finally:
+        _on_progress.reset(token)
+
+
+def report_progress() -> None:
+    """Tell whoever watches the current call that its answer has begun to arrive."""
+    _on_progress.get()()
+
+
 @frozen
 class Transfer:
     """How an answer arrived: the call, the time to its first byte and to its last, and its size."""
