Fix: of several configurations in one read, the highest version counts

What callers would see: a configuration that is followed at once by an older one is never in force at an instance that reads both together.

--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -119,22 +119,22 @@
         return (table,)
 
     def _decode_newest(self, records: tuple[KeyedRecord, ...]) -> RouteTable | None:
-        """Return the last configuration that is newer than the known ones and can be decoded."""
-        rejected: InputError | None = None
-        for record in reversed(records):
+        """Return the usable configuration with the highest version if it is a new one."""
+        newest: RouteTable | None = None
+        for record in records:
             if record.key != CONFIGURATION_KEY or record.value is None:
                 continue
             try:
                 table = decode_configuration(record.value)
+                self._newest_rejected = False
             except InputError as error:
+                self._newest_rejected = True
                 emit(Event.RECORD_REJECTED, source="configuration", error=error)
-                rejected = rejected or error
                 continue
-            if table.version > self._newest_version:
-                self._newest_rejected = rejected is not None
-                return table
-        self._newest_rejected = self._newest_rejected or rejected is not None
-        return None
+            # An older version may follow a newer one.
+            if table.version > max(self._newest_version, -1 if newest is None else newest.version):
+                newest = table
+        return newest
 
 
 class PlatformServerFeed:
