Evacuations of failure domains: no requests to the servers of an evacuated domain

Cause: the operator's topic may hold records evacuate/ZONE, and no code read them. Requests and key grants continued to reach the servers of such a domain.

Change: the configuration feed passes on the records of evacuations, also those that a read of the last configuration leaves out; the keys after the configuration's are listed for that. Evacuations holds the domains with the position that states them. The leader's heartbeat states domains and position, so that followers needn't read the topic; below a leader that states none they read it. The directory returns the servers of such a domain as draining, while digests and messages keep the registered state. The leader grants nothing to them but the higher token that a release needs, for half of the bound. Active only with bounds.evacuate_s.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -86,6 +86,11 @@
     STORE_CALL_ENDED = EventSpec(216, "WARNING", "call to the store ended without a whole answer")
     PLAN_TAKEN = EventSpec(211, "INFO", "newer plan was adopted")
     SERVER_CHANGED = EventSpec(212, "INFO", "registration of a backend server changed")
+    EVACUATION_LEARNED = EventSpec(220, "WARNING", "failure domain is evacuated")
+    EVACUATION_LIFTED = EventSpec(221, "WARNING", "evacuation of a failure domain was lifted")
+    EVACUATION_REJECTED = EventSpec(222, "WARNING", "record of an evacuation is invalid")
+    EVACUATION_REACH = EventSpec(223, "INFO", "servers that evacuations affect have changed")
+    EVACUATION_MISSING = EventSpec(224, "WARNING", "restored store lacks an evacuation")
     LEADERSHIP_HANDED_OVER = EventSpec(
         313, "WARNING", "leader reaches no backend server of a service and resigned"
     )
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -15,6 +15,8 @@
 from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashCounter, CrashMonitor, Suspects
 from hyssopwood.gateway.dispatcher import Dispatcher, DispatcherDependencies
+from hyssopwood.gateway.evacuation_reach import EvacuationReach
+from hyssopwood.gateway.evacuations import Evacuations
 from hyssopwood.gateway.exchange import CallerAnswer, CallerRequest, HeaderCodec
 from hyssopwood.gateway.feeds import (
     ConfigurationFeed,
@@ -59,6 +61,10 @@
 
 HOUSEKEEPING_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.05
+# Share of the time after which nothing may reach an evacuated domain in which grants may still void
+# unanswered ones there, counted from when the leader learned of the evacuation. The rest covers how
+# late it learned of it.
+EVACUATED_GRANTS_SHARE = 0.5
 # Interval at which a cut off leader checks whether another instance reaches the servers.
 HAND_OVER_CHECK_S = 0.2
 
@@ -103,6 +109,8 @@
 class GatewayDaemon:
     """Run one gateway instance."""
 
+    _peers: asyncio.Server | None = None
+
     def __init__(
         self,
         settings: GatewaySettings,
@@ -118,6 +126,7 @@
         self._stopping = asyncio.Event()
         self._tables = RouteTables()
         self._directory = ServerDirectory()
+        self._evacuations = Evacuations(timers, metrics)
         self._view = PlanView(timers)
         self._reports = LoadReports(KeyLoad(timers))
         self._load = KeyLoad(timers)
@@ -178,13 +187,14 @@
             self._crashes.set_suspects,
             lambda: self._instances.count,
             self._retries.record,
+            self._evacuations.accept if self._evacuates else None,
         )
         self._link_server = LinkServer(
             settings.peer_address,
             timers,
             self._leader_status,
             lambda: self._view.plan,
-            self._directory.records,
+            self._directory.stored_records,
             self._add_report,
             self._on_link_opened,
             self._instances,
@@ -207,7 +217,7 @@
         self._servers = ServerFollower(
             adapters.servers, self._directory, timers, self._link, self._availability
         )
-        self._directory.subscribe(self._publish_server)
+        self._subscribe()
         self._leadership = Leadership(self._leadership_dependencies())
         self._dispatcher = Dispatcher(self._dispatcher_dependencies())
         self._callers = CallerServer(
@@ -227,7 +237,17 @@
         self._predecessor: Leader | None = None
         # Version of the plan when this instance last claimed leadership.
         self._claim_version = -1
-        self._peers: asyncio.Server | None = None
+
+    def _subscribe(self) -> None:
+        self._directory.subscribe_stored(self._publish_server)
+        if self._evacuates:
+            self._adapters.configuration.subscribe_evacuations(self._evacuations.apply)
+            self._evacuations.subscribe(self._handle_evacuation)
+
+    @property
+    def _evacuates(self) -> bool:
+        """Return whether the settings ask for evacuations of failure domains."""
+        return self._settings.bounds.evacuate_s is not None
 
     @property
     def is_leader(self) -> bool:
@@ -316,6 +336,7 @@
                 break
 
     async def _run_housekeeping(self) -> None:
+        evacuation_reach = EvacuationReach(self._evacuations, self._directory)
         async for _ in self._timers.ticks(HOUSEKEEPING_INTERVAL_S):
             records = self._directory.records()
             incarnations = {record.incarnation for record in records}
@@ -329,6 +350,7 @@
             self._health.retain(incarnations)
             self._limits.retain(incarnations)
             self._load.retain(incarnations)
+            evacuation_reach.report()
             self._report_readiness()
 
     def _report_readiness(self) -> None:
@@ -349,11 +371,34 @@
             is_candidate=lambda: self._instances.is_among_first("leader", CANDIDATES_PER_DOMAIN),
             capacity=self._settings.capacity,
             lead=self._lead,
-            may_lead=lambda: not self._stopping.is_set(),
+            may_lead=self._may_lead,
             wait_hand_over=self._wait_hand_over,
             is_cut_off=lambda: self._paths.reach.any_cut_off,
         )
 
+    def _may_lead(self) -> bool:
+        """Return whether this instance may lead: it grants nothing before it knows evacuations."""
+        informed = self._evacuations.informed or not self._evacuates
+        return informed and not self._stopping.is_set()
+
+    def _handle_evacuation(self, domain: str, evacuated: bool) -> None:
+        """Close unused connections to servers of an evacuated domain, and tell the followers."""
+        self._directory.set_evacuated(domain, evacuated)
+        if evacuated:
+            records = self._directory.records()
+            ready = {record.incarnation for record in records if not record.draining}
+            self._paths.pool.retain(ready)
+        if self._leadership.leading:
+            self._link_server.send_heartbeat()
+
+    def _evacuated_until(self, record: ServerRecord) -> float | None:
+        """Return until when a server in an evacuated domain may be sent grants, else None."""
+        learned_at = self._evacuations.learned_at(record.failure_domain)
+        bound_s = self._settings.bounds.evacuate_s
+        if learned_at is None or bound_s is None:
+            return None
+        return learned_at + bound_s * EVACUATED_GRANTS_SHARE
+
     async def _wait_hand_over(self) -> None:
         """Wait until this instance is cut off from the servers while another one reaches them."""
         claimed_at = self._timers.now()
@@ -405,6 +450,7 @@
                 publish=self._publish,
                 pause=self._publish_pause,
                 max_lease_s=self._settings.bounds.max_hold_s,
+                evacuated_until=self._evacuated_until,
             )
         )
         manager.inherit(claim.plan, claim.predecessor_ended, claim.doubtful)
@@ -515,6 +561,7 @@
             self._configuration.age.own_age_s(),
             term,
             sharers,
+            self._evacuations.state if self._evacuates else None,
         )
 
     def _leader_configuration_age_s(self) -> float | None:
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -482,6 +482,8 @@
                 stream=answer.stream,
             )
         self._deps.metrics.count("gateway_requests", outcome.cause.value)
+        if outcome.cause is Cause.EVACUATED:
+            self._deps.metrics.count("evacuated_requests", routed.service)
         if isinstance(outcome, Refused):
             timeout_s = routed.head.timeout_s or routed.route.timeout_s
             remaining_s = max(0.0, routed.request.arrived + timeout_s - now)
--- a/src/hyssopwood/gateway/feeds.py
+++ b/src/hyssopwood/gateway/feeds.py
@@ -12,6 +12,7 @@
 from hyssopwood.errors import LogError
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.configuration_age import ConfigurationAge, KnowledgeOfNewest
+from hyssopwood.gateway.evacuations import EvacuationRecords
 from hyssopwood.gateway.route_table import RouteTable, RouteTables
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.store_availability import StoreAvailability
@@ -91,6 +92,10 @@
         """Return how the answer to the last read arrived."""
         ...
 
+    def subscribe_evacuations(self, listener: Callable[[EvacuationRecords], None]) -> None:
+        """Call back with the evacuations of each read, before its configuration is returned."""
+        ...
+
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the configurations stored since the last call."""
         ...
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from attrs import field, frozen
+from attrs.validators import optional
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
@@ -30,6 +31,9 @@
     retry_extra: float = field(validator=validate_positive)
     # Time within which a confirmed configuration must be in force.
     apply_s: float = field(default=DEFAULT_APPLY_S, validator=validate_positive)
+    # Time within which no request may reach a server of an evacuated failure domain; without it,
+    # evacuations are ignored.
+    evacuate_s: float | None = field(default=None, validator=optional(validate_positive))
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -23,6 +23,8 @@
     NO_ROUTE = "no-route"
     NO_OWNER = "no-owner"
     NO_SERVER = "no-server"
+    # The key's owner, or all servers of the service, are in evacuated failure domains.
+    EVACUATED = "evacuated"
     SERVER_REFUSED = "server-refused"
     SERVER_BUSY = "server-busy"
     AT_LIMIT = "at-limit"
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -44,6 +44,9 @@
     record: ServerRecord
     # Time at which an entry that expired around a store outage is removed.
     removal_at: float | None = None
+    # The record as it is returned while the server's domain is evacuated; None before the first
+    # time. Each request reads the records of a service, so copies of them are reused.
+    evacuated: ServerRecord | None = None
 
 
 @frozen
@@ -68,21 +71,67 @@
     _newest_at: dict[str, int] | None = field(default=None, init=False)
     # Incarnations of servers that have reported in an answer that they are leaving.
     _leaving: set[tuple[str, int]] = field(factory=set, init=False)
+    _stored_listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
+    # Evacuated failure domains; all servers in them are returned as draining.
+    _evacuated: set[str] = field(factory=set, init=False)
 
     def subscribe(self, listener: Callable[[ServerRecord, bool], None]) -> None:
-        """Call back after each routing change with the record and whether it was removed."""
+        """Call back after each routing change with the record and whether it was removed.
+
+        The evacuation of a failure domain, and its end, change the routing of its servers.
+        """
         self._listeners.append(listener)
 
+    def subscribe_stored(self, listener: Callable[[ServerRecord, bool], None]) -> None:
+        """Call back after each change of a record, with the record as the server registered it."""
+        self._stored_listeners.append(listener)
+
+    def set_evacuated(self, domain: str, evacuated: bool) -> None:
+        """Return the servers of a failure domain as draining from now on, or no more."""
+        if evacuated:
+            self._evacuated.add(domain)
+        else:
+            self._evacuated.discard(domain)
+        self._newest_at = None
+        for entry in list(self._entries.values()):
+            if entry.record.failure_domain == domain and not entry.record.draining:
+                for listener in self._listeners:
+                    listener(self._effective(entry), False)
+
+    def is_evacuated(self, record: ServerRecord) -> bool:
+        """Return whether a server belongs to an evacuated failure domain."""
+        return record.failure_domain in self._evacuated
+
+    def is_left_by_evacuation(self, service: str) -> bool:
+        """Return whether a service would have usable servers but for evacuations."""
+        if not self._evacuated:
+            return False
+        ready = [
+            entry.record
+            for entry in self._entries.values()
+            if entry.record.service == service and not entry.record.draining
+        ]
+        return bool(ready) and all(self.is_evacuated(record) for record in ready)
+
+    def _effective(self, entry: _Entry) -> ServerRecord:
+        """Return an entry's record, as draining if its failure domain is evacuated."""
+        record = entry.record
+        if record.draining or record.failure_domain not in self._evacuated:
+            return record
+        if entry.evacuated is None:
+            entry.evacuated = evolve(record, draining=True)
+        return entry.evacuated
+
     def get(self, server: str) -> ServerRecord | None:
         """Return a server's record unless it was removed."""
         entry = self._entries.get(server)
-        return None if entry is None else entry.record
+        return None if entry is None else self._effective(entry)
 
     def get_recent(self, server: str, now: float) -> ServerRecord | None:
         """Return a server's record, also for a short time after its removal."""
         removed = self._removed.get(server)
         if removed is not None and now - removed.at < REMOVED_ADDRESS_VALID_S:
-            return removed.record
+            return self._effective(_Entry(removed.record))
         return self.get(server)
 
     def has_ended(self, incarnation: tuple[str, int]) -> bool:
@@ -100,9 +149,13 @@
         return self._newest_at.get(record.address, record.born_ms) > record.born_ms
 
     def digest(self) -> int:
-        """Return a digest that two directories share only if they route in the same way."""
+        """Return a digest that two directories share only if they route in the same way.
+
+        Evacuations aren't part of it: an instance that learns of one sooner than the leader has the
+        same registrations.
+        """
         if self._digest is None:
-            rows = sorted(_routing_row(record) for record in self.records())
+            rows = sorted(_routing_row(record) for record in self.stored_records())
             data = "\n".join(rows).encode()
             self._digest = int.from_bytes(blake2b(data, digest_size=8).digest())
         return self._digest
@@ -111,10 +164,14 @@
         """Yield the records of a service's servers."""
         for entry in self._entries.values():
             if entry.record.service == service:
-                yield entry.record
+                yield self._effective(entry)
 
     def records(self) -> tuple[ServerRecord, ...]:
         """Return all records."""
+        return tuple(self._effective(entry) for entry in self._entries.values())
+
+    def stored_records(self) -> tuple[ServerRecord, ...]:
+        """Return all records as the servers registered them, whatever is evacuated."""
         return tuple(entry.record for entry in self._entries.values())
 
     def leaving(self) -> tuple[tuple[str, int], ...]:
@@ -125,12 +182,12 @@
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> bool:
         """Mark an incarnation as draining from now on; return whether that is a change."""
-        record = self.get(incarnation[0])
-        if record is None or record.incarnation != incarnation or incarnation in self._leaving:
+        entry = self._entries.get(incarnation[0])
+        if entry is None or entry.record.incarnation != incarnation or incarnation in self._leaving:
             return False
         self._leaving.add(incarnation)
-        leaving = evolve(record, draining=True, leaving=True)
-        self._entries[record.server].record = leaving
+        leaving = evolve(entry.record, draining=True, leaving=True)
+        entry.record = leaving
         _log_change(leaving, "reported in an answer that it is leaving")
         self._notify(leaving, removed=False)
         return True
@@ -194,8 +251,11 @@
 
     def _notify(self, record: ServerRecord, removed: bool) -> None:
         self._digest = self._newest_at = None
-        for listener in self._listeners:
+        for listener in self._stored_listeners:
             listener(record, removed)
+        effective = self._effective(_Entry(record))
+        for listener in self._listeners:
+            listener(effective, removed)
 
 
 def _routing_differs(old: ServerRecord, new: ServerRecord) -> bool:
--- a/src/hyssopwood/gateway/server_selector.py
+++ b/src/hyssopwood/gateway/server_selector.py
@@ -156,6 +156,8 @@
             if not record.draining and record.server not in routed.tried
         ]
         if not untried:
+            if self._directory.is_left_by_evacuation(routed.service):
+                return _refuse_evacuated(routed)
             return Refused(Cause.NO_SERVER, f"service {routed.service} has no untried server")
         back_offs = [
             (record, self._health.back_off_left_s(record.incarnation)) for record in untried
@@ -263,8 +265,12 @@
             # refused it needs time: to receive its grant, or until the plan names another owner.
             if owner is not None and not (routed.refused and already_sent):
                 return owner
+            if owner is None and self._directory.is_left_by_evacuation(routed.service):
+                # No move of the key to another server is to be expected.
+                return _refuse_evacuated(routed)
             if remaining_s <= 0:
-                return Refused(Cause.NO_OWNER, routed.owner_state)
+                cause = Cause.EVACUATED if self._is_owner_evacuated(routed) else Cause.NO_OWNER
+                return Refused(cause, routed.owner_state)
             recheck_due = not await self._plan_changed_within(min(remaining_s, OWNER_RECHECK_S))
 
     async def _plan_changed_within(self, limit_s: float) -> bool:
@@ -295,6 +301,12 @@
             return record
         return None
 
+    def _is_owner_evacuated(self, routed: RoutedRequest) -> bool:
+        """Return whether the key's owner is registered in an evacuated failure domain."""
+        owner = self._plan.owner(routed.service, routed.head.key or 0)
+        record = None if owner is None else self._directory.get(owner.server)
+        return record is not None and self._directory.is_evacuated(record)
+
     def _reroute(self) -> None:
         """End the wait of requests queued at a server that no longer owns their keys."""
         for moved, (routed, incarnation) in list(self._waiting.items()):
@@ -305,6 +317,11 @@
                 moved.set_result(None)
 
 
+def _refuse_evacuated(routed: RoutedRequest) -> Refused:
+    detail = f"all servers of {routed.service} are in evacuated failure domains"
+    return Refused(Cause.EVACUATED, detail)
+
+
 def _refuse_late(reply: Reply) -> Refused:
     if reply.limited:
         detail = f"the server's limit admits the request in {reply.wait_s * MS_PER_S:.0f} ms"
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -123,6 +123,12 @@
   term @7 :UInt64;
   # Number of processes that share the extra retries.
   retrySharers @8 :UInt32;
+  # Failure domains that the operator has evacuated.
+  evacuated @9 :List(Text);
+  # Position up to which the operator's topic states them: the store's era, and one more than the
+  # offset; an offset of 0 means not stated, as in heartbeats of earlier builds.
+  evacuatedEra @10 :UInt64;
+  evacuatedOffset @11 :UInt64;
 }
 
 struct OwnerChange {
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -128,6 +128,9 @@
     publish: Callable[[Plan, PlanChange], None]
     pause: Callable[[RangePause], None]
     max_lease_s: float
+    # Returns until when a server in an evacuated failure domain may be sent grants that void
+    # unanswered ones, and None for a server elsewhere.
+    evacuated_until: Callable[[ServerRecord], float | None] = lambda record: None
 
 
 @frozen
@@ -329,6 +332,8 @@
             record = self._deps.directory.get(incarnation[0])
             if record is None or record.incarnation != incarnation:
                 continue
+            if self._is_evacuated(record) and not self._needs_grant(record, now):
+                continue
             if incarnation in self._renewing or incarnation in self._ended:
                 continue
             if now >= self._renewal_due.get(incarnation, float("-inf")):
@@ -336,6 +341,29 @@
                 interval_s = renew_interval_s(range_count, limit_per_s)
                 self._spawn(self._renew_server(record, interval_s))
 
+    def _is_evacuated(self, record: ServerRecord) -> bool:
+        return self._deps.evacuated_until(record) is not None
+
+    def _needs_grant(self, record: ServerRecord, now: float) -> bool:
+        """Return whether a grant to an evacuated server is needed to move one of its ranges."""
+        return any(
+            lease.keys.incarnation == record.incarnation and self._may_grant(lease, record, now)
+            for lease in self._all_leases()
+            if not lease.moving
+        )
+
+    def _may_grant(self, lease: RangeLease, record: ServerRecord, now: float) -> bool:
+        """Return whether a server may be granted a range.
+
+        One in an evacuated failure domain is only sent a higher token for a range that it may have,
+        without which its release would prove nothing, and that for a limited time.
+        """
+        until = self._deps.evacuated_until(record)
+        if until is None:
+            return lease.may_grant(now)
+        voids = not lease.may_release(now) and not lease.has_expired(now)
+        return voids and now < until and lease.may_grant(now)
+
     async def _renew_server(self, record: ServerRecord, interval_s: float) -> None:
         self._renewing.add(record.incarnation)
         self._renewal_due[record.incarnation] = self._deps.timers.now() + interval_s
@@ -397,7 +425,7 @@
                 and not lease.replaced
                 and not lease.moving
             )
-            allowed = self._deps.authority.is_valid(now) and lease.may_grant(now)
+            allowed = self._deps.authority.is_valid(now) and self._may_grant(lease, record, now)
             if not current or not allowed:
                 return _GrantResult.ANSWERED
             result = await self._send_grant(lease, record)
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -13,6 +13,7 @@
 from hyssopwood.errors import InputError, PeerUnavailableError, ProtocolError
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.crash_suspects import Suspects
+from hyssopwood.gateway.evacuations import EvacuationState
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.keyspace.link_codec import (
@@ -132,6 +133,7 @@
     configuration_age_s: float | None = None
     term: int = 0
     retry_sharers: int = 0
+    evacuations: EvacuationState | None = None
 
     def heartbeat(self, now: float) -> Heartbeat:
         """Return the heartbeat with this state."""
@@ -145,6 +147,7 @@
             now,
             self.term,
             self.retry_sharers,
+            self.evacuations,
         )
 
     def _oldest_age_s(self) -> float:
@@ -400,6 +403,8 @@
     _on_count: Callable[[int, int, float, float], None] = lambda term, count, age_s, store_age_s: (
         None
     )
+    # Called with the evacuated domains that the leader states; None if evacuations are ignored.
+    _on_evacuations: Callable[[EvacuationState], None] | None = None
     _heartbeat: Heartbeat | None = field(default=None, init=False)
     _heartbeat_at: float = field(default=float("-inf"), init=False)
     # Smallest difference between the own clock at the arrival of a heartbeat and the leader's at
@@ -435,10 +440,16 @@
     def configuration_fresh_s(self) -> float:
         """Return for how long the last heartbeat may still replace reads of the configuration."""
         age_s = self.configuration_age_s()
-        if age_s is None:
+        if age_s is None or not self._states_evacuations():
             return 0.0
         return min(CONFIGURATION_FRESH_S - age_s, HEARTBEAT_FRESH_S - self._heartbeat_age_s())
 
+    def _states_evacuations(self) -> bool:
+        """Return whether the leader states all that this instance would read of the topic."""
+        if self._on_evacuations is None:
+            return True
+        return self._heartbeat is not None and self._heartbeat.evacuations is not None
+
     def _heartbeat_age_s(self) -> float:
         """Return the time since the leader sent the last heartbeat.
 
@@ -509,6 +520,8 @@
         while True:
             message = await _read_unless_silent(reader)
             if isinstance(message, Heartbeat):
+                if message.evacuations is not None and self._on_evacuations is not None:
+                    self._on_evacuations(message.evacuations)
                 self._accept_heartbeat(message)
                 age_s = self._heartbeat_age_s()
                 store_age_s = message.store_age_s + age_s
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -11,6 +11,7 @@
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.crash_suspects import CrashReport, Suspects
+from hyssopwood.gateway.evacuations import EvacuationState, TopicPosition
 from hyssopwood.gateway.instance_list import InstanceRecord, InstanceUpdate
 from hyssopwood.gateway.limit_codec import fill_limit, read_limit
 from hyssopwood.gateway.server_directory import ServerRecord
@@ -82,6 +83,8 @@
     # Number of the leader's term, and of the processes that share the extra retries; 0 if unknown.
     term: int = 0
     retry_sharers: int = 0
+    # Evacuated failure domains; None if not stated.
+    evacuations: EvacuationState | None = None
 
 
 @frozen
@@ -209,6 +212,10 @@
         heartbeat.sentMs = int(message.sent_at * 1000)
     heartbeat.term = message.term
     heartbeat.retrySharers = message.retry_sharers
+    if message.evacuations is not None:
+        heartbeat.evacuated = sorted(message.evacuations.domains)
+        heartbeat.evacuatedEra = message.evacuations.position.era
+        heartbeat.evacuatedOffset = message.evacuations.position.offset + 1
 
 
 @_fill.register
@@ -336,9 +343,17 @@
         heartbeat.sentMs / 1000 if heartbeat.sentMs else None,
         heartbeat.term,
         heartbeat.retrySharers,
+        _read_evacuations(heartbeat),
     )
 
 
+def _read_evacuations(heartbeat: Any) -> EvacuationState | None:
+    if not heartbeat.evacuatedOffset:
+        return None
+    position = TopicPosition(heartbeat.evacuatedEra, heartbeat.evacuatedOffset - 1)
+    return EvacuationState(position, frozenset(heartbeat.evacuated))
+
+
 def _read_hello(hello: Any) -> Hello:
     record = _read_instance(hello.record)
     return Hello(record, hello.incarnation, hello.planVersion, hello.instancesDigest)
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -108,6 +108,8 @@
     }
     bounds = {own: settings.number(f"bounds.{name}") for own, name in names.items()}
     bounds["apply_s"] = settings.number("bounds.config_apply_s", DEFAULT_APPLY_S)
+    if "bounds.evacuate_s" in settings.values:
+        bounds["evacuate_s"] = settings.number("bounds.evacuate_s")
     return bounds
 
 
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from attrs import define, field
 
-from hyssopwood.errors import InputError, RecordsExpiredError
+from hyssopwood.errors import InputError, LogError, RecordsExpiredError
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.evacuations import EvacuationRecords, TopicPosition
 from hyssopwood.gateway.feeds import ServerChanges
 from hyssopwood.gateway.route_table import RouteTable
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.configuration import decode_configuration
+from hyssopwood.platform.evacuation_entries import decode_evacuations
 from hyssopwood.platform.names import CONFIGURATION_KEY, OPERATOR_TOPIC, SERVER_TOPIC
 from hyssopwood.platform.server_entries import decode_server_entry
 from hyssopwood.platform.store_client import KeyedRecord, StoreClient
@@ -32,6 +36,7 @@
     # Era of the store to which the offset belongs; None before the first read.
     _era: int | None = field(default=None, init=False)
     _at_end: bool = field(default=False, init=False)
+    _truncated: bool = field(default=False, init=False)
     _transfer: Transfer = field(factory=Transfer, init=False)
 
     @property
@@ -44,6 +49,21 @@
         """Return whether the last read reached the end of the topic."""
         return self._at_end
 
+    @property
+    def offset(self) -> int | None:
+        """Return the offset of the next read, or None before the first one."""
+        return self._offset
+
+    @property
+    def truncated(self) -> bool:
+        """Return whether the last read was a listing that may lack keys."""
+        return self._truncated
+
+    @property
+    def skipped(self) -> bool:
+        """Return whether the last read left out records."""
+        return self._skipped_from is not None
+
     @property
     def era(self) -> int | None:
         """Return the era of the store at the last read, or None before the first one."""
@@ -67,6 +87,7 @@
             self._read_all_before, self._skipped_from = 0, None
             self._offset, self._era = newest.end_offset, newest.era
             self._at_end, self._transfer = True, newest.transfer
+            self._truncated = newest.truncated
             return newest.records, True
         try:
             newest_only = self._newest_only and self._offset >= self._read_all_before
@@ -79,6 +100,7 @@
             return await self.next(wait_s)
         self._skipped_from = self._offset if page.skipped else None
         self._offset, self._at_end = page.next_offset, page.reaches_end
+        self._truncated = False
         self._transfer = page.transfer
         return page.records, False
 
@@ -91,6 +113,14 @@
         self._cursor = _Cursor(client, OPERATOR_TOPIC, newest_only=True)
         self._newest_rejected = False
         self._newest_version = -1
+        self._client = client
+        self._on_evacuations: Callable[[EvacuationRecords], None] | None = None
+        # The last read may have left out records of evacuations, so they must be listed.
+        self._evacuations_due = False
+
+    def subscribe_evacuations(self, listener: Callable[[EvacuationRecords], None]) -> None:
+        """Call back with the evacuations of each read, before its configuration is returned."""
+        self._on_evacuations = listener
 
     @property
     def newest_rejected(self) -> bool:
@@ -109,7 +139,42 @@
 
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the newest configuration that was stored since the last call, if there is one."""
-        records, _ = await self._cursor.next(wait_s)
+        if self._evacuations_due:
+            await self._list_evacuations()
+        records, listed = await self._cursor.next(wait_s)
+        self._pass_evacuations(records, listed)
+        tables = self._take_newest(records)
+        if self._evacuations_due:
+            try:
+                await self._list_evacuations()
+            except LogError:
+                # The listing is due at the next call too; a configuration must not be lost by it.
+                if not tables:
+                    raise
+        return tables
+
+    def _pass_evacuations(self, records: tuple[KeyedRecord, ...], listed: bool) -> None:
+        """Pass on the evacuations of a read, or note that they must be listed."""
+        if self._on_evacuations is None:
+            return
+        era, offset = self._cursor.era, self._cursor.offset
+        assert era is not None and offset is not None
+        if self._cursor.skipped:
+            self._evacuations_due = True
+            return
+        self._evacuations_due = listed and self._cursor.truncated
+        position = None if self._evacuations_due else TopicPosition(era, offset)
+        self._on_evacuations(decode_evacuations(records, position, listed))
+
+    async def _list_evacuations(self) -> None:
+        """List the keys after the configuration's, among which are those of all evacuations."""
+        assert self._on_evacuations is not None
+        newest = await self._client.newest(OPERATOR_TOPIC, CONFIGURATION_KEY)
+        self._evacuations_due = newest.truncated
+        position = None if newest.truncated else TopicPosition(newest.era, newest.end_offset)
+        self._on_evacuations(decode_evacuations(newest.records, position, complete=True))
+
+    def _take_newest(self, records: tuple[KeyedRecord, ...]) -> tuple[RouteTable, ...]:
         table = self._decode_newest(records)
         if table is None:
             # The last record is no usable configuration, so an earlier one counts.
--- a/src/hyssopwood/platform/names.py
+++ b/src/hyssopwood/platform/names.py
@@ -38,5 +38,7 @@
 OPERATOR_TOPIC: Final = "keyed.op"
 SERVER_TOPIC: Final = "keyed.servers"
 CONFIGURATION_KEY: Final = "config"
+# Followed by the name of the failure domain that is evacuated.
+EVACUATION_PREFIX: Final = "evacuate/"
 # Topic that this product writes to.
 PLAN_TOPIC: Final = "keyed.hyssopwood"
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -100,6 +100,8 @@
     era: int = 0
     # Of the last page.
     transfer: Transfer = Transfer()
+    # The store announced further records but sent none, so keys may be lacking.
+    truncated: bool = False
 
 
 @frozen
@@ -313,12 +315,11 @@
             return evolve(page, skipped=end - 1 - start)
         return parse_page(answer.data, start, answer.era, answer.transfer)
 
-    async def newest(self, topic: str) -> NewestPage:
-        """Return the newest record of every key of a topic, all from the same era."""
+    async def newest(self, topic: str, after: str = "") -> NewestPage:
+        """Return the newest record of every key after one, all from the same era."""
         records: list[KeyedRecord] = []
         end: int | None = None
         era: int | None = None
-        after = ""
         while True:
             params = {"topic": topic, "part": "0"}
             if after:
@@ -336,7 +337,8 @@
             end = page.end_offset if end is None else end
             records += page.records
             if not page.has_more or not page.records:
-                return NewestPage(tuple(records), end, era, answer.transfer)
+                truncated = page.has_more
+                return NewestPage(tuple(records), end, era, answer.transfer, truncated)
             after = page.records[-1].key
 
     async def _request(
