Queues: choice of a server and predicted wait by work

Cause: on deployments whose Server-Load has a fourth figure no load was known at all, and requests counted alike whatever their cost and however slow their server was at the moment.

Change: a header with four figures is read; a malformed or repeated one is counted as ignored. Each instance learns the expected cost by service and route, apart from the factors of servers, and states it to the keeper of a queue where the routes of the service differ in cost. The keeper chooses a server and predicts waits by cost, the server's learned factor and its stated pace, which decays to the usual one. A server at 1.5 times its usual pace or slower gets nothing beyond its slots. Without stated costs and paces the decisions are as before.

The effect under load isn't measured yet.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -110,6 +110,13 @@
     )
     REQUEST_REPEATED = EventSpec(516, "INFO", "request is sent once more")
     RELAY_ENDED = EventSpec(517, "INFO", "relayed connection ended within an exchange")
+    ROUTE_COSTS_DIFFER = EventSpec(
+        525, "INFO", "routes of a service began or ceased to differ in cost"
+    )
+    ROUTE_COST_CHANGED = EventSpec(526, "INFO", "expected cost of a route's requests changed")
+    ROUTE_COST_DROPPED = EventSpec(
+        527, "INFO", "expected cost of a route was dropped for a newer one"
+    )
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -329,6 +329,9 @@
             self._health.retain(incarnations)
             self._limits.retain(incarnations)
             self._load.retain(incarnations)
+            self._reports.work.review(incarnations)
+            for service, route, cost_s in self._reports.work.costs():
+                self._metrics.set("expected_cost_seconds", cost_s, f"{service} {route}")
             self._report_readiness()
 
     def _report_readiness(self) -> None:
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -166,6 +166,7 @@
             deadline=request.arrived + min(head.timeout_s or route.timeout_s, route.timeout_s),
             sharded=spec is not None and spec.sharded and head.key is not None,
             version=table.version,
+            cost_s=self._deps.reports.work.expected_cost_s(service, route.name) or 0.0,
         )
         if self._shutdown is not None and not self._shutdown.accepts(routed, started_at):
             return self._finish(routed, stopping_refusal(), started_at)
@@ -412,7 +413,7 @@
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR and not replaced:
             elapsed_s = self._deps.timers.now() - started_at
             sample_s = service_sample_s(elapsed_s, load, server.slots)
-            self._deps.reports.record_service_time(server.incarnation, sample_s)
+            self._record_work(routed, server, sample_s, None if load is None else load.pace)
         done = Done(sample_s, load, back_off_s=back_off_s)
         fault = _answer_fault(answer, head)
         if fault:
@@ -420,6 +421,18 @@
         self._deps.crashes.record_success(routed.request)
         return Answered(answer), done
 
+    def _record_work(
+        self, routed: RoutedRequest, server: ServerRecord, sample_s: float, pace: float | None
+    ) -> None:
+        """Learn from a service time, and record the error of its prediction."""
+        service, route = routed.service, routed.route.name
+        expected_s = self._deps.reports.work.expected_time_s(
+            service, route, server.incarnation, pace
+        )
+        if expected_s is not None:
+            self._deps.metrics.observe("work_error", service, abs(sample_s - expected_s))
+        self._deps.reports.record_answer(service, route, server.incarnation, sample_s, pace)
+
     def _apply_server_notices(
         self, server: ServerRecord, head: AnswerHead, started_at: float
     ) -> None:
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -140,6 +140,8 @@
     running: int
     waiting: int
     slots: int
+    # How long work takes on the server's machine at this moment, 1 being usual; None if not stated.
+    pace: float | None = None
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/gateway/load_reports.py
+++ b/src/hyssopwood/gateway/load_reports.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from hyssopwood.gateway.work_estimates import WorkEstimates, bound_pace
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.link_codec import InstanceReport
 
@@ -20,6 +21,8 @@
 
     # Requests of this instance in the last seconds, which are reported to a new leader at once.
     _recent: KeyLoad
+    # Expected costs of requests, learned from the same answers.
+    work: WorkEstimates = field(factory=WorkEstimates, init=False)
     _keys: dict[str, dict[int, int]] = field(factory=dict, init=False)
     _times: dict[tuple[str, int], _ServiceTimes] = field(factory=dict, init=False)
     _leaving: list[tuple[str, int]] = field(factory=list, init=False)
@@ -40,6 +43,19 @@
         times.total_s += elapsed_s
         times.count += 1
 
+    def record_answer(
+        self,
+        service: str,
+        route: str,
+        incarnation: tuple[str, int],
+        sample_s: float,
+        pace: float | None,
+    ) -> None:
+        """Learn from a service time, and report it as that of a request of mean cost."""
+        relative = self.work.relative_cost(service, route) * bound_pace(pace or 1.0)
+        self.record_service_time(incarnation, sample_s / relative)
+        self.work.record(service, route, incarnation, sample_s, pace)
+
     def collect(self) -> InstanceReport:
         """Return a report of the collected data and clear it."""
         keys, self._keys = self._keys, {}
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -91,6 +91,8 @@
     owner_state: str = ""
     # Whether the last server to answer refused to execute the request.
     refused: bool = False
+    # Time that a server of mean speed is expected to work on the request; 0 if it isn't stated.
+    cost_s: float = 0.0
     # Total time spent on server selection, and the instance that granted the last admission.
     waited_s: float = 0.0
     keeper: str = ""
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -31,6 +31,8 @@
   tried @8 :List(Text);
   # Limits of the queue's servers, as the sender has read them in answers.
   limits @9 :List(Limits.LimitNotice);
+  # Time that a server of mean speed is expected to work on the request; 0 if not stated.
+  costMs @10 :Float32;
 }
 
 enum State {
@@ -77,4 +79,7 @@
   backOffMs @6 :UInt32;
   # Limit of the server, if the sender has read one; no server name if not.
   limit @7 :Limits.LimitNotice;
+  # How long work takes on the server's machine at this moment, in percent of the usual; 0 if not
+  # stated.
+  pace @8 :UInt16;
 }
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -121,6 +121,7 @@
             deadline=now + ask.deadline_s,
             max_wait_s=ask.max_wait_s,
             tried=ask.tried,
+            cost_s=ask.cost_s or None,
         )
         decision = queue.enter(request, now)
         if isinstance(decision, Granted | Queued):
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -346,6 +346,7 @@
         max_wait_s=ask.max_wait_s,
         tried=ask.tried,
         limits=tuple(evolve(item, age_s=item.age_s + elapsed_s) for item in ask.limits),
+        cost_s=ask.cost_s,
     )
 
 
--- a/src/hyssopwood/gateway/queue_messages.py
+++ b/src/hyssopwood/gateway/queue_messages.py
@@ -23,6 +23,9 @@
 MAX_MS = 2**32 - 1
 MAX_COUNT = 65_535
 MS_PER_S = 1000
+PERCENT = 100
+# Expected costs above this are malformed.
+MAX_COST_MS = 600_000
 
 
 class ReplyState(Enum):
@@ -68,6 +71,8 @@
     tried: frozenset[str] = frozenset()
     # Limits of the queue's servers, as the asking instance has read them in answers.
     limits: tuple[LimitNotice, ...] = ()
+    # Time that a server of mean speed is expected to work on the request; 0 if not stated.
+    cost_s: float = 0.0
 
 
 @frozen
@@ -139,6 +144,7 @@
         limits = ask.init("limits", len(message.limits))
         for row, notice in zip(limits, message.limits, strict=True):
             fill_limit(row, notice)
+    ask.costMs = min(MAX_COST_MS, message.cost_s * MS_PER_S)
 
 
 @_fill.register
@@ -162,6 +168,7 @@
         done.running = min(MAX_COUNT, message.load.running)
         done.waiting = min(MAX_COUNT, message.load.waiting)
         done.slots = min(MAX_COUNT, message.load.slots)
+        done.pace = min(MAX_COUNT, round((message.load.pace or 0.0) * PERCENT))
     if message.limit is not None:
         fill_limit(done.init("limit"), message.limit)
 
@@ -190,11 +197,22 @@
         max_wait_s=float("inf") if max_wait_ms == MAX_MS else max_wait_ms / MS_PER_S,
         tried=frozenset(ask.tried),
         limits=tuple(read_limit(row) for row in ask.limits),
+        cost_s=_read_cost_s(ask.costMs),
     )
 
 
+def _read_cost_s(cost_ms: float) -> float:
+    if not 0 <= cost_ms <= MAX_COST_MS:
+        # A comparison with NaN is false as well.
+        raise ValueError(f"the expected cost is {cost_ms} ms")
+    return cost_ms / MS_PER_S
+
+
 def _read_done(done: Any) -> Done:
-    load = ServerLoad(done.running, done.waiting, done.slots) if done.hasLoad else None
+    load = None
+    if done.hasLoad:
+        pace = done.pace / PERCENT if done.pace else None
+        load = ServerLoad(done.running, done.waiting, done.slots, pace)
     sample_s = done.sampleMs / MS_PER_S if done.sampleMs > 0 else None
     back_off_s = done.backOffMs / MS_PER_S if done.backOffMs else None
     limit = read_limit(done.limit) if done.limit.server else None
--- a/src/hyssopwood/gateway/server_selector.py
+++ b/src/hyssopwood/gateway/server_selector.py
@@ -218,6 +218,7 @@
             max_wait_s=max_wait_s,
             tried=self._excluded_servers(routed) if not queue.server else frozenset(),
             limits=self._limit_notices(queue),
+            cost_s=routed.cost_s,
         )
 
     def _limit_notices(self, queue: QueueName) -> tuple[LimitNotice, ...]:
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -18,6 +18,13 @@
 from hyssopwood.gateway.exchange import ServerLoad
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.token_bucket import TokenBucket
+from hyssopwood.gateway.work_estimates import (
+    COST_WEIGHT,
+    MAX_SAMPLE_RATIO,
+    bound_pace,
+    decayed_pace,
+    time_at_pace,
+)
 
 # Maximum requests in flight at a server while an instance must back off from it. It may still serve
 # the other instances, but together they must not overload it again.
@@ -37,6 +44,11 @@
 LIMITED_WAIT_MARGIN_S = 0.02
 # An admission that its sender never released expires this long after the request's deadline.
 ADMISSION_GRACE_S = 0.5
+# Pace from which a server gets no requests beyond its slots: its slots rarely become free, and the
+# next request would wait longer at the server than in the queue.
+SLOW_PACE = 1.5
+# Cost of each request while no request of the queue states one.
+UNIT_COST = 1.0
 NEVER_S = float("inf")
 
 
@@ -54,6 +66,8 @@
     max_wait_s: float = NEVER_S
     # Servers that the request isn't sent to: already tried, or that told its sender to back off.
     tried: frozenset[str] = frozenset()
+    # Time that a server of mean speed is expected to work on the request; None if not stated.
+    cost_s: float | None = None
 
 
 @frozen
@@ -96,7 +110,13 @@
 class _Server:
     record: ServerRecord
     in_flight: int = 0
+    # Sum of the costs of the requests in flight.
+    work: float = 0.0
+    # Time that the server works on a unit of cost at its usual pace. The unit is a request while
+    # the queue's requests state no cost, and a second of a server of mean speed otherwise.
     service_time_s: float = INITIAL_SERVICE_TIME_S
+    # Pace that the server's last load report stated.
+    reported_pace: float = 1.0
     # Requests at the server that this queue didn't send, by the server's last load report.
     external: int = 0
     reported_at: float = float("-inf")
@@ -119,14 +139,24 @@
         backed_off = now < self.backed_off_until
         return REQUESTS_WHILE_BACKED_OFF if backed_off else self.record.slots
 
-    def rate_per_s(self, now: float) -> float:
-        """Return how many requests per second the server is expected to serve."""
-        rate_per_s = self._slot_rate_per_s(now)
-        return rate_per_s if self.bucket is None else min(rate_per_s, self.bucket.rate_per_s)
+    def pace(self, now: float) -> float:
+        """Return how long work takes at the server now, relative to the usual."""
+        if self.reported_pace == 1.0:
+            return 1.0
+        return decayed_pace(self.reported_pace, now - self.reported_at)
 
-    def limited(self, now: float) -> bool:
+    def rate_per_s(self, now: float, mean_cost: float, pace: float) -> float:
+        """Return how many units of cost per second the server serves at a pace."""
+        rate_per_s = self.slots(now) / (self.service_time_s * pace)
+        if self.bucket is None:
+            return rate_per_s
+        return min(rate_per_s, self.bucket.rate_per_s * mean_cost)
+
+    def limited(self, now: float, mean_cost: float) -> bool:
         """Return whether the server's limit is below what its slots serve."""
-        return self.bucket is not None and self.bucket.rate_per_s < self._slot_rate_per_s(now)
+        if self.bucket is None:
+            return False
+        return self.bucket.rate_per_s * mean_cost < self.slots(now) / self.service_time_s
 
     def free_capacity(self, now: float) -> float:
         """Return how many more requests may be sent now; a part of one may not be sent yet."""
@@ -139,27 +169,55 @@
             return None
         return self.bucket.next_token_s(now)
 
-    def _slot_rate_per_s(self, now: float) -> float:
-        return self.slots(now) / self.service_time_s
-
     def _free_slots(self, now: float) -> int:
         if now < self.backed_off_until:
             return REQUESTS_WHILE_BACKED_OFF - self.in_flight
         external = self.external if now - self.reported_at < REPORT_TTL_S else 0
-        limit = max(1, self.record.slots + EXTRA_REQUESTS_PER_SERVER - external)
+        extra = 0 if self.pace(now) >= SLOW_PACE else EXTRA_REQUESTS_PER_SERVER
+        limit = max(1, self.record.slots + extra - external)
         return limit - self.in_flight
 
-    def expected_time_s(self) -> float:
-        """Return how long a request sent now is expected to take."""
+    def expected_time_s(self, cost: float, now: float) -> float:
+        """Return how long a request of a given cost sent now is expected to take."""
         behind = max(0, self.in_flight + 1 - self.record.slots) / self.record.slots
+        # The first slot becomes free after a part of the mean work in flight.
+        waiting = behind * self.work / self.in_flight if behind else 0.0
         warming = WARMUP_PENALTY_S if self.record.warmup_left_s > 0 else 0.0
-        return (1 + behind) * self.service_time_s + warming
+        work_s = (cost + waiting) * self.service_time_s
+        return time_at_pace(work_s, self.pace(now)) + warming
+
+    def add(self, cost: float) -> None:
+        """Count a request as in flight."""
+        self.in_flight += 1
+        self.work += cost
+
+    def remove(self, cost: float) -> None:
+        """Count a request as no longer in flight."""
+        self.in_flight -= 1
+        # An empty sum is exact, so that rounding errors don't accumulate.
+        self.work = max(0.0, self.work - cost) if self.in_flight else 0.0
+
+    def learn(self, sample_s: float, admission: _Admission, load: ServerLoad | None) -> None:
+        """Learn the service time from a request."""
+        pace = 1.0
+        if load is not None and load.pace is not None:
+            # The pace changes while the request runs; both its ends are known.
+            pace = (admission.pace + bound_pace(load.pace)) / 2
+        sample = sample_s / (admission.cost * pace)
+        if load is not None and (load.pace is not None or admission.stated):
+            sample = min(sample, MAX_SAMPLE_RATIO * self.service_time_s)
+        self.service_time_s += SERVICE_TIME_WEIGHT * (sample - self.service_time_s)
 
 
 @define
 class _Admission:
     server: _Server
     expires_at: float
+    cost: float
+    # Whether the request stated its cost.
+    stated: bool
+    # Pace of the server when it was admitted.
+    pace: float
 
 
 @frozen
@@ -168,6 +226,24 @@
     order: int
 
 
+@frozen
+class _Fleet:
+    """The usable servers of a queue at one moment."""
+
+    # Units of cost per second that the servers serve at their usual pace.
+    rate: float
+    # Pace of all servers together.
+    pace: float
+    # Requests that may be sent now, and mean cost of those in flight.
+    free: float
+    mean_cost: float
+
+    def wait_s(self, work_ahead: float) -> float:
+        """Return the predicted wait of a request with this work queued before it."""
+        work = max(0.0, work_ahead + (1 - self.free) * self.mean_cost)
+        return time_at_pace(work / self.rate, self.pace) if self.rate else NEVER_S
+
+
 def service_sample_s(elapsed_s: float, load: ServerLoad | None, slots: int) -> float:
     """Return the service time that an answer indicates, without the wait in the server's queue."""
     queue_rounds = 1.0 if load is None else max(1.0, (load.running + load.waiting) / slots)
@@ -183,6 +259,8 @@
     _admissions: dict[Hashable, _Admission] = field(factory=dict, init=False)
     _waiting: dict[Hashable, _Waiting] = field(factory=dict, init=False)
     _order: count[int] = field(factory=count, init=False)
+    # Mean of the costs that requests stated; None while none has.
+    _mean_cost_s: float | None = field(default=None, init=False)
 
     @property
     def idle(self) -> bool:
@@ -194,19 +272,23 @@
         usable = self._usable(now)
         if all(server.record.server in request.tried for server, _ in usable):
             return Rejected(NEVER_S)
+        if request.cost_s is not None:
+            self._add_cost(request.cost_s, usable)
         if not self._waiting:
             granted = self._admit(request, usable, now)
             if granted is not None:
                 return granted
-        mean_s = self._mean_service_time_s(usable)
-        urgency = _urgency(request, now + mean_s)
+        unit_s = self._unit_time_s(usable)
+        urgency = self._urgency(request, now, unit_s)
         ahead = sum(
-            _urgency(item.request, now + mean_s) <= urgency for item in self._waiting.values()
+            self._cost(item.request)
+            for item in self._waiting.values()
+            if self._urgency(item.request, now, unit_s) <= urgency
         )
-        wait_s = self._wait_s(ahead, usable, now)
-        limited = _all_limited(usable, now)
+        wait_s = self._fleet(usable, now).wait_s(ahead)
+        limited = self._all_limited(usable, now)
         margin_s = LIMITED_WAIT_MARGIN_S if limited else 0.0
-        latest = _latest_start(request, mean_s, limited)
+        latest = _latest_start(request, unit_s * self._cost(request), limited)
         if wait_s > request.max_wait_s or now + wait_s + margin_s > latest:
             return Rejected(wait_s, limited)
         self._waiting[request.ticket] = _Waiting(request, next(self._order))
@@ -221,8 +303,9 @@
         if waiting is None:
             return None
         usable = self._usable(now)
-        ahead = self._sorted(now + self._mean_service_time_s(usable)).index(waiting)
-        return Queued(self._wait_s(ahead, usable, now))
+        items = self._sorted(now, self._unit_time_s(usable))
+        ahead = sum(self._cost(item.request) for item in items[: items.index(waiting)])
+        return Queued(self._fleet(usable, now).wait_s(ahead))
 
     def clear_waiting(self) -> list[Hashable]:
         """Remove all queued requests and return their tickets."""
@@ -249,12 +332,13 @@
             return None
         server = admission.server
         if sample_s is not None:
-            server.service_time_s += SERVICE_TIME_WEIGHT * (sample_s - server.service_time_s)
+            server.learn(sample_s, admission, load)
         if back_off_s is not None:
             server.backed_off_until = max(server.backed_off_until, now + back_off_s)
         if load is not None:
             server.external = max(0, load.running + load.waiting - server.in_flight)
             server.reported_at = now
+            server.reported_pace = 1.0 if load.pace is None else bound_pace(load.pace)
         return server.record.incarnation
 
     def expire(self, now: float) -> list[Hashable]:
@@ -271,18 +355,23 @@
         if not self._waiting:
             return []
         usable = self._usable(now)
-        mean_s = self._mean_service_time_s(usable)
-        limited = _all_limited(usable, now)
+        unit_s = self._unit_time_s(usable)
+        limited = self._all_limited(usable, now)
         decided: list[tuple[Hashable, Granted | Rejected]] = []
-        ahead = 0
-        for item in self._sorted(now + mean_s):
+        ahead = 0.0
+        fleet: _Fleet | None = None
+        for item in self._sorted(now, unit_s):
             decision: Granted | Rejected | None = self._admit(item.request, usable, now)
+            cost = self._cost(item.request)
             if decision is None:
-                wait_s = self._wait_s(ahead, usable, now)
-                if now + wait_s > _latest_start(item.request, mean_s, limited):
+                fleet = fleet or self._fleet(usable, now)
+                wait_s = fleet.wait_s(ahead)
+                if now + wait_s > _latest_start(item.request, unit_s * cost, limited):
                     decision = Rejected(wait_s, limited)
+            else:
+                fleet = None
             if decision is None:
-                ahead += 1
+                ahead += cost
                 continue
             del self._waiting[item.request.ticket]
             decided.append((item.request.ticket, decision))
@@ -322,49 +411,81 @@
         free = [server for server in group if server.free_capacity(now) >= 1]
         if not free:
             return None
-        server = min(free, key=lambda item: (item.expected_time_s(), item.record.server))
-        server.in_flight += 1
+        cost = self._cost(request)
+        server = min(free, key=lambda item: (item.expected_time_s(cost, now), item.record.server))
+        server.add(cost)
         if server.bucket is not None:
             server.bucket.take(now)
-        self._admissions[request.ticket] = _Admission(server, request.deadline + ADMISSION_GRACE_S)
+        self._admissions[request.ticket] = _Admission(
+            server,
+            request.deadline + ADMISSION_GRACE_S,
+            cost,
+            request.cost_s is not None,
+            server.pace(now),
+        )
         return Granted(server.record)
 
     def _remove_admission(self, ticket: Hashable) -> _Admission | None:
         admission = self._admissions.pop(ticket, None)
         if admission is not None:
-            admission.server.in_flight -= 1
+            admission.server.remove(admission.cost)
         return admission
 
-    def _wait_s(self, ahead: int, usable: list[tuple[_Server, bool]], now: float) -> float:
-        """Return the predicted wait of a request with `ahead` others before it."""
-        rate = sum(server.rate_per_s(now) for server, _ in usable)
-        free_capacity = sum(server.free_capacity(now) for server, _ in usable)
-        return max(0, ahead + 1 - free_capacity) / rate if rate else NEVER_S
-
-    def _mean_service_time_s(self, usable: list[tuple[_Server, bool]]) -> float:
+    def _cost(self, request: QueuedRequest) -> float:
+        """Return a request's cost; one that states none has the mean cost."""
+        if self._mean_cost_s is None:
+            return UNIT_COST
+        return self._mean_cost_s if request.cost_s is None else request.cost_s
+
+    def _add_cost(self, cost_s: float, usable: list[tuple[_Server, bool]]) -> None:
+        """Add a stated cost to the mean; from the first one on, the unit of cost is a second."""
+        if self._mean_cost_s is None:
+            self._mean_cost_s = self._unit_time_s(usable)
+            for server in self._servers.values():
+                server.service_time_s /= self._mean_cost_s
+                server.work *= self._mean_cost_s
+            for admission in self._admissions.values():
+                admission.cost *= self._mean_cost_s
+        self._mean_cost_s += COST_WEIGHT * (cost_s - self._mean_cost_s)
+
+    def _fleet(self, usable: list[tuple[_Server, bool]], now: float) -> _Fleet:
+        mean_cost = UNIT_COST if self._mean_cost_s is None else self._mean_cost_s
+        rate = paced_rate = free = work = 0.0
+        in_flight = 0
+        for server, _ in usable:
+            server_rate, pace = server.rate_per_s(now, mean_cost, 1.0), server.pace(now)
+            rate += server_rate
+            paced_rate += server_rate if pace == 1.0 else server.rate_per_s(now, mean_cost, pace)
+            free += server.free_capacity(now)
+            in_flight += server.in_flight
+            work += server.work
+        fleet_pace = rate / paced_rate if paced_rate else 1.0
+        return _Fleet(rate, fleet_pace, free, work / in_flight if in_flight else mean_cost)
+
+    def _unit_time_s(self, usable: list[tuple[_Server, bool]]) -> float:
+        """Return the mean time that the servers work on a unit of cost."""
         slots = sum(server.record.slots for server, _ in usable)
         rate = sum(server.record.slots / server.service_time_s for server, _ in usable)
         return slots / rate if rate else INITIAL_SERVICE_TIME_S
 
-    def _sorted(self, answered_at: float) -> list[_Waiting]:
+    def _all_limited(self, usable: list[tuple[_Server, bool]], now: float) -> bool:
+        mean_cost = UNIT_COST if self._mean_cost_s is None else self._mean_cost_s
+        return all(server.limited(now, mean_cost) for server, _ in usable)
+
+    def _urgency(self, request: QueuedRequest, now: float, unit_s: float) -> tuple[bool, int]:
+        return request.target < now + unit_s * self._cost(request), request.priority
+
+    def _sorted(self, now: float, unit_s: float) -> list[_Waiting]:
         return sorted(
             self._waiting.values(),
-            key=lambda item: (*_urgency(item.request, answered_at), item.order),
+            key=lambda item: (*self._urgency(item.request, now, unit_s), item.order),
         )
 
 
-def _all_limited(usable: list[tuple[_Server, bool]], now: float) -> bool:
-    return all(server.limited(now) for server, _ in usable)
-
-
-def _latest_start(request: QueuedRequest, mean_s: float, limited: bool) -> float:
+def _latest_start(request: QueuedRequest, work_s: float, limited: bool) -> float:
     """Return when a request must start to be of use.
 
     While all servers are limited, one that would miss its target is refused: later requests that
     can still meet theirs would go first, and it would wait until its deadline.
     """
-    return (request.target if limited else request.deadline) - mean_s
-
-
-def _urgency(request: QueuedRequest, answered_at: float) -> tuple[bool, int]:
-    return request.target < answered_at, request.priority
+    return (request.target if limited else request.deadline) - work_s
--- a/src/hyssopwood/platform/request_headers.py
+++ b/src/hyssopwood/platform/request_headers.py
@@ -26,6 +26,7 @@
 )
 
 MS_PER_S = 1000
+PERCENT = 100
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 # With a server's 503: seconds for which this instance should send it no requests.
@@ -53,15 +54,20 @@
     return int(value)
 
 
-def _parse_load(value: bytes | None) -> ServerLoad | None:
-    if value is None:
+def _parse_load(headers: Headers) -> ServerLoad | None:
+    """Return the load that a header states once with three or four figures, or None."""
+    values = [value for name, value in headers if name == SERVER_LOAD]
+    if len(values) != 1:
         return None
-    parts = value.split(b",")
+    parts = values[0].split(b",")
     numbers = all(part.strip().isdigit() and len(part) <= MAX_LOAD_DIGITS for part in parts)
-    if len(parts) != 3 or not numbers:
+    if len(parts) not in (3, 4) or not numbers:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
+    running, waiting, slots, *paces = (int(part) for part in parts)
+    if not paces:
+        return ServerLoad(running, waiting, slots)
+    (pace,) = paces
+    return ServerLoad(running, waiting, slots, pace / PERCENT) if pace else None
 
 
 def _parse_leaving(headers: Headers) -> bool | None:
@@ -129,13 +135,17 @@
         if answer.header(SERVER_LIMIT) is not None:
             limit_per_s = _parse_decimal(answer.headers, SERVER_LIMIT)
             ignored += () if limit_per_s is not None else (SERVER_LIMIT.decode(),)
+        load = None
+        if answer.header(SERVER_LOAD) is not None:
+            load = _parse_load(answer.headers)
+            ignored += () if load is not None else (SERVER_LOAD.decode(),)
         return AnswerHead(
             request_id=answer.header(REQUEST_ID),
             signed=answer.header(SIGNATURE) is not None,
             not_run=misdirected or answer.header(NOT_EXECUTED) is not None,
             misdirected=misdirected,
             answered_by=None if answered_by is None else answered_by.decode("latin-1"),
-            load=_parse_load(answer.header(SERVER_LOAD)),
+            load=load,
             encoded=answer.header(b"content-encoding") not in (None, b"identity"),
             leaving=bool(leaving),
             back_off_s=back_off_s,
--- a/src/hyssopwood/queue_experiment.py
+++ b/src/hyssopwood/queue_experiment.py
@@ -304,7 +304,7 @@
 
     rank: Callable[[QueuedRequest], tuple[float, ...]]
 
-    def _sorted(self, answered_at: float) -> list:  # type: ignore[type-arg]
+    def _sorted(self, now: float, unit_s: float) -> list:  # type: ignore[type-arg]
         return sorted(
             self._waiting.values(), key=lambda item: (*self.rank(item.request), item.order)
         )
@@ -415,7 +415,7 @@
         if not isinstance(decision, Queued):
             return decision
         usable = self._usable(now)
-        expected_answer_at = now + decision.wait_s + self._mean_service_time_s(usable)
+        expected_answer_at = now + decision.wait_s + self._unit_time_s(usable)
         rate = sum(server.slots(now) / server.service_time_s for server, _ in usable)
         if (
             expected_answer_at > request.target
