Cold servers: one keeper admits what a cold server tolerates

Cause: a cold server crashes at a rate that it serves easily once it is warm, and the queues admitted requests to it as if it were warm.

Change: the settings `bounds.warmup_overage` and `bounds.warmup_slack` and the services' fields `warmup_s` and `warmup_per_s` are read. While a server is cold, by its registration, by `Warmup-Ms` in its answers, or because it couldn't be reached, the keeper of its queue admits floor(warmup_per_s) requests in any 1.15 s. A keeper admits to cold servers only if it has been the first in rank for 2.6 s with heartbeats of its leader. Grants state for how long the ask was held, and the asking instance drops one for a cold server that is older than 0.15 s when the request would be sent. The placement's max_rate of a cold server is what it may get. Without `bounds.warmup_overage` nothing changes.

--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -66,7 +66,7 @@
     return addresses
 
 
-def _settings(name, store, addresses, shutdown_s, domain):
+def _settings(name, store, addresses, shutdown_s, domain, bounds):
     return GatewaySettings(
         instance=name,
         failure_domain=domain,
@@ -82,6 +82,7 @@
             retry_ratio=0.2,
             retry_window_s=10,
             retry_extra=56,
+            **bounds,
         ),
     )
 
@@ -89,10 +90,12 @@
 class Instance:
     """A gateway daemon and its addresses; `links` are those to the servers if they can be cut."""
 
-    def __init__(self, name, store_address, shutdown_s, domain="a", links=None):
+    def __init__(self, name, store_address, shutdown_s, domain="a", links=None, bounds=None):
         self.name = name
         self.links = links
-        self.settings = _settings(name, store_address, free_addresses(5), shutdown_s, domain)
+        self.settings = _settings(
+            name, store_address, free_addresses(5), shutdown_s, domain, bounds or {}
+        )
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
         self.daemon = GatewayDaemon(
@@ -142,6 +145,9 @@
         self.store = KeyedStore()
         self.servers = {}
         self.draining = set()
+        # Settings of the bounds, and fields of all services, that a test adds.
+        self.bounds = {}
+        self.cluster_fields = {}
         self.instances = {}
         self.answers = []
         self.ids = itertools.count(1)
@@ -183,6 +189,7 @@
             self.shutdown_s,
             self.domains.get(name, "a"),
             CuttableLinks() if self.cuttable else None,
+            self.bounds,
         )
 
     async def kill(self, instance):
@@ -206,6 +213,8 @@
             rule.setdefault("target_latency_s", TARGET_LATENCY_S)
             if self.timeout_s is not None:
                 rule["action"]["timeout_s"] = self.timeout_s
+        for cluster in document["clusters"]:
+            cluster.update(self.cluster_fields)
         if not with_route:
             document["listeners"] = []
         self.store.put("keyed.op", "config", json.dumps(document).encode())
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -110,6 +110,15 @@
     )
     REQUEST_REPEATED = EventSpec(516, "INFO", "request is sent once more")
     RELAY_ENDED = EventSpec(517, "INFO", "relayed connection ended within an exchange")
+    SERVER_COLD = EventSpec(520, "INFO", "backend server is cold and its requests are limited")
+    SERVER_WARM = EventSpec(521, "INFO", "backend server is no longer cold")
+    COLD_SERVER_FULL = EventSpec(522, "INFO", "cold backend server can take no more requests now")
+    COLD_SERVER_CLOSED = EventSpec(
+        523, "WARNING", "another queue or keeper may send to a cold backend server"
+    )
+    COLD_ADMISSION_LATE = EventSpec(
+        524, "INFO", "admission to a cold backend server was too old to be used"
+    )
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -39,6 +39,7 @@
 from hyssopwood.gateway.server_pool import ServerPool
 from hyssopwood.gateway.shutdown import ShutdownTimes
 from hyssopwood.gateway.store_availability import StoreAvailability, longest_interval_s
+from hyssopwood.gateway.warmup import ColdServers, SettledRank
 from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.key_load import KeyLoad
 from hyssopwood.keyspace.key_manager import (
@@ -100,6 +101,16 @@
         return CallerAnswer(status=200, headers=headers, body=self._metrics.exposition())
 
 
+def _cold_servers(
+    settings: GatewaySettings, timers: Timers, metrics: Metrics, tables: RouteTables
+) -> ColdServers | None:
+    """Return the state of cold servers, or None if the deployment states no bound for them."""
+    bounds = settings.bounds
+    if bounds.warmup_overage <= 0:
+        return None
+    return ColdServers(timers, metrics, tables, bounds.warmup_overage, bounds.warmup_slack)
+
+
 class GatewayDaemon:
     """Run one gateway instance."""
 
@@ -111,10 +122,8 @@
         metrics: Metrics,
         dialer: Dial = dial,
     ) -> None:
-        self._settings = settings
-        self._adapters = adapters
-        self._timers = timers
-        self._metrics = metrics
+        self._settings, self._adapters = settings, adapters
+        self._timers, self._metrics = timers, metrics
         self._stopping = asyncio.Event()
         self._tables = RouteTables()
         self._directory = ServerDirectory()
@@ -134,6 +143,8 @@
             build_id(),
         )
         self._instances = InstanceList(self._record)
+        self._rank = SettledRank(timers, self._instances, self._record)
+        self._cold = _cold_servers(settings, timers, metrics, self._tables)
         self._retries = SharedRetries(
             timers,
             settings.bounds.retry_window_s,
@@ -154,7 +165,13 @@
         self._grant_channels = GrantChannels(self._paths.connect_directly)
         self._key_commands = adapters.key_commands(self._paths.command_pool, self._grant_channels)
         self._keeper = QueueKeeper(
-            self._directory, self._health, self._limits, self._view.range_count, timers
+            self._directory,
+            self._health,
+            self._limits,
+            self._view.range_count,
+            timers,
+            self._cold,
+            self._rank.is_settled_first,
         )
         self._queues = QueueLink(
             settings.peer_address,
@@ -177,7 +194,7 @@
             self._instances.apply,
             self._crashes.set_suspects,
             lambda: self._instances.count,
-            self._retries.record,
+            self._record_heartbeat,
         )
         self._link_server = LinkServer(
             settings.peer_address,
@@ -207,7 +224,7 @@
         self._servers = ServerFollower(
             adapters.servers, self._directory, timers, self._link, self._availability
         )
-        self._directory.subscribe(self._publish_server)
+        self._directory.subscribe(self._publish_server, self._observe_registration)
         self._leadership = Leadership(self._leadership_dependencies())
         self._dispatcher = Dispatcher(self._dispatcher_dependencies())
         self._callers = CallerServer(
@@ -329,6 +346,8 @@
             self._health.retain(incarnations)
             self._limits.retain(incarnations)
             self._load.retain(incarnations)
+            if self._cold is not None:
+                self._cold.retain(incarnations)
             self._report_readiness()
 
     def _report_readiness(self) -> None:
@@ -387,6 +406,7 @@
             reach=self._paths.reach,
             has_path=self._paths.has_path,
             on_back_off=self._paths.handle_back_off,
+            cold=self._cold,
         )
 
     async def _lead(self, claim: Claim) -> None:
@@ -405,6 +425,7 @@
                 publish=self._publish,
                 pause=self._publish_pause,
                 max_lease_s=self._settings.bounds.max_hold_s,
+                cold_rate=self._cold_rate,
             )
         )
         manager.inherit(claim.plan, claim.predecessor_ended, claim.doubtful)
@@ -446,6 +467,21 @@
         if self._leadership.leading:
             self._link_server.publish_server(record, removed)
 
+    def _observe_registration(self, record: ServerRecord, distributed: bool) -> None:
+        """Learn whether a server is cold, and as the leader tell the others if need be."""
+        if self._cold is None:
+            return
+        due = self._cold.record_registration(record, distributed)
+        if due and self._leadership.leading:
+            self._link_server.publish_server(record, removed=False)
+
+    def _cold_rate(self, record: ServerRecord) -> float | None:
+        return None if self._cold is None else self._cold.max_rate(record)
+
+    def _record_heartbeat(self, term: int, count: int, age_s: float, store_age_s: float) -> None:
+        self._rank.record_contact(age_s)
+        self._retries.record(term, count, age_s, store_age_s)
+
     def _announce_leadership(self, address: str) -> None:
         self._queues.announce(address, Leads(self._identity, self._claim_version))
 
@@ -504,6 +540,7 @@
         age_s = self._leadership.store_age_s()
         if age_s is None:
             return None
+        self._rank.record_contact(0.0)
         table = self._tables.current
         term, sharers = self._retries.announce(age_s)
         return LeaderStatus(
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 
 from attrs import evolve, frozen
@@ -19,6 +20,7 @@
     CallerRequest,
     ExchangeBrokenError,
     HeaderCodec,
+    LateAdmissionError,
     NotSentError,
     OwnLinkError,
     RepeatedRequestError,
@@ -49,6 +51,7 @@
 from hyssopwood.gateway.server_selector import Selection, ServerSelector
 from hyssopwood.gateway.shared_queue import service_sample_s
 from hyssopwood.gateway.shutdown import ANSWER_GRACE_S, ShutdownTimes
+from hyssopwood.gateway.warmup import MAX_ADMISSION_AGE_S, ColdServers
 from hyssopwood.gateway.weighted_choice import WeightedChoice
 from hyssopwood.keyspace.plan_view import PlanView
 from hyssopwood.metrics import Metrics
@@ -93,6 +96,7 @@
     has_path: Callable[[str], bool] = lambda service: True
     # Called with a server that asked this instance to back off, and for how many seconds.
     on_back_off: Callable[[ServerRecord, float], None] = lambda server, seconds: None
+    cold: ColdServers | None = None
 
 
 @frozen
@@ -263,7 +267,7 @@
         done = Done()
         stream: BodyStream | None = None
         try:
-            outcome, done = await self._exchange(routed, selected.server)
+            outcome, done = await self._exchange(routed, selected)
             stream = _stream_of(outcome)
             return outcome
         finally:
@@ -297,7 +301,8 @@
         limit = self._deps.limits.notice(selected.server.incarnation)
         self._deps.queues.release(selected.admission, evolve(done, limit=limit))
 
-    async def _exchange(self, routed: RoutedRequest, server: ServerRecord) -> tuple[Outcome, Done]:
+    async def _exchange(self, routed: RoutedRequest, selected: Selection) -> tuple[Outcome, Done]:
+        server = selected.server
         started_at = self._deps.timers.now()
         remaining_s = routed.deadline - started_at
         if remaining_s <= 0:
@@ -308,8 +313,8 @@
         self._deps.limits.record_sent(server.incarnation, Sent.REQUEST)
         try:
             async with asyncio.timeout(remaining_s + ANSWER_GRACE_S):
-                answer = await self._exchange_once(server, self._server_request(routed, server))
-        except OwnLinkError as error:
+                answer = await self._exchange_once(selected, self._server_request(routed, server))
+        except (OwnLinkError, LateAdmissionError) as error:
             # The server may be sound, so it stays a choice for this request.
             routed.tried.discard(server.server)
             return Refused(Cause.SERVER_UNREACHABLE, str(error)), Done()
@@ -361,11 +366,28 @@
         self._deps.reach.record_failed(server)
         return self._deps.reach.in_doubt(server.service)
 
-    async def _exchange_once(self, server: ServerRecord, request: ServerRequest) -> ServerAnswer:
+    def _check_admission(self, selected: Selection) -> None:
+        """Raise LateAdmissionError if the server is cold and its admission is too old to be used.
+
+        Admissions that were delayed would otherwise arrive at a cold server in a burst.
+        """
+        cold, server = self._deps.cold, selected.server
+        if cold is None or not (selected.admission.cold or cold.is_cold(server)):
+            return
+        age_s = self._deps.timers.now() - selected.admission.granted_at
+        if age_s > MAX_ADMISSION_AGE_S:
+            cold.count_late(server, age_s)
+            raise LateAdmissionError(f"the admission to {server.server} is {age_s:.3f} s old")
+
+    async def _exchange_once(self, selected: Selection, request: ServerRequest) -> ServerAnswer:
         """Exchange a request over a connection on which it has not failed before."""
+        pool, server = self._deps.pool, selected.server
         while True:
             try:
-                return await self._deps.pool.exchange(server, request)
+                if self._deps.cold is None:
+                    return await pool.exchange(server, request)
+                check = partial(self._check_admission, selected)
+                return await pool.exchange(server, request, check)
             except RepeatedRequestError:
                 # The connection was closed, and the pool tries another one or opens a new one.
                 continue
@@ -400,10 +422,11 @@
         refused = head.not_run and (identified or (replaced and head.misdirected))
         # Nothing that another server states of itself holds for this one.
         load, back_off_s = (None, None) if replaced else (head.load, head.back_off_s)
+        warmup_s = head.warmup_s if identified and not replaced else None
         routed.refused = refused and not replaced
         if refused:
             detail = f"status {answer.status} from {head.answered_by or server.server}"
-            done = Done(load=load, back_off_s=back_off_s)
+            done = Done(load=load, back_off_s=back_off_s, warmup_s=warmup_s)
             return Refused(Cause.SERVER_REFUSED, detail), done
         if not identified:
             detail = "the answer has no request id or the id of another request"
@@ -413,7 +436,7 @@
             elapsed_s = self._deps.timers.now() - started_at
             sample_s = service_sample_s(elapsed_s, load, server.slots)
             self._deps.reports.record_service_time(server.incarnation, sample_s)
-        done = Done(sample_s, load, back_off_s=back_off_s)
+        done = Done(sample_s, load, back_off_s=back_off_s, warmup_s=warmup_s)
         fault = _answer_fault(answer, head)
         if fault:
             return OutcomeUnknown(Cause.BAD_ANSWER, fault), done
@@ -425,6 +448,8 @@
     ) -> None:
         """Apply the server's notices: that it leaves, its limit, and the back-off it asks for."""
         self._deps.limits.record_answer(server.incarnation, head.limit_per_s, started_at)
+        if self._deps.cold is not None:
+            self._deps.cold.record_answer(server.incarnation, head.warmup_s)
         if head.leaving and self._deps.directory.mark_leaving(server.incarnation):
             self._deps.reports.record_leaving(server.incarnation)
         if head.back_off_s:
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -162,6 +162,8 @@
     back_off_s: float | None = None
     # Requests per second that the server takes from all instances together; None for no limit.
     limit_per_s: float | None = None
+    # Time for which the server stays cold; None if the answer doesn't state it.
+    warmup_s: float | None = None
     # Names of headers that were ignored because their values are invalid.
     ignored: tuple[str, ...] = ()
 
@@ -204,6 +206,10 @@
     """Raised when a connection fails and this instance's own links may be the cause."""
 
 
+class LateAdmissionError(NotSentError):
+    """Raised when a request to a cold server would be sent too long after its admission."""
+
+
 class NoPathError(OwnLinkError):
     """Raised when this instance is cut off and no other one relays a connection to the server."""
 
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -6,7 +6,7 @@
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
-from hyssopwood.settings import validate_address, validate_positive
+from hyssopwood.settings import validate_address, validate_not_negative, validate_positive
 
 # Link speed of a machine whose settings don't state one; it doesn't limit the capacity.
 DEFAULT_LINK_MBPS = 1000.0
@@ -30,6 +30,10 @@
     retry_extra: float = field(validator=validate_positive)
     # Time within which a confirmed configuration must be in force.
     apply_s: float = field(default=DEFAULT_APPLY_S, validator=validate_positive)
+    # A cold server may get at most this multiple of its `warmup_per_s`, and `warmup_slack` more
+    # requests, in any second; 0 if the deployment states no such bound.
+    warmup_overage: float = field(default=0.0, validator=validate_not_negative)
+    warmup_slack: float = field(default=0.0, validator=validate_not_negative)
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/gateway/instance_list.py
+++ b/src/hyssopwood/gateway/instance_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from hashlib import blake2b
 
 from attrs import define, field, frozen
@@ -34,6 +35,11 @@
     return -math.log(uniform) / max(1, record.capacity)
 
 
+def rank(queue: str, failure_domain: str, record: InstanceRecord) -> tuple[bool, float]:
+    """Return an instance's rank for a queue; the instance with the lowest keeps the queue."""
+    return record.failure_domain != failure_domain, _rank(queue, record)
+
+
 @frozen
 class InstanceUpdate:
     """Instances that were added or changed, and the names of removed ones."""
@@ -52,9 +58,15 @@
     _records: dict[str, InstanceRecord] = field(factory=dict, init=False)
     _ranked: dict[tuple[str, str], tuple[InstanceRecord, ...]] = field(factory=dict, init=False)
 
+    _listeners: list[Callable[[InstanceRecord], None]] = field(factory=list, init=False)
+
     def __attrs_post_init__(self) -> None:
         self._records[self._own.instance] = self._own
 
+    def subscribe(self, listener: Callable[[InstanceRecord], None]) -> None:
+        """Call back with each record that is removed or replaced."""
+        self._listeners.append(listener)
+
     @property
     def count(self) -> int:
         """Return the number of known instances."""
@@ -93,6 +105,10 @@
         changed = self._records != previous
         if changed:
             self._ranked.clear()
+            for record in previous.values():
+                if self._records.get(record.instance) != record:
+                    for listener in self._listeners:
+                        listener(record)
         return changed
 
     def is_among_first(self, purpose: str, count: int) -> bool:
@@ -113,7 +129,7 @@
             ranked = tuple(
                 sorted(
                     self._records.values(),
-                    key=lambda item: (item.failure_domain != failure_domain, _rank(queue, item)),
+                    key=lambda item: rank(queue, failure_domain, item),
                 )
             )
             self._ranked[(queue, failure_domain)] = ranked
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -48,6 +48,10 @@
   bornMs @3 :UInt64;
   # The servers' own limits determine the wait of a rejected request.
   limited @4 :Bool;
+  # Time between the receipt of the ask and the grant.
+  heldMs @5 :UInt32;
+  # The granted server is cold, so that the grant must be used at once.
+  cold @6 :Bool;
 }
 
 enum Failure {
@@ -77,4 +81,6 @@
   backOffMs @6 :UInt32;
   # Limit of the server, if the sender has read one; no server name if not.
   limit @7 :Limits.LimitNotice;
+  # One more than the milliseconds for which the server stays cold; 0 if it hasn't stated them.
+  warmupMsPlusOne @8 :UInt32;
 }
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -7,10 +7,10 @@
 from functools import partial
 from typing import TypeAlias
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from hyssopwood.gateway.queue_messages import Ask, Done, Failure, QueueName, Reply, ReplyState
-from hyssopwood.gateway.server_directory import ServerDirectory
+from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_health import ServerHealth
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.shared_queue import (
@@ -21,6 +21,7 @@
     QueueServer,
     SharedQueue,
 )
+from hyssopwood.gateway.warmup import ColdAdmission, ColdServers
 from hyssopwood.keyspace.renewals import request_rate_per_s
 from hyssopwood.timers import TimerHandle, Timers
 
@@ -33,19 +34,12 @@
 ReplyCallback: TypeAlias = Callable[[Reply], None]
 
 
-@frozen
+@define
 class _Requester:
     queue: QueueName
     on_reply: ReplyCallback
-
-
-def _reply(decision: Decision) -> Reply:
-    if isinstance(decision, Granted):
-        record = decision.server
-        return Reply(ReplyState.GRANTED, 0.0, record.server, record.born_ms)
-    if isinstance(decision, Queued):
-        return Reply(ReplyState.QUEUED, decision.wait_s)
-    return Reply(ReplyState.REJECTED, decision.wait_s, limited=decision.limited)
+    asked_at: float
+    granted_at: float | None = None
 
 
 @define
@@ -61,6 +55,9 @@
     # Number of key ranges of a server incarnation; each must be renewed by requests.
     _range_count: Callable[[tuple[str, int]], int]
     _timers: Timers
+    _cold: ColdServers | None = None
+    # Whether this instance may admit requests to cold servers as the keeper of a queue.
+    _may_admit_cold: Callable[[QueueName], bool] = lambda queue: True
     _queues: dict[QueueName, SharedQueue] = field(factory=dict, init=False)
     _requesters: dict[Hashable, _Requester] = field(factory=dict, init=False)
     # Share of the servers' limits that this keeper of a queue may use.
@@ -75,6 +72,10 @@
         """Return how many requests are admitted or queued here."""
         return len(self._requesters)
 
+    @property
+    def _any_cold(self) -> bool:
+        return self._cold is not None and self._cold.any_cold
+
     async def run(self) -> None:
         """Advance all queues at intervals until cancelled; sleep while they are empty."""
         while True:
@@ -103,7 +104,7 @@
         if existing is not None:
             decision = self._queues[existing.queue].decision(ticket, now)
             if decision is not None:
-                on_reply(_reply(decision))
+                on_reply(self._reply(decision, existing))
                 return
         if not self._candidates(ask.queue):
             # The requester may have a server's registration that hasn't reached this instance yet.
@@ -123,10 +124,13 @@
             tried=ask.tried,
         )
         decision = queue.enter(request, now)
+        requester = _Requester(ask.queue, on_reply, now)
         if isinstance(decision, Granted | Queued):
-            self._requesters[ticket] = _Requester(ask.queue, on_reply)
+            self._requesters[ticket] = requester
             self._has_requests.set()
-        on_reply(_reply(decision))
+        if not isinstance(decision, Granted):
+            self._count_cold(ask.queue)
+        on_reply(self._reply(decision, requester))
         self._schedule_advance(ask.queue)
 
     def release(self, ticket: Hashable, done: Done) -> None:
@@ -140,6 +144,8 @@
             self._limits.apply(done.limit)
         incarnation = queue.release(ticket, done.sample_s, done.load, now, done.back_off_s)
         queue.withdraw(ticket)
+        if incarnation is not None and self._cold is not None:
+            self._cold.record_answer(incarnation, done.warmup_s)
         if incarnation is not None and done.failure is not Failure.NONE:
             self._health.record_failure(incarnation, done.failure is Failure.CERTAIN)
         elif incarnation is not None and done.sample_s is not None:
@@ -161,12 +167,12 @@
             requester = self._requesters[ticket]
             if not isinstance(decision, Granted):
                 del self._requesters[ticket]
-            requester.on_reply(_reply(decision))
+            requester.on_reply(self._reply(decision, requester))
         self._schedule_advance(name)
 
     def _schedule_advance(self, name: QueueName) -> None:
         """Advance the queue again as soon as a server's limit admits a request."""
-        if name in self._wakeups or not self._limits.any_named:
+        if name in self._wakeups or not (self._limits.any_named or self._any_cold):
             return
         wait_s = self._queues[name].next_token_s(self._timers.now())
         if wait_s is not None:
@@ -186,6 +192,48 @@
         rate_per_s = request_rate_per_s(self._range_count(incarnation), limit_per_s)
         return rate_per_s * self._shares.get(name, 1.0)
 
+    def _reply(self, decision: Decision, requester: _Requester) -> Reply:
+        if isinstance(decision, Granted):
+            record = decision.server
+            if requester.granted_at is None:
+                requester.granted_at = self._timers.now()
+            return Reply(
+                ReplyState.GRANTED,
+                0.0,
+                record.server,
+                record.born_ms,
+                held_s=requester.granted_at - requester.asked_at,
+                cold=self._cold is not None and self._cold.is_cold(record),
+            )
+        if isinstance(decision, Queued):
+            return Reply(ReplyState.QUEUED, decision.wait_s)
+        return Reply(ReplyState.REJECTED, decision.wait_s, limited=decision.limited)
+
+    def _cold_admission(
+        self, name: QueueName, record: ServerRecord, suspect: bool
+    ) -> ColdAdmission:
+        """Return what the queue may admit to a server in view of whether it is cold."""
+        if self._cold is None:
+            return ColdAdmission.FREE
+        if suspect:
+            # It may have crashed and started again.
+            self._cold.record_unreachable(record.incarnation)
+        if not self._cold.is_cold(record):
+            return ColdAdmission.FREE
+        own_queue = bool(name.server) == self._cold.uses_server_queue(record)
+        if own_queue and self._may_admit_cold(name):
+            return ColdAdmission.LIMITED
+        return ColdAdmission.CLOSED
+
+    def _count_cold(self, name: QueueName) -> None:
+        """Count a request that wasn't admitted at once where cold servers are the cause."""
+        if self._cold is None or not self._cold.any_cold:
+            return
+        for candidate in self._candidates(name):
+            if candidate.cold is not ColdAdmission.FREE:
+                self._cold.count_refused(candidate.record, candidate.cold)
+                return
+
     def _candidates(self, name: QueueName) -> list[QueueServer]:
         if name.server:
             record = self._directory.get(name.server)
@@ -197,12 +245,14 @@
                 for record in self._directory.of_service(name.service)
                 if record.failure_domain == name.failure_domain
             ]
-        return [
-            QueueServer(
-                record,
-                self._health.is_suspect(record.incarnation),
-                self._rate_per_s(name, record.incarnation),
-            )
-            for record in records
-            if not record.draining
-        ]
+        return [self._candidate(name, record) for record in records if not record.draining]
+
+    def _candidate(self, name: QueueName, record: ServerRecord) -> QueueServer:
+        suspect = self._health.is_suspect(record.incarnation)
+        return QueueServer(
+            record,
+            suspect,
+            self._rate_per_s(name, record.incarnation),
+            self._cold_admission(name, record, suspect),
+            None if self._cold is None else self._cold.window(record),
+        )
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -60,6 +60,9 @@
     # Instance that granted the admission (None for this one), and the ticket to release it with.
     keeper: InstanceRecord | None
     ticket: int
+    # Earliest time at which it can have been granted, and whether the server is cold.
+    granted_at: float = float("-inf")
+    cold: bool = False
 
 
 @define(eq=False)
@@ -200,6 +203,7 @@
             if reply.state is not ReplyState.QUEUED and not final.done():
                 final.set_result(reply)
 
+        sent_at = self._timers.now()
         self._keeper.ask(
             (self._instance, ticket),
             _subtract_elapsed(ask, self._elapsed_s(asked_at)),
@@ -215,7 +219,7 @@
         if reply is None:
             return Reply(ReplyState.DECLINED)
         if reply.state is ReplyState.GRANTED:
-            return Admission(reply.server, reply.born_ms, None, ticket)
+            return _admission(reply, None, ticket, sent_at)
         return reply
 
     def _limit_share(self, ask: Ask) -> float:
@@ -251,7 +255,7 @@
         if reply is None:
             return Reply(ReplyState.DECLINED)
         if reply.state is ReplyState.GRANTED:
-            return Admission(reply.server, reply.born_ms, keeper, pending.ticket)
+            return _admission(reply, keeper, pending.ticket, now)
         return reply
 
     def _check_pending(self, pending: _Pending, now: float) -> None:
@@ -336,6 +340,14 @@
             pending.final.set_result(reply)
 
 
+def _admission(
+    reply: Reply, keeper: InstanceRecord | None, ticket: int, sent_at: float
+) -> Admission:
+    """Return the admission of a grant; the ask was received no earlier than it was sent."""
+    granted_at = sent_at + reply.held_s
+    return Admission(reply.server, reply.born_ms, keeper, ticket, granted_at, reply.cold)
+
+
 def _subtract_elapsed(ask: Ask, elapsed_s: float) -> Ask:
     """Return an ask whose times are relative to now instead of to `elapsed_s` ago."""
     return Ask(
--- a/src/hyssopwood/gateway/queue_messages.py
+++ b/src/hyssopwood/gateway/queue_messages.py
@@ -80,6 +80,10 @@
     born_ms: int = 0
     # The servers' own limits determine the wait of a rejected request.
     limited: bool = False
+    # Time between the receipt of the ask and the grant.
+    held_s: float = 0.0
+    # The granted server is cold, so that the grant must be used at once.
+    cold: bool = False
 
 
 @frozen
@@ -92,6 +96,8 @@
     # Time for which the server told the sending instance to back off.
     back_off_s: float | None = None
     limit: LimitNotice | None = None
+    # Time for which the server stays cold, if its answer has stated it.
+    warmup_s: float | None = None
 
 
 @frozen
@@ -149,6 +155,8 @@
     reply.server = message.server
     reply.bornMs = message.born_ms
     reply.limited = message.limited
+    reply.heldMs = _to_milliseconds(message.held_s)
+    reply.cold = message.cold
 
 
 @_fill.register
@@ -164,6 +172,8 @@
         done.slots = min(MAX_COUNT, message.load.slots)
     if message.limit is not None:
         fill_limit(done.init("limit"), message.limit)
+    if message.warmup_s is not None:
+        done.warmupMsPlusOne = min(MAX_MS, _to_milliseconds(message.warmup_s) + 1)
 
 
 @_fill.register
@@ -198,7 +208,8 @@
     sample_s = done.sampleMs / MS_PER_S if done.sampleMs > 0 else None
     back_off_s = done.backOffMs / MS_PER_S if done.backOffMs else None
     limit = read_limit(done.limit) if done.limit.server else None
-    return Done(sample_s, load, Failure(str(done.failure)), back_off_s, limit)
+    warmup_s = (done.warmupMsPlusOne - 1) / MS_PER_S if done.warmupMsPlusOne else None
+    return Done(sample_s, load, Failure(str(done.failure)), back_off_s, limit, warmup_s)
 
 
 def encode(ticket: int, message: QueueMessage) -> bytes:
@@ -222,7 +233,15 @@
             reply = wire.reply
             state = ReplyState(str(reply.state))
             wait_s = reply.waitMs / MS_PER_S
-            return wire.ticket, Reply(state, wait_s, reply.server, reply.bornMs, reply.limited)
+            return wire.ticket, Reply(
+                state,
+                wait_s,
+                reply.server,
+                reply.bornMs,
+                reply.limited,
+                reply.heldMs / MS_PER_S,
+                reply.cold,
+            )
         if kind == "leads":
             leads = wire.leads
             leader = Leader(leads.instance, leads.incarnation, leads.address)
--- a/src/hyssopwood/gateway/route_table.py
+++ b/src/hyssopwood/gateway/route_table.py
@@ -40,6 +40,10 @@
     max_connections: int
     sharded: bool
     warm_s: float
+    # Time for which a server is cold after its start, and the requests per second that it tolerates
+    # meanwhile; 0 if the configuration doesn't state them.
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -63,15 +63,25 @@
     _entries: dict[str, _Entry] = field(factory=dict, init=False)
     _removed: dict[str, _Removal] = field(factory=dict, init=False)
     _listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
+    _observers: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
     _digest: int | None = field(default=None, init=False)
     # Latest start time of the servers at each address, or None if a record has changed since.
     _newest_at: dict[str, int] | None = field(default=None, init=False)
     # Incarnations of servers that have reported in an answer that they are leaving.
     _leaving: set[tuple[str, int]] = field(factory=set, init=False)
 
-    def subscribe(self, listener: Callable[[ServerRecord, bool], None]) -> None:
-        """Call back after each routing change with the record and whether it was removed."""
+    def subscribe(
+        self,
+        listener: Callable[[ServerRecord, bool], None],
+        observer: Callable[[ServerRecord, bool], None] | None = None,
+    ) -> None:
+        """Call back after each routing change with the record and whether it was removed.
+
+        The observer is called with each newer record and whether it changes routing.
+        """
         self._listeners.append(listener)
+        if observer is not None:
+            self._observers.append(observer)
 
     def get(self, server: str) -> ServerRecord | None:
         """Return a server's record unless it was removed."""
@@ -151,7 +161,10 @@
             return
         self._removed.pop(record.server, None)
         self._entries[record.server] = _Entry(record)
-        if known is None or _routing_differs(known.record, record):
+        changed = known is None or _routing_differs(known.record, record)
+        for observer in self._observers:
+            observer(record, changed)
+        if changed:
             _log_change(record, "registered" if known is None else "changed")
             self._notify(record, removed=False)
 
--- a/src/hyssopwood/gateway/server_pool.py
+++ b/src/hyssopwood/gateway/server_pool.py
@@ -47,17 +47,17 @@
     ) -> ServerAnswer:
         """Send a request over a pooled or a new connection and return the answer.
 
-        `before_sending` is called once there is a connection. A streamed answer keeps its
-        connection until the stream has ended. Raises NotSentError if no byte was sent, and
-        ExchangeBrokenError if some were.
+        `before_sending` is called once there is a connection; if it raises, nothing is sent. A
+        streamed answer keeps its connection until the stream has ended. Raises NotSentError if no
+        byte was sent, and ExchangeBrokenError if some were.
         """
         connection = self._acquire(server)
         if connection is None:
             connection = await self._connect(server)
             self._opened += 1
-        before_sending()
         stream: BodyStream | None = None
         try:
+            before_sending()
             answer = await connection.exchange(server.address, request, self._id_header)
             stream = answer.stream
             return answer
--- a/src/hyssopwood/gateway/server_selector.py
+++ b/src/hyssopwood/gateway/server_selector.py
@@ -35,6 +35,10 @@
 OWNER_RECHECK_S = 0.25
 # A failure domain's reported wait is ignored after this time.
 OBSERVED_WAIT_TTL_S = 0.5
+# A longer predicted wait means that the keeper admits nothing to the servers, as they are cold.
+MAX_LIMITED_WAIT_S = 3600.0
+# Another keeper may admit requests to cold servers within about two seconds.
+COLD_RETRY_AFTER_S = 1.0
 MS_PER_S = 1000
 
 
@@ -307,6 +311,9 @@
 
 def _refuse_late(reply: Reply) -> Refused:
     if reply.limited:
+        if reply.wait_s > MAX_LIMITED_WAIT_S:
+            detail = "the server is cold and this keeper may not admit requests to it"
+            return Refused(Cause.AT_LIMIT, detail, COLD_RETRY_AFTER_S)
         detail = f"the server's limit admits the request in {reply.wait_s * MS_PER_S:.0f} ms"
         return Refused(Cause.AT_LIMIT, detail, reply.wait_s)
     detail = f"the predicted wait of {reply.wait_s * MS_PER_S:.0f} ms is too long"
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -17,7 +17,8 @@
 
 from hyssopwood.gateway.exchange import ServerLoad
 from hyssopwood.gateway.server_directory import ServerRecord
-from hyssopwood.gateway.token_bucket import TokenBucket
+from hyssopwood.gateway.token_bucket import SlidingWindow, TokenBucket
+from hyssopwood.gateway.warmup import ColdAdmission
 
 # Maximum requests in flight at a server while an instance must back off from it. It may still serve
 # the other instances, but together they must not overload it again.
@@ -64,6 +65,9 @@
     suspect: bool = False
     # Requests per second that the server's limit leaves to this queue; None for no limit.
     rate_per_s: float | None = None
+    # What the queue may admit while the server is cold, and all that the keeper has admitted.
+    cold: ColdAdmission = ColdAdmission.FREE
+    window: SlidingWindow | None = None
 
 
 @frozen
@@ -104,6 +108,9 @@
     backed_off_until: float = float("-inf")
     # Admissions while the server names a limit.
     bucket: TokenBucket | None = None
+    # Admissions while the server is cold.
+    cold: ColdAdmission = ColdAdmission.FREE
+    window: SlidingWindow | None = None
 
     def set_rate(self, rate_per_s: float | None, now: float) -> None:
         """Admit at most this many requests per second, or any number if it is None."""
@@ -121,23 +128,50 @@
 
     def rate_per_s(self, now: float) -> float:
         """Return how many requests per second the server is expected to serve."""
-        rate_per_s = self._slot_rate_per_s(now)
-        return rate_per_s if self.bucket is None else min(rate_per_s, self.bucket.rate_per_s)
+        return min(self._slot_rate_per_s(now), self._limit_per_s())
 
     def limited(self, now: float) -> bool:
         """Return whether the server's limit is below what its slots serve."""
-        return self.bucket is not None and self.bucket.rate_per_s < self._slot_rate_per_s(now)
+        return self._limit_per_s() < self._slot_rate_per_s(now)
 
     def free_capacity(self, now: float) -> float:
         """Return how many more requests may be sent now; a part of one may not be sent yet."""
-        free = self._free_slots(now)
-        return free if self.bucket is None else min(free, self.bucket.tokens(now))
+        free: float = self._free_slots(now)
+        if self.bucket is not None:
+            free = min(free, self.bucket.tokens(now))
+        if self.cold is ColdAdmission.CLOSED:
+            return min(free, 0.0)
+        if self.cold is ColdAdmission.LIMITED and self.window is not None:
+            free = min(free, self.window.tokens(now))
+        return free
 
     def next_token_s(self, now: float) -> float | None:
         """Return when the limit next admits a request, or None if it isn't what delays one."""
-        if self.bucket is None or self._free_slots(now) < 1 or self.bucket.tokens(now) >= 1:
+        if self.cold is ColdAdmission.CLOSED or self._free_slots(now) < 1:
             return None
-        return self.bucket.next_token_s(now)
+        waits = []
+        if self.bucket is not None and self.bucket.tokens(now) < 1:
+            waits.append(self.bucket.next_token_s(now))
+        limited = self.cold is ColdAdmission.LIMITED
+        if limited and self.window is not None and self.window.tokens(now) < 1:
+            waits.append(self.window.next_token_s(now))
+        return max(waits, default=None)
+
+    def take(self, now: float) -> None:
+        """Count an admission against the limits."""
+        if self.bucket is not None:
+            self.bucket.take(now)
+        if self.window is not None:
+            self.window.take(now)
+
+    def _limit_per_s(self) -> float:
+        """Return how many requests per second the limits admit."""
+        if self.cold is ColdAdmission.CLOSED:
+            return 0.0
+        limit = NEVER_S if self.bucket is None else self.bucket.rate_per_s
+        if self.cold is ColdAdmission.LIMITED and self.window is not None:
+            limit = min(limit, self.window.rate_per_s)
+        return limit
 
     def _slot_rate_per_s(self, now: float) -> float:
         return self.slots(now) / self.service_time_s
@@ -305,6 +339,7 @@
                 server = self._servers[record.incarnation] = _Server(record)
             server.record = record
             server.set_rate(candidate.rate_per_s, now)
+            server.cold, server.window = candidate.cold, candidate.window
             incarnations.add(record.incarnation)
             usable.append((server, candidate.suspect))
         for incarnation in self._servers.keys() - incarnations:
@@ -324,8 +359,7 @@
             return None
         server = min(free, key=lambda item: (item.expected_time_s(), item.record.server))
         server.in_flight += 1
-        if server.bucket is not None:
-            server.bucket.take(now)
+        server.take(now)
         self._admissions[request.ticket] = _Admission(server, request.deadline + ADMISSION_GRACE_S)
         return Granted(server.record)
 
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -128,6 +128,8 @@
     publish: Callable[[Plan, PlanChange], None]
     pause: Callable[[RangePause], None]
     max_lease_s: float
+    # Requests per second that a cold server may get; None if it isn't cold.
+    cold_rate: Callable[[ServerRecord], float | None] = lambda record: None
 
 
 @frozen
@@ -612,17 +614,21 @@
                     for lease in ranges
                     if lease.keys.incarnation == record.incarnation
                 ),
-                self._max_rate(record.incarnation, range_counts[record.incarnation]),
+                self._max_rate(record, range_counts[record.incarnation]),
             )
             for record in self._usable_servers(service)
         )
 
-    def _max_rate(self, incarnation: tuple[str, int], range_count: int) -> float | None:
-        """Return the load that a server's limit allows, or None if it names none."""
-        limit_per_s = self._deps.limits.get(incarnation)
-        if limit_per_s is None:
-            return None
-        return LIMITED_LOAD_SHARE * request_rate_per_s(range_count, limit_per_s)
+    def _max_rate(self, record: ServerRecord, range_count: int) -> float | None:
+        """Return the load that a server can take, or None if neither a limit nor cold bounds it."""
+        rates = []
+        limit_per_s = self._deps.limits.get(record.incarnation)
+        if limit_per_s is not None:
+            rates.append(request_rate_per_s(range_count, limit_per_s))
+        cold_rate_per_s = self._deps.cold_rate(record)
+        if cold_rate_per_s is not None:
+            rates.append(cold_rate_per_s)
+        return LIMITED_LOAD_SHARE * min(rates) if rates else None
 
     def _balance(self, now: float) -> None:
         if now - self._balanced_at < BALANCE_INTERVAL_S:
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -108,6 +108,8 @@
     }
     bounds = {own: settings.number(f"bounds.{name}") for own, name in names.items()}
     bounds["apply_s"] = settings.number("bounds.config_apply_s", DEFAULT_APPLY_S)
+    bounds["warmup_overage"] = settings.number("bounds.warmup_overage", 0.0)
+    bounds["warmup_slack"] = settings.number("bounds.warmup_slack", 0.0)
     return bounds
 
 
--- a/src/hyssopwood/platform/configuration.py
+++ b/src/hyssopwood/platform/configuration.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from hyssopwood.documents import check_integer, parse_document, shorten
+from hyssopwood.documents import check_integer, parse_document, quote, shorten
 from hyssopwood.errors import InputError, InputFault
 from hyssopwood.gateway.route_table import (
     CallerLimits,
@@ -17,6 +17,8 @@
 SOURCE = "configuration"
 # Kinds of requests that may run more than once.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+# Limit on `warmup_s` (a day) and on `warmup_per_s`; larger values are mistakes.
+MAX_WARMUP_NUMBER = 86_400
 
 
 def _targets(action: dict[str, Any]) -> tuple[WeightedService, ...]:
@@ -42,6 +44,15 @@
     )
 
 
+def _warmup_number(cluster: dict[str, Any], name: str) -> float:
+    value = cluster.get(name, 0.0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{name} is {quote(value)}, expected a number")
+    if not 0 <= value <= MAX_WARMUP_NUMBER:
+        raise ValueError(f"{name} is {quote(value)}, expected 0 to {MAX_WARMUP_NUMBER}")
+    return float(value)
+
+
 def _service(cluster: dict[str, Any]) -> ServiceSpec:
     return ServiceSpec(
         name=cluster["name"],
@@ -49,6 +60,8 @@
         max_connections=int(cluster.get("max_connections", 0)),
         sharded=bool(cluster.get("sharded", False)),
         warm_s=float(cluster.get("warm_s", 0.0)),
+        warmup_s=_warmup_number(cluster, "warmup_s"),
+        warmup_per_s=_warmup_number(cluster, "warmup_per_s"),
     )
 
 
--- a/src/hyssopwood/platform/names.py
+++ b/src/hyssopwood/platform/names.py
@@ -28,6 +28,8 @@
 SERVER_LEAVING: Final = b"server-leaving"
 # Requests per second that the answering server takes from all instances together.
 SERVER_LIMIT: Final = b"server-limit"
+# Milliseconds for which the answering server stays cold.
+SERVER_WARMUP: Final = b"warmup-ms"
 # Counter in the store's answers that rises by one with each restore from an older copy.
 STORE_ERA: Final = "Store-Era"
 NOT_EXECUTED: Final = b"not-executed"
--- a/src/hyssopwood/platform/request_headers.py
+++ b/src/hyssopwood/platform/request_headers.py
@@ -20,10 +20,12 @@
     SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
+    SERVER_WARMUP,
     SHARD_KEY,
     SIGNATURE,
     TARGET,
 )
+from hyssopwood.platform.server_entries import MAX_WARMUP_S
 
 MS_PER_S = 1000
 MISDIRECTED_STATUS = 421
@@ -129,6 +131,11 @@
         if answer.header(SERVER_LIMIT) is not None:
             limit_per_s = _parse_decimal(answer.headers, SERVER_LIMIT)
             ignored += () if limit_per_s is not None else (SERVER_LIMIT.decode(),)
+        warmup_s = None
+        if answer.header(SERVER_WARMUP) is not None:
+            milliseconds = _parse_decimal(answer.headers, SERVER_WARMUP)
+            warmup_s = None if milliseconds is None else min(MAX_WARMUP_S, milliseconds / MS_PER_S)
+            ignored += () if warmup_s is not None else (SERVER_WARMUP.decode(),)
         return AnswerHead(
             request_id=answer.header(REQUEST_ID),
             signed=answer.header(SIGNATURE) is not None,
@@ -140,6 +147,7 @@
             leaving=bool(leaving),
             back_off_s=back_off_s,
             limit_per_s=limit_per_s,
+            warmup_s=warmup_s,
             ignored=ignored,
         )
 
--- a/src/hyssopwood/settings.py
+++ b/src/hyssopwood/settings.py
@@ -43,6 +43,12 @@
         raise FieldError(value, f"a number above 0 and at most {MAX_NUMBER}")
 
 
+def validate_not_negative(_: Any, __: Attribute[Any], value: float) -> None:
+    """Raise FieldError unless the value is 0 or above and at most MAX_NUMBER."""
+    if not 0 <= value <= MAX_NUMBER:
+        raise FieldError(value, f"a number from 0 to {MAX_NUMBER}")
+
+
 def validate_name(_: Any, __: Attribute[str] | None, value: str) -> None:
     """Raise FieldError unless the value is a short name of letters, digits, '-' and '_'."""
     if not value.replace("-", "").replace("_", "").isalnum() or len(value) > MAX_NAME_CHARACTERS:
--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -34,6 +34,10 @@
     address: str = ""
     # Requests per second that the server states in its answers that it takes; None for no limit.
     limit_per_s: float | None = None
+    # Time on the monotonic clock until which the server states that it is cold.
+    cold_until: float = 0.0
+    # Times at which requests arrived that got no 421, on the monotonic clock.
+    accepted_at: list[float] = field(factory=list)
     # Times at which requests and key commands arrived, on the monotonic clock.
     arrived_at: list[float] = field(factory=list)
     executed_request_ids: list[str] = field(factory=list)
@@ -45,6 +49,11 @@
     _sequence: int = field(default=0, init=False)
     _runner: web.AppRunner | None = field(default=None, init=False)
 
+    @property
+    def warmup_left_s(self) -> float:
+        """Return for how long the server stays cold."""
+        return round(max(0.0, self.cold_until - time.monotonic()), 3)
+
     async def start(self) -> None:
         """Listen on a free port of the loopback interface."""
         app = web.Application(middlewares=[self._state_limit])
@@ -74,7 +83,7 @@
                 "version": "v1",
                 "max_concurrency": SLOTS,
                 "state": state,
-                "warmup_left_s": 0,
+                "warmup_left_s": self.warmup_left_s,
                 "sequence": self._sequence,
                 "born": self.born_ms,
             }
@@ -137,6 +146,9 @@
         key = request.headers.get("Shard-Key")
         if self.sharded and (key is None or not self.has_lease(int(key))):
             return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
+        self.accepted_at.append(time.monotonic())
+        if self.cold_until:
+            headers["Warmup-Ms"] = str(int(self.warmup_left_s * 1000))
         self._running += 1
         self.executed_request_ids.append(headers["Request-Id"])
         try:
