--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -7,7 +7,7 @@
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
-from hyssopwood.settings import validate_address, validate_positive
+from hyssopwood.settings import validate_address, validate_not_negative, validate_positive
 
 # Link speed of a machine whose settings don't state one; it doesn't limit the capacity.
 DEFAULT_LINK_MBPS = 1000.0
@@ -34,6 +34,10 @@
     # Time within which no request may reach a server of an evacuated failure domain; without it,
     # evacuations are ignored.
     evacuate_s: float | None = field(default=None, validator=optional(validate_positive))
+    # A cold server may get at most this multiple of its `warmup_per_s`, and `warmup_slack` more
+    # requests, in any second; 0 if the deployment states no such bound.
+    warmup_overage: float = field(default=0.0, validator=validate_not_negative)
+    warmup_slack: float = field(default=0.0, validator=validate_not_negative)
 
 
 @frozen(kw_only=True)
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -50,6 +50,10 @@
   bornMs @3 :UInt64;
   # The servers' own limits determine the wait of a rejected request.
   limited @4 :Bool;
+  # Time between the receipt of the ask and the grant.
+  heldMs @5 :UInt32;
+  # The granted server is cold, so that the grant must be used at once.
+  cold @6 :Bool;
 }
 
 enum Failure {
@@ -82,4 +86,6 @@
   # How long work takes on the server's machine at this moment, in percent of the usual; 0 if not
   # stated.
   pace @8 :UInt16;
+  # One more than the milliseconds for which the server stays cold; 0 if it hasn't stated them.
+  warmupMsPlusOne @9 :UInt32;
 }
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -66,6 +66,7 @@
     _entries: dict[str, _Entry] = field(factory=dict, init=False)
     _removed: dict[str, _Removal] = field(factory=dict, init=False)
     _listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
+    _observers: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
     _digest: int | None = field(default=None, init=False)
     # Latest start time of the servers at each address, or None if a record has changed since.
     _newest_at: dict[str, int] | None = field(default=None, init=False)
@@ -82,6 +83,10 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_registrations(self, observer: Callable[[ServerRecord, bool], None]) -> None:
+        """Call back with each newer record and whether it changes routing."""
+        self._observers.append(observer)
+
     def subscribe_stored(self, listener: Callable[[ServerRecord, bool], None]) -> None:
         """Call back after each change of a record, with the record as the server registered it."""
         self._stored_listeners.append(listener)
@@ -208,7 +213,10 @@
             return
         self._removed.pop(record.server, None)
         self._entries[record.server] = _Entry(record)
-        if known is None or _routing_differs(known.record, record):
+        changed = known is None or _routing_differs(known.record, record)
+        for observer in self._observers:
+            observer(record, changed)
+        if changed:
             _log_change(record, "registered" if known is None else "changed")
             self._notify(record, removed=False)
 
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -110,6 +110,8 @@
     bounds["apply_s"] = settings.number("bounds.config_apply_s", DEFAULT_APPLY_S)
     if "bounds.evacuate_s" in settings.values:
         bounds["evacuate_s"] = settings.number("bounds.evacuate_s")
+    bounds["warmup_overage"] = settings.number("bounds.warmup_overage", 0.0)
+    bounds["warmup_slack"] = settings.number("bounds.warmup_slack", 0.0)
     return bounds
 
 
