Start: the gateway imports neither aiohttp nor prometheus_client, cattrs and json5

Cause: a gateway process serves nothing while it imports its modules, 1.2 to 1.7 s with 0.3 of a core. It imported aiohttp for the client of the store and for one constant, an HTTP server for the text of the metrics, and cattrs and json5 for three names.

Change: the store's client reads its answers with the parser of the gateway's other connections (platform/store_connection.py). A GET whose connection ends before the answer is still sent once more, a body without a length still ends with its connection, also a reset one, and the labels of store_failures keep their names. metrics_text.py writes the text of the metrics; a test compares it with that of prometheus_client, which becomes a library for tests. validation.py holds the checks of settings that need no parser.

--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -7,7 +7,6 @@
 import httptools
 from attrs import define, field
 
-from hyssopwood.bounded_http import MAX_INTERIM_ANSWERS
 from hyssopwood.gateway.exchange import (
     AnswerStart,
     ExchangeBrokenError,
@@ -20,6 +19,8 @@
 MAX_FRAMING_BYTES = 32_768
 # Header lines of one answer; servers send about ten.
 MAX_HEADER_LINES = 128
+# Interim answers before the final one.
+MAX_INTERIM_ANSWERS = 8
 # Heads are parsed in slices, so that an endless one is detected before much of it is buffered.
 HEAD_SLICE_BYTES = 4096
 _BODILESS_STATUSES = frozenset({204, 304})
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -6,7 +6,7 @@
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
-from hyssopwood.settings import validate_address, validate_positive
+from hyssopwood.validation import validate_address, validate_positive
 
 # Link speed of a machine whose settings don't state one; it doesn't limit the capacity.
 DEFAULT_LINK_MBPS = 1000.0
--- a/src/hyssopwood/metrics.py
+++ b/src/hyssopwood/metrics.py
@@ -1,15 +1,14 @@
-"""Metrics: HDR histograms for durations, Prometheus exposition for all."""
+"""Metrics: HDR histograms for durations, Prometheus text format for all."""
 
 from __future__ import annotations
 
 import resource
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
-from prometheus_client.core import Metric, SummaryMetricFamily
-from prometheus_client.registry import Collector
+
+from hyssopwood.metrics_text import Counter, Gauge, family_lines, sample_line
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
@@ -46,38 +45,25 @@
         return self._histogram.get_value_at_percentile(quantile * 100) / US_PER_S
 
 
-class _DurationCollector(Collector):
-    def __init__(self, histograms: dict[str, dict[str, DurationHistogram]]) -> None:
-        self._histograms = histograms
-
-    def collect(self) -> Iterable[Metric]:
-        for name, by_label in self._histograms.items():
-            yield from _metric_families(name, by_label)
-
-
-def _metric_families(name: str, by_label: dict[str, DurationHistogram]) -> Iterator[Metric]:
-    summary = SummaryMetricFamily(name, f"{name} in seconds", labels=["label"])
-    gauge = Metric(f"{name}_quantile", f"Quantiles of {name}", "gauge")
+def _duration_lines(name: str, by_label: dict[str, DurationHistogram]) -> Iterator[str]:
+    yield from family_lines(name, f"{name} in seconds", "summary")
+    for label, durations in by_label.items():
+        yield sample_line(f"{name}_count", {"label": label}, durations.count)
+        yield sample_line(f"{name}_sum", {"label": label}, durations.total_s)
+    yield from family_lines(f"{name}_quantile", f"Quantiles of {name}", "gauge")
     for label, durations in by_label.items():
-        summary.add_metric([label], count_value=durations.count, sum_value=durations.total_s)
         for quantile in QUANTILES:
             labels = {"label": label, "quantile": str(quantile)}
-            gauge.add_sample(f"{name}_quantile", labels, durations.quantile_s(quantile))
-    yield summary
-    yield gauge
+            yield sample_line(f"{name}_quantile", labels, durations.quantile_s(quantile))
 
 
 @define
 class Metrics:
     """Record the metrics of one instance."""
 
-    _registry: CollectorRegistry = field(factory=CollectorRegistry)
     _durations: dict[str, dict[str, DurationHistogram]] = field(factory=dict)
-    _counters: dict[str, Counter] = field(factory=dict)
-    _gauges: dict[str, Gauge] = field(factory=dict)
-
-    def __attrs_post_init__(self) -> None:
-        self._registry.register(_DurationCollector(self._durations))
+    # By name, in the order of their first use.
+    _families: dict[str, Counter | Gauge] = field(factory=dict)
 
     def observe(self, name: str, label: str, seconds: float) -> None:
         """Record a duration under a metric name and a label."""
@@ -89,21 +75,17 @@
 
     def count(self, name: str, label: str = "", amount: float = 1) -> None:
         """Add an amount to a counter."""
-        counter = self._counters.get(name)
+        counter = self._families.get(name)
         if counter is None:
-            full_name = f"hyssopwood_{name}"
-            counter = Counter(full_name, full_name, ["label"], registry=self._registry)
-            self._counters[name] = counter
-        counter.labels(label).inc(amount)
+            counter = self._families[name] = Counter(f"hyssopwood_{name}")
+        counter.add(label, amount)
 
     def set(self, name: str, value: float, label: str = "") -> None:
         """Set a gauge to a value."""
-        gauge = self._gauges.get(name)
+        gauge = self._families.get(name)
         if gauge is None:
-            full_name = f"hyssopwood_{name}"
-            gauge = Gauge(full_name, full_name, ["label"], registry=self._registry)
-            self._gauges[name] = gauge
-        gauge.labels(label).set(value)
+            gauge = self._families[name] = Gauge(f"hyssopwood_{name}")
+        gauge.set(label, value)
 
     def durations(self, name: str) -> dict[str, DurationHistogram]:
         """Return the histograms of a duration metric by label."""
@@ -114,4 +96,9 @@
         usage = resource.getrusage(resource.RUSAGE_SELF)
         self.set("cpu_seconds", usage.ru_utime + usage.ru_stime)
         self.set("max_resident_kilobytes", usage.ru_maxrss)
-        return generate_latest(self._registry)
+        lines: list[str] = []
+        for name, by_label in self._durations.items():
+            lines.extend(_duration_lines(name, by_label))
+        for family in self._families.values():
+            lines.extend(family.lines())
+        return "".join(lines).encode()
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -13,8 +13,7 @@
 from hyssopwood.gateway.gateway_settings import DEFAULT_LINK_MBPS, Bounds, GatewaySettings
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
 from hyssopwood.platform.names import SETTINGS_VARIABLE
-from hyssopwood.settings import MAX_SETTINGS_BYTES, read_text
-from hyssopwood.structure import FieldError
+from hyssopwood.validation import MAX_SETTINGS_BYTES, FieldError, read_text
 
 # The deploy file names the same port.
 METRICS_PORT = 9464
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -6,14 +6,12 @@
 import base64
 import struct
 import time
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from typing import Any
+from urllib.parse import urlencode
 
-import aiohttp
 from attrs import define, evolve, field, frozen
 
-from hyssopwood.bounded_http import BoundedConnector
 from hyssopwood.documents import parse_document, shorten
 from hyssopwood.errors import (
     AppendConflictError,
@@ -23,15 +21,20 @@
     RecordsExpiredError,
 )
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.exchange import AnswerStart
 from hyssopwood.keyspace.position import HIGHEST_ERA
 from hyssopwood.metrics import Metrics
 from hyssopwood.platform.names import APPEND_PATH, NEWEST_PATH, READ_PATH, STORE_ERA
+from hyssopwood.platform.store_connection import (
+    StoreCallError,
+    StoreConnection,
+    StoreConnections,
+)
 from hyssopwood.transfers import PROGRESS_BYTES, Transfer, report_progress
 
 # Time to the first byte of an answer. The store answers in 4 ms, or in 240 ms when it is slowed
 # down by a factor of 60.
 CALL_TIMEOUT_S = 1.2
-CONNECT_TIMEOUT_S = 0.5
 # Time after the end of a long poll's wait at which its connection counts as unresponsive if the
 # answer hasn't begun. The wait of a configuration's poll (0.9 s), this, a pause and a read fit into
 # the time in which a configuration must be in force (2 s at the least); a slowed down store answers
@@ -42,19 +45,14 @@
 # Larger answers with several records are ended if the caller needs the last record only. A smaller
 # one has arrived sooner than the answer to another call, over another connection.
 MAX_SUPERSEDED_BYTES = 65_536
-# A connection that was idle for longer isn't used again: it may have gone silent meanwhile, and the
-# call would wait until its timeout. Polls follow each other faster.
-IDLE_TIMEOUT_S = 1.0
 # Requested maximum size of a read; the store uses the same where a request states none.
 MAX_READ_KB = 1024
-# Concurrent calls: long poll, registrations, plan and the leader's writes, and as many again that
-# still wait for lost answers.
-MAX_CONNECTIONS = 8
 # A page holds up to 1 MB of values, encoded in base64, and their keys.
 MAX_ANSWER_BYTES = 8_388_608
 # Maximum number of digits of an era.
 MAX_ERA_DIGITS = 8
 _LENGTH = struct.Struct(">I")
+_ERA_HEADER = STORE_ERA.lower().encode()
 _BOUNDS = struct.Struct(">QQ")
 # Statuses that guarantee that the call had no effect.
 _REFUSED_STATUSES = frozenset({429, 503, 507})
@@ -203,51 +201,13 @@
     return ReadPage(tuple(records), offset, era, end_offset, transfer or Transfer())
 
 
-@define(eq=False)
-class _Connections:
-    """Connections that are closed after the last call over them, once they are retired."""
-
-    _session: aiohttp.ClientSession
-    _calls: int = 0
-    _retired: bool = False
-
-    @classmethod
-    def open(cls) -> _Connections:
-        """Return an empty pool of connections."""
-        connector = BoundedConnector(limit=MAX_CONNECTIONS, keepalive_timeout=IDLE_TIMEOUT_S)
-        return cls(aiohttp.ClientSession(connector=connector, auto_decompress=False))
-
-    @asynccontextmanager
-    async def lend(self) -> AsyncIterator[aiohttp.ClientSession]:
-        """Lend the session for one call."""
-        self._calls += 1
-        try:
-            yield self._session
-        finally:
-            self._calls -= 1
-            await self._close_if_unused()
-
-    async def retire(self) -> None:
-        """Close the idle connections, and the others after their calls."""
-        self._retired = True
-        await self._close_if_unused()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._session.close()
-
-    async def _close_if_unused(self) -> None:
-        if self._retired and not self._calls:
-            await self._session.close()
-
-
 class StoreClient:
     """Call the platform's store; every call ends once its answer is late to begin or stalls."""
 
     def __init__(self, address: str, metrics: Metrics) -> None:
-        self._base = f"http://{address}"
+        self._address = address
         self._metrics = metrics
-        self._connections: _Connections | None = None
+        self._connections: StoreConnections | None = None
         self._era = 0
 
     @property
@@ -258,7 +218,7 @@
     async def close(self) -> None:
         """Close all connections."""
         if self._connections is not None:
-            await self._connections.close()
+            self._connections.close()
 
     async def append(self, topic: str, records: tuple[KeyedRecord, ...], at: int) -> Appended:
         """Append records if the partition ends at `at`; return its new end and the era.
@@ -351,34 +311,73 @@
         """Make a call whose answer must begin within a limit, and go on without a stall."""
         progress = _Progress(path.rsplit("/", 1)[-1])
         self._metrics.count("store_calls", progress.call)
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        request = self._encode(method, path, params, body)
         if self._connections is None:
-            self._connections = _Connections.open()
+            host, _, port = self._address.rpartition(":")
+            self._connections = StoreConnections(host.strip("[]"), int(port))
         connections = self._connections
         answered = False
         try:
-            async with (
-                asyncio.timeout(limit_s) as limit,
-                connections.lend() as session,
-                session.request(
-                    method, self._base + path, params=params, data=body or None, timeout=timeout
-                ) as answer,
-            ):
-                era = self._accept_era(answer.headers.getall(STORE_ERA, []))
-                progress.add(0)
-                report_progress()
-                if answer.status != 200:
-                    is_enough = _never_enough
-                data, whole = await _read_body(answer, progress, limit, is_enough)
-                answered = True
-                return _Answer(answer.status, data, era, progress.transfer(), whole)
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self._metrics.count("store_failures", type(error).__name__)
-            raise LogUnavailableError(f"{path}: {type(error).__name__}: {error}") from error
+            async with asyncio.timeout(limit_s) as limit:
+                answer = await self._call(connections, method, request, progress, limit, is_enough)
+            answered = True
+            return answer
+        except (TimeoutError, StoreCallError, OSError) as error:
+            kind = error.kind if isinstance(error, StoreCallError) else type(error).__name__
+            self._metrics.count("store_failures", kind)
+            raise LogUnavailableError(f"{path}: {kind}: {error}") from error
         finally:
             self._record(progress.transfer(), params["topic"], answered)
             if not answered:
-                await self._distrust(connections)
+                self._distrust(connections)
+
+    async def _call(
+        self,
+        connections: StoreConnections,
+        method: str,
+        request: bytes,
+        progress: _Progress,
+        limit: asyncio.Timeout,
+        is_enough: _IsEnough,
+    ) -> _Answer:
+        """Send a request and return its answer; a GET that stays unanswered is sent once more.
+
+        The store may close a connection at the moment at which it is used again.
+        """
+        try:
+            return await self._exchange(connections, request, progress, limit, is_enough)
+        except StoreCallError as error:
+            if method != "GET" or not error.unanswered:
+                raise
+        return await self._exchange(connections, request, progress, limit, is_enough)
+
+    async def _exchange(
+        self,
+        connections: StoreConnections,
+        request: bytes,
+        progress: _Progress,
+        limit: asyncio.Timeout,
+        is_enough: _IsEnough,
+    ) -> _Answer:
+        async with connections.lend() as connection:
+            start = await connection.send(request)
+            era = self._accept_era(
+                [value.decode("latin-1") for name, value in start.headers if name == _ERA_HEADER]
+            )
+            progress.add(0)
+            report_progress()
+            if start.status != 200:
+                is_enough = _never_enough
+            data, whole = await _read_body(connection, start, progress, limit, is_enough)
+            return _Answer(start.status, data, era, progress.transfer(), whole)
+
+    def _encode(self, method: str, path: str, params: dict[str, str], body: bytes) -> bytes:
+        lines = [f"{method} {path}?{urlencode(params)} HTTP/1.1", f"Host: {self._address}"]
+        lines.append("Accept: */*")
+        if method == "POST":
+            lines.append("Content-Type: application/octet-stream")
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     def _record(self, transfer: Transfer, topic: str, answered: bool) -> None:
         """Record how a call went; each one without a whole answer has a log line."""
@@ -395,14 +394,14 @@
                 received_bytes=transfer.size_bytes,
             )
 
-    async def _distrust(self, connections: _Connections) -> None:
+    def _distrust(self, connections: StoreConnections) -> None:
         """Open new connections from now on, after a call over these has had no answer.
 
         Whatever silenced one of them may have silenced them all.
         """
         if self._connections is connections:
             self._connections = None
-            await connections.retire()
+            connections.retire()
 
     def _accept_era(self, values: list[str]) -> int:
         """Return an answer's era; raise LogUnavailableError if it is earlier than a known one."""
@@ -421,7 +420,8 @@
 
 
 async def _read_body(
-    answer: aiohttp.ClientResponse,
+    connection: StoreConnection,
+    start: AnswerStart,
     progress: _Progress,
     limit: asyncio.Timeout,
     is_enough: _IsEnough,
@@ -435,18 +435,18 @@
     data = bytearray()
     due_bytes = PROGRESS_BYTES
     limit.reschedule(loop.time() + STALL_TIMEOUT_S)
-    async for piece in answer.content.iter_any():
+    while piece := await connection.read():
         data += piece
         progress.add(len(piece))
         if len(data) >= due_bytes:
             limit.reschedule(loop.time() + STALL_TIMEOUT_S)
             due_bytes = len(data) + PROGRESS_BYTES
         if len(data) > MAX_ANSWER_BYTES:
-            answer.close()
+            connection.abort()
             detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
             raise LogUnavailableError(f"{progress.call}: {detail}")
-        if is_enough(data, answer.content_length):
-            answer.close()
+        if is_enough(data, start.length):
+            connection.abort()
             return bytes(data), False
     return bytes(data), True
 
--- a/src/hyssopwood/structure.py
+++ b/src/hyssopwood/structure.py
@@ -19,6 +19,7 @@
 from cattrs.gen import make_dict_structure_fn, override
 
 from hyssopwood.errors import InputError, InputFault
+from hyssopwood.validation import FieldError
 
 T = TypeVar("T")
 
@@ -31,15 +32,6 @@
     """Raised when an object contains the same key twice."""
 
 
-class FieldError(ValueError):
-    """Raised by a field's validator with the invalid value and what was expected."""
-
-    def __init__(self, value: object, expected: str) -> None:
-        super().__init__(f"got {value!r}, expected {expected}")
-        self.value = value
-        self.expected = expected
-
-
 def _strict_hook(kind: type) -> Any:
     def structure_scalar(value: object, _: type) -> object:
         if kind is float and type(value) is int:
