Tests: callers that take a process over its memory and descriptors

Callers that aren't under control brought down a process. The scenarios start the program with lowered limits and a small flood; the load patterns and bounds are fixed from here on.

The stand-in of a server reads bodies whole, and can state more slots and give large answers.

--- a/features/support/gateway_process.py
+++ b/features/support/gateway_process.py
@@ -26,7 +26,8 @@
 internal_port_range={first},{last}
 limits.cpu_share=0.86
 limits.cpu_cores=1
-limits.memory_mb=300
+limits.memory_mb={memory_mb}
+limits.max_fds={max_fds}
 bounds.grace_s=6
 bounds.config_apply_s=2
 bounds.retry_budget_ratio=0.2
@@ -41,10 +42,18 @@
     return [int(address.rpartition(":")[2]) for address in free_addresses(count)]
 
 
+def _is_socket(descriptor):
+    try:
+        return os.readlink(descriptor).startswith("socket:")
+    except FileNotFoundError:
+        # The descriptor was closed after it had been listed.
+        return False
+
+
 class GatewayProcess:
     """One gateway process and its addresses."""
 
-    def __init__(self, name, store_address):
+    def __init__(self, name, store_address, memory_mb=300, max_fds=4100):
         # The port for metrics is the same on each machine, so each process has its own address.
         numbers = random.Random(os.getpid() * 1000 + id(self))
         self.host = ".".join(["127", *(str(numbers.randrange(2, 250)) for _ in range(3))])
@@ -61,6 +70,8 @@
                 first=first,
                 last=first + PORT_RANGE,
                 store=store_address,
+                memory_mb=memory_mb,
+                max_fds=max_fds,
             ),
             encoding="utf-8",
         )
@@ -103,6 +114,11 @@
         (line,) = [line for line in status.splitlines() if line.startswith("VmHWM:")]
         return int(line.split()[1])
 
+    def socket_count(self):
+        """Return how many descriptors of the process are sockets."""
+        folder = Path(f"/proc/{self._process.pid}/fd")
+        return sum(_is_socket(item) for item in folder.iterdir())
+
     def end(self):
         """Kill the process."""
         if self.running:
--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -34,6 +34,10 @@
     address: str = ""
     # Requests per second that the server states in its answers that it takes; None for no limit.
     limit_per_s: float | None = None
+    # Concurrent requests that the server states it takes.
+    slots: int = SLOTS
+    # Size of the answers to paths that contain "/large/"; 0 for the usual short answers.
+    large_answer_bytes: int = 0
     # Times at which requests and key commands arrived, on the monotonic clock.
     arrived_at: list[float] = field(factory=list)
     executed_request_ids: list[str] = field(factory=list)
@@ -72,7 +76,7 @@
                 "address": self.address,
                 "zone": self.failure_domain,
                 "version": "v1",
-                "max_concurrency": SLOTS,
+                "max_concurrency": self.slots,
                 "state": state,
                 "warmup_left_s": 0,
                 "sequence": self._sequence,
@@ -137,6 +141,9 @@
         key = request.headers.get("Shard-Key")
         if self.sharded and (key is None or not self.has_lease(int(key))):
             return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
+        async for _ in request.content.iter_any():
+            # The body is discarded; a request is executed once it is complete.
+            pass
         self._running += 1
         self.executed_request_ids.append(headers["Request-Id"])
         try:
@@ -146,5 +153,8 @@
         if self.loses_answer(headers["Request-Id"]) and request.transport is not None:
             request.transport.abort()
         headers["Response-Signature"] = f"{self.name}.{headers['Request-Id']}"
-        headers["Server-Load"] = f"{self._running},0,{SLOTS}"
-        return web.Response(body=f"{self.name} {request.path}".encode(), headers=headers)
+        headers["Server-Load"] = f"{self._running},0,{self.slots}"
+        body = f"{self.name} {request.path}".encode()
+        if self.large_answer_bytes and "/large/" in request.path:
+            body = body.ljust(self.large_answer_bytes)
+        return web.Response(body=body, headers=headers)
