Fix: callers can't take a process over its memory or its descriptors

Cause: bodies of callers were buffered without a common bound, and up to four times each (read, copied to bytes, joined with the head, in the transport). Chunks of one byte were parsed 64 KiB at a time, for all connections before any other work. Connections were not bounded.

Change: with limits.memory_mb one budget covers bodies, heads, answers, unread bytes and relayed connections. Who holds most for longest is refused first, but never a request that runs. Bodies are held once, in segments that are sent without copies. Small pieces are read in turns. With limits.max_fds callers' and relayed connections are bounded, and unused, idle and slow ones make room. Without these settings nothing is bounded.

--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -110,6 +110,13 @@
     )
     REQUEST_REPEATED = EventSpec(516, "INFO", "request is sent once more")
     RELAY_ENDED = EventSpec(517, "INFO", "relayed connection ended within an exchange")
+    MEMORY_SHORT = EventSpec(530, "WARNING", "requests are refused for lack of memory")
+    MEMORY_RECOVERED = EventSpec(531, "INFO", "no request is refused for lack of memory any more")
+    CONNECTIONS_SHORT = EventSpec(532, "WARNING", "callers' connections have reached their bound")
+    CONNECTIONS_RECOVERED = EventSpec(
+        533, "INFO", "callers' connections are below their bound again"
+    )
+    CALLER_THROTTLED = EventSpec(534, "INFO", "caller's small pieces are read in turns")
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
     REQUEST_REFUSED = EventSpec(500, "INFO", "request was refused")
--- a/src/hyssopwood/gateway/caller_server.py
+++ b/src/hyssopwood/gateway/caller_server.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
 from hyssopwood.gateway.caller_connection import DEFAULT_LIMITS, CallerConnection, Handler
+from hyssopwood.gateway.caller_protection import CallerProtection
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.timers import Timers
 
@@ -16,6 +17,25 @@
 LIMIT_CHECK_INTERVAL_S = 0.25
 
 
+def choose_connection_to_close(
+    connections: Iterable[CallerConnection], now: float
+) -> CallerConnection | None:
+    """Return the oldest connection that has not sent a request.
+
+    If there is none, the oldest idle one is returned, or else the oldest one that is slow.
+    """
+    idle: CallerConnection | None = None
+    slow: CallerConnection | None = None
+    for connection in connections:
+        if connection.unused:
+            return connection
+        if idle is None and not connection.busy:
+            idle = connection
+        if slow is None and connection.obstructs(now):
+            slow = connection
+    return idle or slow
+
+
 @define
 class CallerServer:
     """Accept connections on an address and close them gracefully."""
@@ -24,7 +44,10 @@
     _handler: Handler
     _timers: Timers
     _limits: Callable[[], CallerLimits | None] = lambda: None
-    _connections: set[CallerConnection] = field(factory=set, init=False)
+    # Bounds on what callers take of the process; None for none.
+    _protection: CallerProtection | None = None
+    # In the order in which they were accepted.
+    _connections: dict[CallerConnection, None] = field(factory=dict, init=False)
     _server: asyncio.Server | None = field(default=None, init=False)
     _stopping: bool = field(default=False, init=False)
 
@@ -46,6 +69,8 @@
         async for now in self._timers.ticks(LIMIT_CHECK_INTERVAL_S):
             for connection in list(self._connections):
                 connection.check_limits(now)
+            if self._protection is not None:
+                self._protection.check(now, len(self._connections))
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its pending requests, or if idle, after its next one."""
@@ -70,12 +95,34 @@
 
     def _connection(self) -> CallerConnection:
         connection = CallerConnection(
-            self._handler, self._timers, self._current_limits, self._connections.discard
+            self._handler, self._timers, self._current_limits, self._forget, self._protection
         )
-        self._connections.add(connection)
+        if not self._make_room():
+            connection.decline()
+            return connection
+        self._connections[connection] = None
         if self._stopping:
             connection.stop()
         return connection
 
+    def _forget(self, connection: CallerConnection) -> None:
+        self._connections.pop(connection, None)
+
+    def _make_room(self) -> bool:
+        """Return whether another connection may be accepted, after closing one if necessary."""
+        protection = self._protection
+        if protection is None or protection.max_connections is None:
+            return True
+        count = len(self._connections)
+        if count < protection.max_connections:
+            return True
+        victim = choose_connection_to_close(self._connections, self._timers.now())
+        protection.record_connection("not accepted" if victim is None else "closed", count)
+        if victim is None:
+            return False
+        self._forget(victim)
+        victim.give_way()
+        return True
+
     def _current_limits(self) -> CallerLimits:
         return self._limits() or DEFAULT_LIMITS
--- a/src/hyssopwood/gateway/crash_suspects.py
+++ b/src/hyssopwood/gateway/crash_suspects.py
@@ -16,6 +16,7 @@
 
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.exchange import CallerRequest
+from hyssopwood.gateway.held_body import body_pieces
 from hyssopwood.timers import Timers
 
 # Server incarnations at which a request must have been lost before it is watched, and how many of
@@ -54,9 +55,12 @@
 def request_fingerprint(request: CallerRequest) -> int:
     """Return a hash that is the same for retries of a request with other ids and deadlines."""
     digest = blake2b(digest_size=8)
-    for part in (request.method, request.host.encode(), request.target, request.body):
+    for part in (request.method, request.host.encode(), request.target):
         digest.update(len(part).to_bytes(8))
         digest.update(part)
+    digest.update(len(request.body).to_bytes(8))
+    for piece in body_pieces(request.body):
+        digest.update(piece)
     return int.from_bytes(digest.digest())
 
 
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 from hyssopwood.build import build_id
 from hyssopwood.events import Event, emit
+from hyssopwood.gateway.caller_protection import CallerProtection
 from hyssopwood.gateway.caller_server import CallerServer
 from hyssopwood.gateway.configuration_age import ConfigurationAge
 from hyssopwood.gateway.crash_suspects import CrashCounter, CrashMonitor, Suspects
@@ -103,6 +104,8 @@
 class GatewayDaemon:
     """Run one gateway instance."""
 
+    _was_ready = False
+
     def __init__(
         self,
         settings: GatewaySettings,
@@ -140,6 +143,13 @@
             (settings.instance, self._identity.incarnation),
         )
         self._health = ServerHealth(timers)
+        self._protection = CallerProtection(
+            timers,
+            metrics,
+            adapters.header_codec.retry_after,
+            settings.memory_mb,
+            settings.max_descriptors,
+        )
         self._paths = ServerPaths(
             self._record,
             self._instances,
@@ -150,6 +160,8 @@
             metrics,
             dialer,
             self._stopping.is_set,
+            self._protection.budget,
+            self._protection.max_relayed,
         )
         self._grant_channels = GrantChannels(self._paths.connect_directly)
         self._key_commands = adapters.key_commands(self._paths.command_pool, self._grant_channels)
@@ -211,7 +223,11 @@
         self._leadership = Leadership(self._leadership_dependencies())
         self._dispatcher = Dispatcher(self._dispatcher_dependencies())
         self._callers = CallerServer(
-            settings.caller_address, self._dispatcher, timers, self._caller_limits
+            settings.caller_address,
+            self._dispatcher,
+            timers,
+            self._caller_limits,
+            self._protection,
         )
         self._readiness = CallerServer(
             settings.readiness_address,
@@ -222,7 +238,6 @@
             settings.metrics_address, _MetricsHandler(metrics), timers
         )
         self._supervisor = Supervisor(settings.instance, timers)
-        self._was_ready = False
         self._manager: KeyManager | None = None
         self._predecessor: Leader | None = None
         # Version of the plan when this instance last claimed leadership.
--- a/src/hyssopwood/gateway/exchange.py
+++ b/src/hyssopwood/gateway/exchange.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from hyssopwood.errors import HyssopwoodError
+from hyssopwood.gateway.held_body import HeldBody
 
 # Lower-case names with their values, in the order received.
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -21,7 +22,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | HeldBody
     request_id: bytes = b""
 
 
@@ -106,7 +107,7 @@
     target: bytes
     host: str
     headers: Headers
-    body: bytes
+    body: bytes | HeldBody
     # Time at which the headers were complete, on the timers' clock.
     arrived: float
     version: str = "1.1"
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
-from attrs import field, frozen
+from typing import Any
+
+from attrs import Attribute, field, frozen
+from attrs.validators import optional
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
 from hyssopwood.settings import validate_address, validate_positive
+from hyssopwood.structure import FieldError
 
+# Descriptors that are reserved for files; sockets share the others.
+FILE_DESCRIPTORS = 200
 # Link speed of a machine whose settings don't state one; it doesn't limit the capacity.
 DEFAULT_LINK_MBPS = 1000.0
 # Link speed that one core of shared work needs: heartbeats, changes and reports of 195 instances
@@ -15,6 +21,11 @@
 LINK_MBPS_PER_CORE = 20.0
 
 
+def _validate_descriptors(_: Any, __: Attribute[Any], value: int) -> None:
+    if value <= FILE_DESCRIPTORS:
+        raise FieldError(value, f"more descriptors than the {FILE_DESCRIPTORS} for files")
+
+
 @frozen(kw_only=True)
 class Bounds:
     """Limits that the deployment guarantees or requires, in seconds unless stated otherwise."""
@@ -49,6 +60,9 @@
     # Processor time of the machine in cores, and the speed of its link in Mbit/s.
     cores: float = field(default=1.0, validator=validate_positive)
     link_mbps: float = field(default=DEFAULT_LINK_MBPS, validator=validate_positive)
+    # Memory of the process in MB, and its descriptors; None for no bound.
+    memory_mb: float | None = field(default=None, validator=optional(validate_positive))
+    max_descriptors: int | None = field(default=None, validator=optional(_validate_descriptors))
 
     @property
     def capacity(self) -> int:
--- a/src/hyssopwood/gateway/read_buffer.py
+++ b/src/hyssopwood/gateway/read_buffer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 
@@ -35,6 +36,16 @@
     transport.abort()
 
 
+def is_closed_by_peer(transport: asyncio.Transport | None) -> bool:
+    """Return whether the peer has ended a connection that isn't being read."""
+    raw = None if transport is None else transport.get_extra_info("socket")
+    if raw is None or raw.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class BufferedConnection(asyncio.BufferedProtocol):
     """Read into the shared buffer, so that idle connections need no buffer of their own."""
 
--- a/src/hyssopwood/gateway/relay_server.py
+++ b/src/hyssopwood/gateway/relay_server.py
@@ -17,7 +17,8 @@
 from hyssopwood.errors import ProtocolError
 from hyssopwood.events import Event, emit
 from hyssopwood.gateway.exchange import NotSentError, OwnLinkError
-from hyssopwood.gateway.read_buffer import BufferedConnection, reset
+from hyssopwood.gateway.memory_budget import Holder, Kind, MemoryBudget, Reservation
+from hyssopwood.gateway.read_buffer import READ_BYTES, BufferedConnection, reset
 from hyssopwood.gateway.relay_codec import (
     RelayFrame,
     RelayReply,
@@ -44,6 +45,10 @@
 
 # Relayed connections at a time; each takes two descriptors of the process, which has at least 4100.
 MAX_RELAYED = 800
+# Unsent bytes above which a relayed connection isn't read further, if the process has a budget.
+BUDGETED_UNSENT_BYTES = 16_384
+# Bytes that such a connection buffers at most: in each direction what is unsent and one more read.
+RELAYED_BYTES = 2 * (BUDGETED_UNSENT_BYTES + READ_BYTES)
 # Time for the request after a connection was accepted.
 REQUEST_TIMEOUT_S = 1.0
 # Time for the connection to the server. The asking instance waits a little longer.
@@ -145,11 +150,18 @@
         self._refuses_requests = False
         # Incarnation of the server, once the connection is relayed.
         self.server: tuple[str, int] | None = None
+        self._memory: Reservation | None = None
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         self._expiry = self._relays.start_expiry(self.reset)
 
+    def reserve(self, budget: MemoryBudget, now: float) -> bool:
+        """Reserve the memory of a relayed connection; return whether the budget grants it."""
+        holder = Holder(lambda: False, self.reset)
+        self._memory = budget.reserve(holder, Kind.RELAY)
+        return self._memory.grow(RELAYED_BYTES, now)
+
     def accept(self, framed: bool) -> None:
         """Send the reply that the connection is relayed; the server's bytes follow."""
         if self.transport is None or not self.writable:
@@ -203,6 +215,8 @@
         self._cancel_expiry()
         if self._task is not None:
             self._task.cancel()
+        if self._memory is not None:
+            self._memory.release()
         self._relays.forget(self)
         other, self.other = self.other, None
         if other is None:
@@ -243,6 +257,8 @@
     _timers: Timers
     _metrics: Metrics
     _declining: Callable[[], bool]
+    _budget: MemoryBudget | None = None
+    _max_relayed: int = MAX_RELAYED
     _server: asyncio.Server | None = field(default=None, init=False)
     _ends: set[_AskingEnd] = field(factory=set, init=False)
 
@@ -323,6 +339,13 @@
             return refusal
         if not server_end.writable:
             return RelayReply(RelayResult.UNREACHABLE)
+        if self._budget is not None:
+            if not end.writable or not end.reserve(self._budget, self._timers.now()):
+                server_end.reset()
+                return RelayReply(RelayResult.BUSY)
+            for item in (end, server_end):
+                if item.transport is not None:
+                    item.transport.set_write_buffer_limits(high=BUDGETED_UNSENT_BYTES)
         end.server = request.server, request.born_ms
         end.accept(request.framed)
         server_end.join(end)
@@ -338,7 +361,7 @@
 
     def _find_refusal(self, request: RelayRequest) -> RelayReply | None:
         server = self._directory.get(request.server)
-        if self._declining() or len(self._ends) > MAX_RELAYED:
+        if self._declining() or len(self._ends) > self._max_relayed:
             return RelayReply(RelayResult.BUSY)
         if server is None or server.incarnation != (request.server, request.born_ms):
             return RelayReply(RelayResult.UNKNOWN_SERVER)
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
+from typing import Any, Protocol
 
 import httptools
 from attrs import define, field
 
 from hyssopwood.gateway.exchange import CallerRequest, HeaderCollector, has_unknown_coding
+from hyssopwood.gateway.held_body import BodyBuffer, OverBudgetError
 from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
+from hyssopwood.gateway.read_turns import PIECES_PER_TURN, SMALL_PIECE_BYTES
 from hyssopwood.gateway.route_table import CallerLimits
 
 # Heads are parsed in slices. All requests within a slice, a few dozen of the shortest ones, are
@@ -65,7 +67,7 @@
     # Fields behind a chunked body, which count against the limits and aren't forwarded.
     trailers: HeaderCollector = field(factory=HeaderCollector)
     target: bytes = b""
-    body: bytearray = field(factory=bytearray)
+    body: BodyBuffer = field(factory=BodyBuffer)
     arrived: float = 0.0
     # Time of the last byte of the body, or of the end of the head.
     progress_at: float = 0.0
@@ -82,6 +84,11 @@
         names = (b"content-length", b"transfer-encoding")
         return [name + b": " + value for name, value in self.head.headers if name in names]
 
+    @property
+    def small_bytes(self) -> int:
+        """Return the size of what isn't reserved with the body's segments."""
+        return self.head.size + self.trailers.size + len(self.target) + self.body.small_size
+
     @property
     def next_bytes(self) -> int:
         """Return how many bytes to parse next, no more than the request is known to need."""
@@ -106,10 +113,17 @@
         events: RequestEvents,
         now: Callable[[], float],
         limits: Callable[[], CallerLimits],
+        new_body: Callable[[], BodyBuffer] = BodyBuffer,
+        throttled: bool = False,
     ) -> None:
         self._events = events
         self._now = now
         self._limits = limits
+        self._new_body = new_body
+        # Whether `feed` stops after the small pieces of one turn.
+        self._throttled = throttled
+        # Small pieces since the last turn, or since the last complete request.
+        self.pieces = 0
         self._parser = httptools.HttpRequestParser(self)
         # Whether `_parser` parses the body of the last request, which proposes an upgrade.
         self._in_last_body = False
@@ -120,13 +134,38 @@
         """Return whether a request is being read."""
         return self._reading is not None
 
+    @property
+    def head_complete(self) -> bool:
+        """Return whether the head of the request that is being read is complete."""
+        return self._reading is not None and self._reading.head_complete
+
+    @property
+    def small_bytes(self) -> int:
+        """Return the bytes of the request that is being read, without its body's segments."""
+        return 0 if self._reading is None else self._reading.small_bytes
+
+    def age_s(self, now: float) -> float:
+        """Return for how long the current request has been read."""
+        return 0.0 if self._reading is None else now - self._reading.began
+
+    @property
+    def turn_used(self) -> bool:
+        """Return whether the next bytes must wait for a turn."""
+        return self._throttled and self.pieces >= PIECES_PER_TURN
+
+    def begin_turn(self) -> None:
+        """Permit the pieces of one turn; the time until then doesn't count as the caller's."""
+        self.pieces = 0
+        if self._reading is not None:
+            self._reading.progress_at = self._now()
+
     def feed(self, data: bytes) -> bytes:
-        """Parse bytes and return the rest that must wait.
+        """Parse bytes and return the rest that must wait for a turn or for earlier requests.
 
         Raises RequestRefusedError if they are malformed or exceed a limit.
         """
         view = memoryview(data)
-        while view and self._events.may_read_next():
+        while view and not self.turn_used and self._events.may_read_next():
             reading = self._reading
             piece = view[: HEAD_SLICE_BYTES if reading is None else reading.next_bytes]
             if reading is not None:
@@ -149,11 +188,13 @@
 
     def drop(self) -> None:
         """Discard the request that is being read."""
+        if self._reading is not None:
+            self._reading.body.release()
         self._reading = None
 
     def on_message_begin(self) -> None:
         limit = self._limits().header_bytes + OTHER_FRAMING_BYTES
-        self._reading = _Reading(self._now(), FramingMeter(limit))
+        self._reading = _Reading(self._now(), FramingMeter(limit), body=self._new_body())
 
     def on_url(self, url: bytes) -> None:
         assert self._reading is not None
@@ -164,6 +205,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         reading = self._reading
         assert reading is not None
+        self.pieces += 1
         fields = reading.trailers if reading.head_complete else reading.head
         fields.add(name, value)
         self._check_head(reading)
@@ -185,6 +227,7 @@
                 reading.length = int(value)
                 if reading.length > self._limits().body_bytes:
                     raise RequestRefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+                self._reserve(reading.body.expect, reading.length)
             if name == b"expect" and value.lower() == b"100-continue":
                 self._events.continue_expected()
 
@@ -195,7 +238,9 @@
         reading.progress_at = self._now()
         if len(reading.body) + len(body) > self._limits().body_bytes:
             raise RequestRefusedError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        reading.body += body
+        if len(body) < SMALL_PIECE_BYTES:
+            self.pieces += 1
+        self._reserve(reading.body.append, body)
 
     def on_message_complete(self) -> None:
         assert self._reading is not None
@@ -215,14 +260,21 @@
             target=reading.target,
             host=hosts[0].decode("latin-1").rsplit(":", 1)[0].lower(),
             headers=tuple(reading.head.headers),
-            body=bytes(reading.body),
+            body=reading.body.finish(),
             arrived=reading.arrived,
             version=reading.version,
         )
+        self.pieces = 0
         self._events.request_read(request, reading.keeps_alive)
         if self._in_last_body:
             self._events.upgrade_proposed()
 
+    def _reserve(self, take: Callable[[Any, float], None], value: int | bytes) -> None:
+        try:
+            take(value, self._now())
+        except OverBudgetError as error:
+            raise RequestRefusedError(HTTPStatus.SERVICE_UNAVAILABLE) from error
+
     def _parse(self, piece: memoryview) -> None:
         try:
             self._parser.feed_data(piece)
--- a/src/hyssopwood/gateway/server_connection.py
+++ b/src/hyssopwood/gateway/server_connection.py
@@ -19,6 +19,7 @@
     ServerRequest,
     find_header,
 )
+from hyssopwood.gateway.held_body import HeldBody
 from hyssopwood.gateway.read_buffer import BufferedConnection, reset
 
 ProtocolT = TypeVar("ProtocolT", bound=asyncio.BaseProtocol)
@@ -114,7 +115,7 @@
         self._result = asyncio.get_running_loop().create_future()
         self._id_header = id_header
         self._request_id = request.request_id
-        self._transport.write(_encode(host, request))
+        self._write(host, request)
         try:
             return await self._result
         except asyncio.CancelledError:
@@ -130,9 +131,17 @@
             reset(self._transport)
 
     def close(self) -> None:
-        """Close an idle connection."""
+        """Close a connection without an exchange.
+
+        It is reset if the server has answered without reading the request, so that the rest of the
+        request isn't kept for a server that doesn't read it.
+        """
         self._usable = False
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if self._transport.get_write_buffer_size() > 0:
+            reset(self._transport)
+        else:
             self._transport.close()
 
     def pause(self) -> None:
@@ -228,6 +237,17 @@
             self._body.clear()
             self._result.set_result(ServerAnswer(start.status, start.headers, body))
 
+    def _write(self, host: str, request: ServerRequest) -> None:
+        """Send a request; a large body is sent from where it is held."""
+        assert self._transport is not None
+        head = _encode_head(host, request)
+        if not isinstance(request.body, HeldBody):
+            self._transport.write(head + request.body)
+            return
+        self._transport.write(head)
+        for piece in request.body.pieces():
+            self._transport.write(piece)
+
     def _begin_stream(self, start: AnswerStart) -> None:
         """Return the answer's head and stream its body from here on."""
         if self._result is None or self._result.done():
@@ -267,14 +287,14 @@
         self.abort()
 
 
-def _encode(host: str, request: ServerRequest) -> bytes:
+def _encode_head(host: str, request: ServerRequest) -> bytes:
     lines = [request.method + b" " + request.target + b" HTTP/1.1"]
     if not any(name.lower() == b"host" for name, _ in request.headers):
         lines.append(b"Host: " + host.encode())
     lines += [name + b": " + value for name, value in request.headers]
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         lines.append(b"Content-Length: " + str(len(request.body)).encode())
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 class Dial(Protocol):
--- a/src/hyssopwood/gateway/server_paths.py
+++ b/src/hyssopwood/gateway/server_paths.py
@@ -10,7 +10,8 @@
 
 from hyssopwood.gateway.exchange import NotSentError
 from hyssopwood.gateway.instance_list import InstanceList, InstanceRecord
-from hyssopwood.gateway.relay_server import RelayServer
+from hyssopwood.gateway.memory_budget import MemoryBudget
+from hyssopwood.gateway.relay_server import MAX_RELAYED, RelayServer
 from hyssopwood.gateway.server_connection import Dial, ServerConnection, connect
 from hyssopwood.gateway.server_connector import ServerConnector
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
@@ -36,6 +37,8 @@
     _dial: Dial
     # Whether this instance relays no further connections.
     _declining: Callable[[], bool]
+    _budget: MemoryBudget | None = None
+    _max_relayed: int = MAX_RELAYED
     _rng: random.Random = field(factory=random.Random)
     _reach: ServerReach = field(init=False)
     _connector: ServerConnector = field(init=False)
@@ -64,6 +67,8 @@
             self._timers,
             self._metrics,
             self._declining,
+            self._budget,
+            self._max_relayed,
         )
         self._reach.subscribe(self._switch)
 
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -33,6 +33,9 @@
             self.faults.append(InputFault(name, "nothing", "a value"))
         return value
 
+    def optional_number(self, name: str) -> float | None:
+        return self.number(name) if name in self.values else None
+
     def number(self, name: str, default: float | None = None) -> float:
         if default is not None and name not in self.values:
             return default
@@ -93,6 +96,8 @@
         # "cpu_share" is a share of one core, and "cpu_cores" is the speed of that core.
         "cores": settings.number("limits.cpu_share", 1.0)
         * settings.number("limits.cpu_cores", 1.0),
+        "memory_mb": settings.optional_number("limits.memory_mb"),
+        "max_descriptors": settings.optional_number("limits.max_fds"),
         "link_mbps": settings.number("limits.link_mbps", DEFAULT_LINK_MBPS),
     }
 
