Memory budget: settings that aren't finite, and streams that the budget ends

limits.max_fds=nan or inf would have ended the process with an untyped error instead of E700. A streamed answer whose last bytes made the budget end its own connection would have failed in the task, on an empty list of answers. New scenarios for the settings and for the connection that makes room.

--- a/features/memory_budget.feature
+++ b/features/memory_budget.feature
@@ -108,3 +108,17 @@
     When all of them ask for a turn
     Then "a,b" are read in the first round and "c" in the next one
     And at least 5 ms lie between two rounds
+
+  Scenario Outline: <chosen> makes room for a new connection
+    Guards against floods of connections that keep ordinary callers out.
+    Given open connections "<connections>", the oldest first
+    When another one is accepted beyond the bound
+    Then "<chosen>" is closed
+
+    Examples:
+      | connections                 | chosen |
+      | idle,unused,unused2         | unused |
+      | running,idle,idle2          | idle   |
+      | running,slow,idle           | idle   |
+      | running,slow,slow2          | slow   |
+      | running,running2            | none   |
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -18,6 +18,17 @@
       | limits.cpu_share=0.86\nlimits.link_mbps=5.0               | 250      |
       | limits.cpu_share=0.86\nlimits.link_mbps=1000.0            | 860      |
 
+  Scenario Outline: The machine's memory and descriptors become bounds on callers
+    Guards against bounds that apply where the settings state none, or that are lost.
+    When the platform's settings are read with the line "<line>"
+    Then the gateway settings have <memory> MB and <descriptors> descriptors
+
+    Examples:
+      | line                                          | memory | descriptors |
+      | limits.memory_mb=152                          | 152    | 4100        |
+      | limits.memory_mb=552.5\nlimits.max_fds=1535   | 552.5  | 1535        |
+      | new.field=7                                   | None   | 4100        |
+
   Scenario Outline: Invalid settings raise one error with all faults
     Guards against a process that starts with incomplete settings.
     When the platform's settings are read with the line "<line>"
@@ -31,6 +42,12 @@
       | platform.address=         | platform.address    |
       | limits.cpu_share=much     | limits.cpu_share    |
       | limits.link_mbps=0        | $                   |
+      | limits.memory_mb=all      | limits.memory_mb    |
+      | limits.memory_mb=nan      | $                   |
+      | limits.memory_mb=-1       | $                   |
+      | limits.max_fds=200        | $                   |
+      | limits.max_fds=nan        | $                   |
+      | limits.max_fds=inf        | $                   |
 
   Scenario: A configuration becomes a route table
     Guards against routes that lose their split, attempts, timeouts or kind when decoded.
--- a/features/steps/memory_budget_steps.py
+++ b/features/steps/memory_budget_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from hyssopwood.gateway.caller_server import choose_connection_to_close
 from hyssopwood.gateway.held_body import BodyBuffer, body_pieces
 from hyssopwood.gateway.memory_budget import Holder, Kind, MemoryBudget
 from hyssopwood.gateway.read_turns import ReadTurns
@@ -201,3 +202,30 @@
 @then("at least {milliseconds:d} ms lie between two rounds")
 def step_delays(context, milliseconds):
     assert all(delay_s >= milliseconds / 1000 for delay_s in context.delays), context.delays
+
+
+class _Connection:
+    """An open connection in the state that its name begins with."""
+
+    def __init__(self, name):
+        self.name = name
+        self.unused = name.startswith("unused")
+        self.busy = not name.startswith(("idle", "unused"))
+
+    def obstructs(self, now):
+        return self.name.startswith("slow")
+
+
+@given('open connections "{names}", the oldest first')
+def step_open(context, names):
+    context.connections = [_Connection(name) for name in names.split(",")]
+
+
+@when("another one is accepted beyond the bound")
+def step_another(context):
+    context.chosen = choose_connection_to_close(context.connections, 0.0)
+
+
+@then('"{name}" is closed')
+def step_closed(context, name):
+    assert (context.chosen.name if context.chosen else "none") == name
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -134,6 +134,14 @@
     _attempt(context, parse_boot_settings, "settings.conf", f"{kept}\n{lines}\n")
 
 
+@then("the gateway settings have {memory} MB and {descriptors:d} descriptors")
+def step_machine_bounds(context, memory, descriptors):
+    assert context.error is None, context.error
+    stated = None if memory == "None" else float(memory)
+    assert context.result.memory_mb == stated
+    assert context.result.max_descriptors == descriptors
+
+
 @then("the gateway settings have capacity {capacity:d}")
 def step_capacity(context, capacity):
     assert context.result.capacity == capacity, context.result.capacity
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -510,6 +510,9 @@
         if framing is Framing.CLOSE:
             await self._wait_until_sent()
             self._set_reset_on_close(False)
+        if not self._slots:
+            # Its last bytes reached the limit on unsent ones, and the budget ended the connection.
+            return
         self._slots.popleft()
         slot.release()
         if close:
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -9,7 +9,7 @@
 
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import DEFAULT_APPLY_S
-from hyssopwood.settings import validate_address, validate_positive
+from hyssopwood.settings import MAX_NUMBER, validate_address, validate_positive
 from hyssopwood.structure import FieldError
 
 # Descriptors that are reserved for files; sockets share the others.
@@ -22,7 +22,7 @@
 
 
 def _validate_descriptors(_: Any, __: Attribute[Any], value: int) -> None:
-    if value <= FILE_DESCRIPTORS:
+    if not FILE_DESCRIPTORS < value <= MAX_NUMBER:
         raise FieldError(value, f"more descriptors than the {FILE_DESCRIPTORS} for files")
 
 
