Pipelined small requests are read in turns

60 connections that pipeline requests for a path without a route kept an ordinary request waiting: all of their requests, 16 per connection, ran in each pass of the event loop. A request behind one that isn't answered yet now counts as 64 small pieces, and at most four turns follow each other.

--- a/features/memory_budget.feature
+++ b/features/memory_budget.feature
@@ -109,6 +109,12 @@
     Then "a,b" are read in the first round and "c" in the next one
     And at least 5 ms lie between two rounds
 
+  Scenario: At most four connections are read in a row
+    Guards against turns that are short but read many requests, which run after them.
+    Given connections "a,b,c,d,e" whose turns take 0 ms
+    When all of them ask for a turn
+    Then "a,b,c,d" are read in the first round and "e" in the next one
+
   Scenario Outline: <chosen> makes room for a new connection
     Guards against floods of connections that keep ordinary callers out.
     Given open connections "<connections>", the oldest first
--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -37,7 +37,7 @@
     reset,
     set_reset_on_close,
 )
-from hyssopwood.gateway.read_turns import READ_PIECES, SMALL_PIECE_BYTES
+from hyssopwood.gateway.read_turns import PIPELINED_PIECES, READ_PIECES, SMALL_PIECE_BYTES
 from hyssopwood.gateway.request_reader import RequestReader, RequestRefusedError
 from hyssopwood.gateway.route_table import CallerLimits
 from hyssopwood.timers import Timers
@@ -270,6 +270,7 @@
     def request_read(self, request: CallerRequest, keeps_alive: bool) -> None:
         """Append a request to the order of answers and start what may run."""
         self._unused = False
+        self._reader.pieces = self._reader.pieces + PIPELINED_PIECES if self._slots else 0
         if self._reading_memory is not None:
             self._reading_memory.release()
         slot = _Slot(request, close=not keeps_alive)
--- a/src/hyssopwood/gateway/read_turns.py
+++ b/src/hyssopwood/gateway/read_turns.py
@@ -14,6 +14,10 @@
 PIECES_PER_TURN = 512
 # Cost of one read of a few bytes, in pieces.
 READ_PIECES = 16
+# Cost of a request behind another one that isn't answered yet, in pieces: 9 may come in a row.
+PIPELINED_PIECES = 64
+# Turns in a row. Requests that are read in a turn run after it, so its time doesn't include theirs.
+TURNS_IN_A_ROW = 4
 # Time for all turns in a row, and the least time until the next ones. Other work of the event loop
 # gets at least half of the time.
 TURNS_S = 0.004
@@ -50,7 +54,7 @@
     def _run(self) -> None:
         self._scheduled = False
         began = self._timers.now()
-        left = len(self._waiting)
+        left = min(len(self._waiting), TURNS_IN_A_ROW)
         while self._waiting and left and self._timers.now() - began < TURNS_S:
             take_turn = next(iter(self._waiting))
             del self._waiting[take_turn]
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -122,7 +122,7 @@
         self._new_body = new_body
         # Whether `feed` stops after the small pieces of one turn.
         self._throttled = throttled
-        # Small pieces since the last turn, or since the last complete request.
+        # Small pieces since the last turn; the connection resets them with an unpipelined request.
         self.pieces = 0
         self._parser = httptools.HttpRequestParser(self)
         # Whether `_parser` parses the body of the last request, which proposes an upgrade.
@@ -264,7 +264,6 @@
             arrived=reading.arrived,
             version=reading.version,
         )
-        self.pieces = 0
         self._events.request_read(request, reading.keeps_alive)
         if self._in_last_body:
             self._events.upgrade_proposed()
