--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -38,6 +38,10 @@
     cold_until: float = 0.0
     # Times at which requests arrived that got no 421, on the monotonic clock.
     accepted_at: list[float] = field(factory=list)
+    # Concurrent requests that the server states it takes.
+    slots: int = SLOTS
+    # Size of the answers to paths that contain "/large/"; 0 for the usual short answers.
+    large_answer_bytes: int = 0
     # Times at which requests and key commands arrived, on the monotonic clock.
     arrived_at: list[float] = field(factory=list)
     executed_request_ids: list[str] = field(factory=list)
@@ -81,7 +85,7 @@
                 "address": self.address,
                 "zone": self.failure_domain,
                 "version": "v1",
-                "max_concurrency": SLOTS,
+                "max_concurrency": self.slots,
                 "state": state,
                 "warmup_left_s": self.warmup_left_s,
                 "sequence": self._sequence,
@@ -149,6 +153,9 @@
         self.accepted_at.append(time.monotonic())
         if self.cold_until:
             headers["Warmup-Ms"] = str(int(self.warmup_left_s * 1000))
+        async for _ in request.content.iter_any():
+            # The body is discarded; a request is executed once it is complete.
+            pass
         self._running += 1
         self.executed_request_ids.append(headers["Request-Id"])
         try:
@@ -158,5 +165,8 @@
         if self.loses_answer(headers["Request-Id"]) and request.transport is not None:
             request.transport.abort()
         headers["Response-Signature"] = f"{self.name}.{headers['Request-Id']}"
-        headers["Server-Load"] = f"{self._running},0,{SLOTS}"
-        return web.Response(body=f"{self.name} {request.path}".encode(), headers=headers)
+        headers["Server-Load"] = f"{self._running},0,{self.slots}"
+        body = f"{self.name} {request.path}".encode()
+        if self.large_answer_bytes and "/large/" in request.path:
+            body = body.ljust(self.large_answer_bytes)
+        return web.Response(body=body, headers=headers)
