--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -264,6 +264,7 @@
         done = Done()
         stream: BodyStream | None = None
         try:
+            routed.server_wait_s = selected.admission.server_wait_s
             outcome, done = await self._exchange(routed, selected.server)
             stream = _stream_of(outcome)
             return outcome
@@ -430,8 +431,11 @@
             service, route, server.incarnation, pace
         )
         if expected_s is not None:
-            self._deps.metrics.observe("work_error", service, abs(sample_s - expected_s))
-        self._deps.reports.record_answer(service, route, server.incarnation, sample_s, pace)
+            error_s = abs(sample_s - expected_s - routed.server_wait_s)
+            self._deps.metrics.observe("work_error", service, error_s)
+        self._deps.reports.record_answer(
+            service, route, server.incarnation, sample_s, pace, routed.server_wait_s
+        )
 
     def _apply_server_notices(
         self, server: ServerRecord, head: AnswerHead, started_at: float
--- a/src/hyssopwood/gateway/load_reports.py
+++ b/src/hyssopwood/gateway/load_reports.py
@@ -50,11 +50,12 @@
         incarnation: tuple[str, int],
         sample_s: float,
         pace: float | None,
+        server_wait_s: float = 0.0,
     ) -> None:
         """Learn from a service time, and report it as that of a request of mean cost."""
         relative = self.work.relative_cost(service, route) * bound_pace(pace or 1.0)
         self.record_service_time(incarnation, sample_s / relative)
-        self.work.record(service, route, incarnation, sample_s, pace)
+        self.work.record(service, route, incarnation, sample_s, pace, server_wait_s)
 
     def collect(self) -> InstanceReport:
         """Return a report of the collected data and clear it."""
--- a/src/hyssopwood/gateway/outcome.py
+++ b/src/hyssopwood/gateway/outcome.py
@@ -93,6 +93,8 @@
     refused: bool = False
     # Time that a server of mean speed is expected to work on the request; 0 if it isn't stated.
     cost_s: float = 0.0
+    # Time that was expected to pass at the server before one of its slots was free.
+    server_wait_s: float = 0.0
     # Total time spent on server selection, and the instance that granted the last admission.
     waited_s: float = 0.0
     keeper: str = ""
--- a/src/hyssopwood/gateway/queue.capnp
+++ b/src/hyssopwood/gateway/queue.capnp
@@ -45,6 +45,7 @@
 
 struct Reply {
   state @0 :State;
+  # Predicted wait; with a grant, until a slot of the server is free.
   waitMs @1 :UInt32;
   server @2 :Text;
   bornMs @3 :UInt64;
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -42,7 +42,7 @@
 def _reply(decision: Decision) -> Reply:
     if isinstance(decision, Granted):
         record = decision.server
-        return Reply(ReplyState.GRANTED, 0.0, record.server, record.born_ms)
+        return Reply(ReplyState.GRANTED, decision.server_wait_s, record.server, record.born_ms)
     if isinstance(decision, Queued):
         return Reply(ReplyState.QUEUED, decision.wait_s)
     return Reply(ReplyState.REJECTED, decision.wait_s, limited=decision.limited)
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -60,6 +60,8 @@
     # Instance that granted the admission (None for this one), and the ticket to release it with.
     keeper: InstanceRecord | None
     ticket: int
+    # Predicted time until a slot of the server is free.
+    server_wait_s: float = 0.0
 
 
 @define(eq=False)
@@ -215,7 +217,7 @@
         if reply is None:
             return Reply(ReplyState.DECLINED)
         if reply.state is ReplyState.GRANTED:
-            return Admission(reply.server, reply.born_ms, None, ticket)
+            return Admission(reply.server, reply.born_ms, None, ticket, reply.wait_s)
         return reply
 
     def _limit_share(self, ask: Ask) -> float:
@@ -251,7 +253,7 @@
         if reply is None:
             return Reply(ReplyState.DECLINED)
         if reply.state is ReplyState.GRANTED:
-            return Admission(reply.server, reply.born_ms, keeper, pending.ticket)
+            return Admission(reply.server, reply.born_ms, keeper, pending.ticket, reply.wait_s)
         return reply
 
     def _check_pending(self, pending: _Pending, now: float) -> None:
--- a/src/hyssopwood/gateway/queue_messages.py
+++ b/src/hyssopwood/gateway/queue_messages.py
@@ -80,6 +80,7 @@
     """Reply to an ask; a grant names the server and its start time."""
 
     state: ReplyState
+    # Predicted wait; with a grant, until a slot of the server is free.
     wait_s: float = 0.0
     server: str = ""
     born_ms: int = 0
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Hashable, Iterable
 from itertools import count
+from operator import itemgetter
 from typing import TypeAlias
 
 from attrs import define, field, frozen
@@ -47,6 +48,10 @@
 # Pace from which a server gets no requests beyond its slots: its slots rarely become free, and the
 # next request would wait longer at the server than in the queue.
 SLOW_PACE = 1.5
+# Multiple of the expected time within which requests with a known cost or pace are nearly
+# always answered. At peak load many requests start when they can just meet their target; with the
+# expected time itself, half of those would be late.
+RUN_TIME_MARGIN = 1.7
 # Cost of each request while no request of the queue states one.
 UNIT_COST = 1.0
 NEVER_S = float("inf")
@@ -85,6 +90,10 @@
     """The request is admitted to a server."""
 
     server: ServerRecord
+    # Time until the server's answer as expected at the admission, and the part of it that passes
+    # before a slot of the server is free; 0 for a repeated decision.
+    expected_s: float = field(default=0.0, eq=False)
+    server_wait_s: float = field(default=0.0, eq=False)
 
 
 @frozen
@@ -179,13 +188,16 @@
 
     def expected_time_s(self, cost: float, now: float) -> float:
         """Return how long a request of a given cost sent now is expected to take."""
-        behind = max(0, self.in_flight + 1 - self.record.slots) / self.record.slots
-        # The first slot becomes free after a part of the mean work in flight.
-        waiting = behind * self.work / self.in_flight if behind else 0.0
         warming = WARMUP_PENALTY_S if self.record.warmup_left_s > 0 else 0.0
-        work_s = (cost + waiting) * self.service_time_s
+        work_s = (cost + self.work_before_free()) * self.service_time_s
         return time_at_pace(work_s, self.pace(now)) + warming
 
+    def work_before_free(self) -> float:
+        """Return the work that the server does before a slot is free for one more request."""
+        behind = max(0, self.in_flight + 1 - self.record.slots) / self.record.slots
+        # The first slot becomes free after a part of the mean work in flight.
+        return behind * self.work / self.in_flight if behind else 0.0
+
     def add(self, cost: float) -> None:
         """Count a request as in flight."""
         self.in_flight += 1
@@ -199,12 +211,11 @@
 
     def learn(self, sample_s: float, admission: _Admission, load: ServerLoad | None) -> None:
         """Learn the service time from a request."""
-        pace = 1.0
-        if load is not None and load.pace is not None:
-            # The pace changes while the request runs; both its ends are known.
-            pace = (admission.pace + bound_pace(load.pace)) / 2
-        sample = sample_s / (admission.cost * pace)
+        sample = sample_s / admission.cost
         if load is not None and (load.pace is not None or admission.stated):
+            # The pace changes while the request runs; both its ends are known.
+            pace = 1.0 if load.pace is None else (admission.pace + bound_pace(load.pace)) / 2
+            sample = sample_s / ((admission.cost + admission.work_before) * pace)
             sample = min(sample, MAX_SAMPLE_RATIO * self.service_time_s)
         self.service_time_s += SERVICE_TIME_WEIGHT * (sample - self.service_time_s)
 
@@ -216,8 +227,9 @@
     cost: float
     # Whether the request stated its cost.
     stated: bool
-    # Pace of the server when it was admitted.
+    # Pace of the server when it was admitted, and its work before a slot was free.
     pace: float
+    work_before: float
 
 
 @frozen
@@ -226,6 +238,19 @@
     order: int
 
 
+@frozen
+class _RunTimes:
+    """Time from the admission of a request to its answer."""
+
+    # Time for a unit of cost, and time until a slot is free.
+    unit_s: float
+    before_s: float = 0.0
+
+    def run_s(self, cost: float) -> float:
+        """Return the time for a request of a given cost."""
+        return cost * self.unit_s + self.before_s
+
+
 @frozen
 class _Fleet:
     """The usable servers of a queue at one moment."""
@@ -261,6 +286,8 @@
     _order: count[int] = field(factory=count, init=False)
     # Mean of the costs that requests stated; None while none has.
     _mean_cost_s: float | None = field(default=None, init=False)
+    # Whether any server has stated its pace.
+    _paced: bool = field(default=False, init=False)
 
     @property
     def idle(self) -> bool:
@@ -278,17 +305,17 @@
             granted = self._admit(request, usable, now)
             if granted is not None:
                 return granted
-        unit_s = self._unit_time_s(usable)
-        urgency = self._urgency(request, now, unit_s)
+        times = self._run_times(usable)
+        urgency = self._urgency(request, now, times)
         ahead = sum(
             self._cost(item.request)
             for item in self._waiting.values()
-            if self._urgency(item.request, now, unit_s) <= urgency
+            if self._urgency(item.request, now, times) <= urgency
         )
         wait_s = self._fleet(usable, now).wait_s(ahead)
         limited = self._all_limited(usable, now)
         margin_s = LIMITED_WAIT_MARGIN_S if limited else 0.0
-        latest = _latest_start(request, unit_s * self._cost(request), limited)
+        latest = _latest_start(request, times.run_s(self._cost(request)), limited)
         if wait_s > request.max_wait_s or now + wait_s + margin_s > latest:
             return Rejected(wait_s, limited)
         self._waiting[request.ticket] = _Waiting(request, next(self._order))
@@ -303,7 +330,7 @@
         if waiting is None:
             return None
         usable = self._usable(now)
-        items = self._sorted(now, self._unit_time_s(usable))
+        items = self._sorted(now, self._run_times(usable))
         ahead = sum(self._cost(item.request) for item in items[: items.index(waiting)])
         return Queued(self._fleet(usable, now).wait_s(ahead))
 
@@ -338,6 +365,7 @@
         if load is not None:
             server.external = max(0, load.running + load.waiting - server.in_flight)
             server.reported_at = now
+            self._paced |= load.pace is not None
             server.reported_pace = 1.0 if load.pace is None else bound_pace(load.pace)
         return server.record.incarnation
 
@@ -355,18 +383,18 @@
         if not self._waiting:
             return []
         usable = self._usable(now)
-        unit_s = self._unit_time_s(usable)
+        times = self._run_times(usable)
         limited = self._all_limited(usable, now)
         decided: list[tuple[Hashable, Granted | Rejected]] = []
         ahead = 0.0
         fleet: _Fleet | None = None
-        for item in self._sorted(now, unit_s):
+        for item in self._sorted(now, times):
             decision: Granted | Rejected | None = self._admit(item.request, usable, now)
             cost = self._cost(item.request)
             if decision is None:
                 fleet = fleet or self._fleet(usable, now)
                 wait_s = fleet.wait_s(ahead)
-                if now + wait_s > _latest_start(item.request, unit_s * cost, limited):
+                if now + wait_s > _latest_start(item.request, times.run_s(cost), limited):
                     decision = Rejected(wait_s, limited)
             else:
                 fleet = None
@@ -412,7 +440,11 @@
         if not free:
             return None
         cost = self._cost(request)
-        server = min(free, key=lambda item: (item.expected_time_s(cost, now), item.record.server))
+        expected_s, _, server = min(
+            ((item.expected_time_s(cost, now), item.record.server, item) for item in free),
+            key=itemgetter(0, 1),
+        )
+        pace, work_before = server.pace(now), server.work_before_free()
         server.add(cost)
         if server.bucket is not None:
             server.bucket.take(now)
@@ -421,9 +453,11 @@
             request.deadline + ADMISSION_GRACE_S,
             cost,
             request.cost_s is not None,
-            server.pace(now),
+            pace,
+            work_before,
         )
-        return Granted(server.record)
+        server_wait_s = time_at_pace(work_before * server.service_time_s, pace)
+        return Granted(server.record, expected_s, server_wait_s)
 
     def _remove_admission(self, ticket: Hashable) -> _Admission | None:
         admission = self._admissions.pop(ticket, None)
@@ -446,10 +480,11 @@
                 server.work *= self._mean_cost_s
             for admission in self._admissions.values():
                 admission.cost *= self._mean_cost_s
+                admission.work_before *= self._mean_cost_s
         self._mean_cost_s += COST_WEIGHT * (cost_s - self._mean_cost_s)
 
     def _fleet(self, usable: list[tuple[_Server, bool]], now: float) -> _Fleet:
-        mean_cost = UNIT_COST if self._mean_cost_s is None else self._mean_cost_s
+        mean_cost = self._cost_unit
         rate = paced_rate = free = work = 0.0
         in_flight = 0
         for server, _ in usable:
@@ -469,16 +504,29 @@
         return slots / rate if rate else INITIAL_SERVICE_TIME_S
 
     def _all_limited(self, usable: list[tuple[_Server, bool]], now: float) -> bool:
-        mean_cost = UNIT_COST if self._mean_cost_s is None else self._mean_cost_s
+        mean_cost = self._cost_unit
         return all(server.limited(now, mean_cost) for server, _ in usable)
 
-    def _urgency(self, request: QueuedRequest, now: float, unit_s: float) -> tuple[bool, int]:
-        return request.target < now + unit_s * self._cost(request), request.priority
+    def _run_times(self, usable: list[tuple[_Server, bool]]) -> _RunTimes:
+        unit_s = self._unit_time_s(usable)
+        if self._mean_cost_s is None and not self._paced:
+            return _RunTimes(unit_s)
+        slots = sum(server.record.slots for server, _ in usable)
+        # All slots are usually busy when requests wait, so the next one waits for one of them.
+        before = self._cost_unit * EXTRA_REQUESTS_PER_SERVER * len(usable) / max(1, slots)
+        return _RunTimes(unit_s * RUN_TIME_MARGIN, unit_s * before)
+
+    @property
+    def _cost_unit(self) -> float:
+        return UNIT_COST if self._mean_cost_s is None else self._mean_cost_s
+
+    def _urgency(self, request: QueuedRequest, now: float, times: _RunTimes) -> tuple[bool, int]:
+        return request.target < now + times.run_s(self._cost(request)), request.priority
 
-    def _sorted(self, now: float, unit_s: float) -> list[_Waiting]:
+    def _sorted(self, now: float, times: _RunTimes) -> list[_Waiting]:
         return sorted(
             self._waiting.values(),
-            key=lambda item: (*self._urgency(item.request, now, unit_s), item.order),
+            key=lambda item: (*self._urgency(item.request, now, times), item.order),
         )
 
 
--- a/src/hyssopwood/gateway/work_estimates.py
+++ b/src/hyssopwood/gateway/work_estimates.py
@@ -130,6 +130,11 @@
     _services: dict[str, _Service] = field(factory=dict, init=False)
     _route_count: int = field(default=0, init=False)
 
+    @property
+    def server_count(self) -> int:
+        """Return for how many servers of each service a factor is known."""
+        return sum(len(service.factors) for service in self._services.values())
+
     def expected_cost_s(self, service: str, route: str) -> float | None:
         """Return the time that a server of mean speed needs, or None if it isn't to be stated.
 
@@ -165,8 +170,12 @@
         incarnation: tuple[str, int],
         sample_s: float,
         pace: float | None,
+        server_wait_s: float = 0.0,
     ) -> None:
-        """Learn from the service time of a request, and from the pace that its answer stated."""
+        """Learn from the time of a request at its server, and the pace that the answer stated.
+
+        `server_wait_s` is the part that was expected to pass before a slot of the server was free.
+        """
         known = self._services.setdefault(service, _Service())
         cost = known.costs.pop(route, None)
         if cost is None:
@@ -175,7 +184,11 @@
             cost = _Cost(known.mean_s)
         # The last item is the one used most recently.
         known.costs[route] = cost
-        paced_s = sample_s / bound_pace(pace or 1.0)
+        pace = bound_pace(pace or 1.0)
+        expected_s = cost.mean_s * known.relative_factor(incarnation) * pace
+        # Without this correction short requests that wait behind long ones would seem long.
+        run_share = expected_s / (expected_s + server_wait_s) if expected_s else 1.0
+        paced_s = sample_s * run_share / pace
         cost_sample_s = paced_s / known.relative_factor(incarnation)
         if cost.mean_s > 0:
             known.add_factor(incarnation, paced_s / cost.mean_s)
--- a/src/hyssopwood/queue_experiment.py
+++ b/src/hyssopwood/queue_experiment.py
@@ -304,7 +304,7 @@
 
     rank: Callable[[QueuedRequest], tuple[float, ...]]
 
-    def _sorted(self, now: float, unit_s: float) -> list:  # type: ignore[type-arg]
+    def _sorted(self, now: float, times: object) -> list:  # type: ignore[type-arg]
         return sorted(
             self._waiting.values(), key=lambda item: (*self.rank(item.request), item.order)
         )
