--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -200,7 +200,7 @@
                 requester.granted_at = self._timers.now()
             return Reply(
                 ReplyState.GRANTED,
-                0.0,
+                decision.server_wait_s,
                 record.server,
                 record.born_ms,
                 held_s=requester.granted_at - requester.asked_at,
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -63,6 +63,8 @@
     # Earliest time at which it can have been granted, and whether the server is cold.
     granted_at: float = float("-inf")
     cold: bool = False
+    # Predicted time until a slot of the server is free.
+    server_wait_s: float = 0.0
 
 
 @define(eq=False)
@@ -345,7 +347,9 @@
 ) -> Admission:
     """Return the admission of a grant; the ask was received no earlier than it was sent."""
     granted_at = sent_at + reply.held_s
-    return Admission(reply.server, reply.born_ms, keeper, ticket, granted_at, reply.cold)
+    return Admission(
+        reply.server, reply.born_ms, keeper, ticket, granted_at, reply.cold, reply.wait_s
+    )
 
 
 def _subtract_elapsed(ask: Ask, elapsed_s: float) -> Ask:
