Fix: answers with a status outside of 100 to 599 are broken exchanges

Cause: the reader of answers checked the lowest status code only, so that 600 to 999 were passed on to callers over direct and relayed connections, with small and streamed bodies, and counted as answers to commands and of the store. An append that the store answered so failed as a protocol error, not as unconfirmed. 101 was left to the parser.

Change: AnswerReader, which all these connections share, refuses statuses outside of 100 to 599 and 101. An answer 200 to an append without its offset raised KeyError, and other values TypeError or ValueError; they are typed errors now. The gateway sends no health checks of its own: its probes only connect.

--- a/src/hyssopwood/gateway/answer_reader.py
+++ b/src/hyssopwood/gateway/answer_reader.py
@@ -24,9 +24,12 @@
 # Heads are parsed in slices, so that an endless one is detected before much of it is buffered.
 HEAD_SLICE_BYTES = 4096
 _BODILESS_STATUSES = frozenset({204, 304})
-# Lowest status code of any answer, and of a final one.
+# Status codes that answers may have; the parser accepts any three digits.
 _MIN_STATUS = 100
+_MAX_STATUS = 599
 _MIN_FINAL_STATUS = 200
+# What follows it isn't HTTP, and no request asks for it.
+_SWITCHING_PROTOCOLS = 101
 
 
 class AnswerEvents(Protocol):
@@ -112,7 +115,7 @@
         message = self._message
         assert message is not None
         status = self._parser.get_status_code()
-        if status < _MIN_STATUS:
+        if not _MIN_STATUS <= status <= _MAX_STATUS or status == _SWITCHING_PROTOCOLS:
             raise ExchangeBrokenError(f"the answer has the status code {status}")
         if status < _MIN_FINAL_STATUS:
             self._interim += 1
--- a/src/hyssopwood/platform/store_client.py
+++ b/src/hyssopwood/platform/store_client.py
@@ -232,16 +232,18 @@
             answer = await self._request("POST", APPEND_PATH, params, CALL_TIMEOUT_S, body)
         except LogUnavailableError as error:
             raise AppendUnconfirmedError(str(error)) from error
-        try:
-            fields = _parse_json(answer.data) if answer.status in (200, 412) else {}
-        except LogProtocolError as error:
-            # A body without a length may be cut off, although the append was carried out.
-            raise AppendUnconfirmedError(str(error)) from error
+        if answer.status in (200, 412):
+            try:
+                default = -1 if answer.status == 412 else None
+                end_offset = _parse_offset(answer.data, "end_offset", default)
+            except LogProtocolError as error:
+                # A body without a length may be cut off, although the append was carried out.
+                raise AppendUnconfirmedError(str(error)) from error
         if answer.status == 412:
-            raise AppendConflictError(int(fields.get("end_offset", -1)))
+            raise AppendConflictError(end_offset)
         if answer.status != 200:
             _raise_for_status(answer.status, APPEND_PATH)
-        return Appended(int(fields["end_offset"]), answer.era)
+        return Appended(end_offset, answer.era)
 
     async def read(
         self, topic: str, start: int, wait_s: float, newest_only: bool = False
@@ -262,7 +264,7 @@
         is_enough = _shows_superseded(start) if newest_only else _never_enough
         answer = await self._request("GET", READ_PATH, params, limit_s, is_enough=is_enough)
         if answer.status == 410:
-            raise RecordsExpiredError(int(_parse_json(answer.data).get("first_offset", 0)))
+            raise RecordsExpiredError(_parse_offset(answer.data, "first_offset", 0))
         if answer.status == 404:
             return ReadPage((), start, answer.era)
         if answer.status != 200:
@@ -484,6 +486,15 @@
     return answer
 
 
+def _parse_offset(data: bytes, name: str, default: int | None = None) -> int:
+    """Return an offset of a JSON answer; raise LogProtocolError if it isn't a number."""
+    value = _parse_json(data).get(name, default)
+    try:
+        return int(value)
+    except (TypeError, ValueError) as error:
+        raise LogProtocolError(f"the store answered {name} {shorten(repr(value))}") from error
+
+
 def _raise_for_status(status: int, path: str) -> None:
     if status in _REFUSED_STATUSES:
         raise LogUnavailableError(f"{path}: the store answered {status}")
