--- a/src/hyssopwood/cli.py
+++ b/src/hyssopwood/cli.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Sequence
 from importlib import import_module
+from importlib.metadata import entry_points
 from pathlib import Path
 from typing import Any
 from uuid import uuid4
@@ -57,6 +58,8 @@
 # Keys that identify a ticket file. `limits` isn't one of them, because settings have it too.
 TICKET_KEYS = frozenset({"number", "services", "servers", "ownership"})
 INTERRUPTED_EXIT_CODE = 130
+# Entry points of functions that add commands of an adapter, which this module can't import.
+COMMANDS_GROUP = "hyssopwood.commands"
 
 
 @define
@@ -133,6 +136,8 @@
     _add_state_commands(commands)
     _add_status(commands)
     _add_explain(commands)
+    for command in entry_points(group=COMMANDS_GROUP):
+        command.load()(commands)
     return parser
 
 
--- a/src/hyssopwood/errors.py
+++ b/src/hyssopwood/errors.py
@@ -42,6 +42,12 @@
         self.faults = faults
 
 
+class ConfigurationRejectedError(HyssopwoodError):
+    """Raised when a check finds errors in a configuration that decodes."""
+
+    exit_code = 4
+
+
 class TicketRejectedError(HyssopwoodError):
     """Raised when a ticket is rejected, before it is published or at its position in the log."""
 
--- a/src/hyssopwood/platform/configuration.py
+++ b/src/hyssopwood/platform/configuration.py
@@ -26,7 +26,8 @@
     return (WeightedService(action["service"], 1.0),)
 
 
-def _route(host: str, rule: dict[str, Any]) -> Route:
+def decode_route(host: str, rule: dict[str, Any]) -> Route:
+    """Return a route of a host."""
     action = rule["action"]
     timeout_s = float(action["timeout_s"])
     return Route(
@@ -42,7 +43,8 @@
     )
 
 
-def _service(cluster: dict[str, Any]) -> ServiceSpec:
+def decode_service(cluster: dict[str, Any]) -> ServiceSpec:
+    """Return the description of a service."""
     return ServiceSpec(
         name=cluster["name"],
         health_path=cluster.get("health_path", ""),
@@ -52,7 +54,8 @@
     )
 
 
-def _limits(limits: dict[str, Any]) -> CallerLimits:
+def decode_limits(limits: dict[str, Any]) -> CallerLimits:
+    """Return the limits on callers."""
     return CallerLimits(
         header_bytes=int(limits["max_header_bytes"]),
         body_bytes=int(limits["max_body_bytes"]),
@@ -65,16 +68,16 @@
     """Return the route table of a configuration document; raise InputError if it is invalid."""
     try:
         document = parse_document(value)
-        services = [_service(cluster) for cluster in document["clusters"]]
+        services = [decode_service(cluster) for cluster in document["clusters"]]
         return RouteTable(
             version=check_integer(int(document["version"])),
             routes=tuple(
-                _route(listener["host"], rule)
+                decode_route(listener["host"], rule)
                 for listener in document["listeners"]
                 for rule in listener["route_rules"]
             ),
             services={service.name: service for service in services},
-            limits=_limits(document["limits"]),
+            limits=decode_limits(document["limits"]),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         detail = f"{type(error).__name__}: {shorten(str(error))}"
