Fix: a server whose entry returns is granted its keys at once

Cause: the leader moves the keys of a server whose entry is missing. If the leader is new, the server may have a lease that the previous leader renewed, so that the move waits for its end, up to 12 s. When the entry came back meanwhile, the move went on waiting: the server could not release the keys, as no grant of this leader had been answered, and got none, as its keys were moving.

Change: a move whose owner is back, and to whom no release can have been sent, is abandoned (E422), and the owner is granted the range at once.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -109,6 +109,14 @@
     Then its keys have an owner again within 6.5 s
     And no key had two owners and no token decreased
 
+  Scenario: A running server whose entry returns keeps its keys
+    Guards against keys without an owner for 8 s: the next leader had begun to move them while the
+    entry was missing, and waited for the end of leases that the previous leader may have renewed,
+    although the owner could be granted its keys at once.
+    When the entry of a running server is lost with the leader and returns, with seeds from 1 to 10
+    Then its keys have an owner again within 1.5 s
+    And no key had two owners and no token decreased
+
   Scenario: A server at the address of a crashed one gets none of its keys
     Guards against grants that are carried out by another process than the one they are meant for
     (incident inc1 of musgo-limpio: two owners under one token).
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -40,6 +40,7 @@
     explore_restores,
     isolate_leader,
     lose_leader_and_server,
+    lose_registration_beside_leader,
     lose_rival_claim,
     lose_server_after_claim,
     lose_server_without_store,
@@ -153,6 +154,16 @@
     context.violations, context.share = lose_leader_and_server(1)
 
 
+@when(
+    "the entry of a running server is lost with the leader and returns, "
+    "with seeds from {first:d} to {last:d}"
+)
+def step_lose_registration(context, first, last):
+    results = [lose_registration_beside_leader(seed) for seed in range(first, last + 1)]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.recovery_s = max(elapsed_s for _, elapsed_s in results)
+
+
 @when("a server is lost soon after its leader, with seeds from {first:d} to {last:d}")
 def step_lose_server_after_claim(context, first, last):
     results = [lose_server_after_claim(seed) for seed in range(first, last + 1)]
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -940,6 +940,27 @@
         await self.stop()
         return share
 
+    async def lose_registration_beside_leader(self):
+        """Lose the leader and a server's entry, which returns after the next leader has claimed.
+
+        Return the time until all keys are owned again since the server's entry is back.
+        """
+        await self.start()
+        await asyncio.sleep(6.0)
+        leader = self.leaders()[0]
+        self.unregistered.add("s1")
+        await leader.stop()
+        while not any(item is not leader for item in self.leaders()):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(4.8)
+        self.unregistered.discard("s1")
+        returned_at = self.loop.time()
+        while self.owned_share() < 0.999:
+            await asyncio.sleep(0.05)
+        elapsed_s = self.loop.time() - returned_at
+        await self.stop()
+        return elapsed_s
+
     async def isolate_leader(self):
         """Cut the leader from the store for long, and a server from everyone but that leader."""
         await self.start()
@@ -1032,6 +1053,16 @@
     return cluster.violations, share
 
 
+def lose_registration_beside_leader(seed):
+    """Simulate the loss of a leader and of a server's entry that returns.
+
+    Return the violations and the time without an owner after the return.
+    """
+    cluster = KeyCluster(seed)
+    elapsed_s = cluster.run(cluster.lose_registration_beside_leader())
+    return cluster.violations, elapsed_s
+
+
 def lose_server_after_claim(seed):
     """Simulate a server's loss soon after its leader's; return violations and recovery time."""
     cluster = KeyCluster(seed)
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -100,6 +100,7 @@
     RENEWAL_FAILED = EventSpec(418, "WARNING", "renewal of leases failed")
     RENEWAL_RECOVERED = EventSpec(419, "INFO", "renewals succeed again")
     RENEWAL_SUSPENDED = EventSpec(421, "WARNING", "leases can't be renewed over a new connection")
+    MOVE_ABANDONED = EventSpec(422, "INFO", "key range stays with its owner, which is back")
     SERVER_REPLACED = EventSpec(420, "INFO", "another server answers at a server's address")
     REQUEST_ANSWERED = EventSpec(508, "INFO", "request was answered")
     SERVER_SUSPECTED = EventSpec(509, "WARNING", "backend server is temporarily avoided")
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -719,6 +719,9 @@
         started_at = self._deps.timers.now()
         async with lease.lock:
             released = await self._wait_for_release(lease, target)
+        if released is None:
+            self._abandon_move(lease, started_at)
+            return
         self._pending.append((lease, released.target, released.handover))
         emit(
             Event.RANGE_RELEASED,
@@ -731,11 +734,33 @@
         )
         await self._commit()
 
-    async def _wait_for_release(self, lease: RangeLease, target: ServerRecord) -> _Released:
+    def _abandon_move(self, lease: RangeLease, started_at: float) -> None:
+        """Leave a range with its owner, which is granted it again at once."""
+        lease.moving = False
+        self._renewal_due.pop(lease.keys.incarnation, None)
+        emit(
+            Event.MOVE_ABANDONED,
+            service=lease.service,
+            first=lease.keys.first,
+            last=lease.keys.last,
+            server=lease.keys.server,
+            waited_ms=round((self._deps.timers.now() - started_at) * 1000),
+        )
+
+    def _may_stay(self, lease: RangeLease, now: float) -> bool:
+        """Return whether a lost owner is back and no release can have been sent to it.
+
+        Its lease may be one that the previous leader renewed, so the range could only be moved
+        after that has expired, while the owner can be granted it without a wait.
+        """
+        return not lease.may_release(now) and not self._is_lost(lease)
+
+    async def _wait_for_release(self, lease: RangeLease, target: ServerRecord) -> _Released | None:
         """Wait until no server but the next owner can have a lease of the range.
 
         The next owner is the target, or a later incarnation of the owner: it may have carried out
         grants that were meant for the earlier one, so only it can get the range without a wait.
+        Return None if the owner is back and keeps the range.
         """
         while True:
             now = self._deps.timers.now()
@@ -751,6 +776,8 @@
             if not self._deps.authority.is_valid(now):
                 await self._deps.timers.sleep(COMMAND_RETRY_S)
                 continue
+            if self._may_stay(lease, now):
+                return None
             # A later incarnation of the owner may have carried out a grant that was meant for it.
             record = self._deps.directory.get_recent(lease.keys.server, now)
             if record is not None and record.born_ms >= lease.keys.born_ms:
