Placement of keys by work, and metrics of the predictions

Cause: the leader placed keys by requests, so a server could own several times the work of others where the routes of a service differ in cost.

Change: reports state the work of the requests for each key, in requests of mean cost, for services whose routes differ in cost; the leader uses it in place of the count. Service times are reported as those of a request of mean cost at the usual pace. A request that got no answer in time counts as at most ten times its expected time. E527 is logged at most once a second.

Measured: a key whose requests cost 8 times as much has 8 times the load within 15% (feature).

--- a/features/steps/work_estimate_steps.py
+++ b/features/steps/work_estimate_steps.py
@@ -9,6 +9,7 @@
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.exchange import ServerAnswer, ServerLoad
+from hyssopwood.gateway.load_reports import LoadReports
 from hyssopwood.gateway.queue_messages import Ask, Done, QueueName, decode, encode
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.gateway.shared_queue import Granted, QueuedRequest, QueueServer, SharedQueue
@@ -18,6 +19,10 @@
     decayed_pace,
     time_at_pace,
 )
+from hyssopwood.keyspace.key_load import KeyLoad
+from hyssopwood.keyspace.link_codec import InstanceReport
+from hyssopwood.keyspace.link_codec import decode as decode_link
+from hyssopwood.keyspace.link_codec import encode as encode_link
 from hyssopwood.platform.request_headers import PlatformHeaderCodec
 from support.earlier_builds import PRESENT, load_schema
 from support.queue_script import play
@@ -387,3 +392,53 @@
     for name in context.enabled[0].work_errors:
         errors = [error for item in context.enabled for error in item.work_errors[name]]
         assert quantile(errors, 0.5) <= most, (name, quantile(errors, 0.5))
+
+
+@given('the routes "{one}" at {one_s:g} s and "{other}" at {other_s:g} s of a service are known')
+def step_known_routes(context, one, one_s, other, other_s):
+    context.reports = LoadReports(KeyLoad(context.timers))
+    context.factors, context.rng = {"s1": 1.0}, random.Random(1)
+    context.estimates = context.reports.work
+    _answer(context, 400, [(one, one_s), (other, other_s)])
+
+
+@when(
+    '{count:d} requests of "{one}" for key {one_key:d} and {others:d} of "{other}" '
+    "for key {other_key:d} are reported"
+)
+def step_reported(context, count, one, one_key, others, other, other_key):
+    for _ in range(count):
+        context.reports.record_request(SERVICE, one_key, one)
+    for _ in range(others):
+        context.reports.record_request(SERVICE, other_key, other)
+    context.report = decode_link(encode_link(context.reports.collect()))
+
+
+@then("the leader reads {count:d} requests for each key")
+def step_read_counts(context, count):
+    assert set(context.report.keys[SERVICE].values()) == {count}, context.report.keys
+
+
+@then("the report states no work")
+def step_no_work(context):
+    assert not context.report.work, context.report.work
+
+
+@then("key {key:d} has {ratio:g} times the load of key {other:d} within {percent:g} percent")
+def step_load_ratio(context, key, ratio, other, percent):
+    load = KeyLoad(context.timers)
+    work = context.report.work.get(SERVICE, {})
+    for number, count in context.report.keys[SERVICE].items():
+        load.record_requests(SERVICE, number, work.get(number, count))
+    counts = load.counts()[SERVICE]
+    assert _close(counts[key] / counts[other], ratio, percent), counts
+
+
+@when("a report states a work of {work} for one request")
+def step_bad_work(context, work):
+    report = InstanceReport({SERVICE: {1: 1}}, {}, work={SERVICE: {1: float(work)}})
+    context.error = None
+    try:
+        decode_link(encode_link(report))
+    except ProtocolError as error:
+        context.error = error
--- a/features/work_estimates.feature
+++ b/features/work_estimates.feature
@@ -157,3 +157,30 @@
       | mixed  | owners      | 0.9  | 0.45   |
       | one    | one queue   | 0.9  | 0.45   |
       | one    | owners      | 0.95 | 0.45   |
+
+  Scenario: Placement of keys follows their work where the routes of a service differ in cost
+    Guards against a server that owns as many requests as the others and several times their work.
+    Given the routes "view" at 0.05 s and "report" at 0.4 s of a service are known
+    When 60 requests of "view" for key 100 and 60 of "report" for key 50000 are reported
+    Then the leader reads 60 requests for each key
+    And key 50000 has 8 times the load of key 100 within 15 percent
+
+  Scenario: Placement counts requests where the routes of a service cost the same
+    Guards against noise in the estimates that moves keys of a service with uniform requests.
+    Given the routes "view" at 0.05 s and "book" at 0.05 s of a service are known
+    When 60 requests of "view" for key 100 and 60 of "book" for key 50000 are reported
+    Then the leader reads 60 requests for each key
+    And the report states no work
+    And key 50000 has 1 times the load of key 100 within 1 percent
+
+  Scenario Outline: A report with an impossible work is rejected as malformed
+    Guards against a peer's value that makes the load of a key endless or undefined.
+    When a report states a work of <work> for one request
+    Then the message is malformed
+
+    Examples:
+      | work |
+      | nan  |
+      | inf  |
+      | -1   |
+      | 1e9  |
--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -115,7 +115,7 @@
     )
     ROUTE_COST_CHANGED = EventSpec(526, "INFO", "expected cost of a route's requests changed")
     ROUTE_COST_DROPPED = EventSpec(
-        527, "INFO", "expected cost of a route was dropped for a newer one"
+        527, "INFO", "expected costs of routes were dropped for newer ones"
     )
     SETTINGS_RELOADED = EventSpec(108, "INFO", "settings were reloaded")
 
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -330,8 +330,11 @@
             self._limits.retain(incarnations)
             self._load.retain(incarnations)
             self._reports.work.review(incarnations)
-            for service, route, cost_s in self._reports.work.costs():
-                self._metrics.set("expected_cost_seconds", cost_s, f"{service} {route}")
+            costs = {
+                f"{service} {route}": cost_s
+                for service, route, cost_s in self._reports.work.costs()
+            }
+            self._metrics.replace("expected_cost_seconds", costs)
             self._report_readiness()
 
     def _report_readiness(self) -> None:
@@ -498,8 +501,9 @@
         for notice in report.limits:
             self._limits.apply(notice)
         for service, counts in report.keys.items():
+            work = report.work.get(service, {})
             for key, count in counts.items():
-                self._load.record_requests(service, key, count)
+                self._load.record_requests(service, key, work.get(key, count))
         for incarnation, mean_s in report.times.items():
             self._load.record_answer_time(incarnation, mean_s)
 
--- a/src/hyssopwood/gateway/dispatcher.py
+++ b/src/hyssopwood/gateway/dispatcher.py
@@ -172,7 +172,7 @@
             return self._finish(routed, stopping_refusal(), started_at)
         if routed.sharded and head.key is not None:
             # Demand is counted on arrival: requests for a busy key wait and may never be sent.
-            self._deps.reports.record_request(service, head.key)
+            self._deps.reports.record_request(service, head.key, route.name)
         outcome = await self._run_attempts(routed)
         return self._finish(routed, outcome, started_at)
 
--- a/src/hyssopwood/gateway/load_reports.py
+++ b/src/hyssopwood/gateway/load_reports.py
@@ -6,7 +6,7 @@
 
 from hyssopwood.gateway.work_estimates import WorkEstimates, bound_pace
 from hyssopwood.keyspace.key_load import KeyLoad
-from hyssopwood.keyspace.link_codec import InstanceReport
+from hyssopwood.keyspace.link_codec import MAX_WORK_PER_REQUEST, InstanceReport
 
 
 @define
@@ -24,6 +24,8 @@
     # Expected costs of requests, learned from the same answers.
     work: WorkEstimates = field(factory=WorkEstimates, init=False)
     _keys: dict[str, dict[int, int]] = field(factory=dict, init=False)
+    # Work of the same requests, in requests of mean cost.
+    _work: dict[str, dict[int, float]] = field(factory=dict, init=False)
     _times: dict[tuple[str, int], _ServiceTimes] = field(factory=dict, init=False)
     _leaving: list[tuple[str, int]] = field(factory=list, init=False)
 
@@ -31,11 +33,14 @@
         """Record that a server has announced that it leaves."""
         self._leaving.append(incarnation)
 
-    def record_request(self, service: str, key: int) -> None:
-        """Count a request for a key."""
+    def record_request(self, service: str, key: int, route: str = "") -> None:
+        """Count a request for a key and its work."""
         counts = self._keys.setdefault(service, {})
         counts[key] = counts.get(key, 0) + 1
-        self._recent.record_requests(service, key, 1.0)
+        relative = min(MAX_WORK_PER_REQUEST, self.work.relative_cost(service, route))
+        work = self._work.setdefault(service, {})
+        work[key] = work.get(key, 0.0) + relative
+        self._recent.record_requests(service, key, relative)
 
     def record_service_time(self, incarnation: tuple[str, int], elapsed_s: float) -> None:
         """Record a sample of the service time, which excludes the wait in the server's queue."""
@@ -60,15 +65,18 @@
     def collect(self) -> InstanceReport:
         """Return a report of the collected data and clear it."""
         keys, self._keys = self._keys, {}
+        work, self._work = self._work, {}
+        stated = {name: items for name, items in work.items() if self.work.costs_differ(name)}
         times, self._times = self._times, {}
         leaving, self._leaving = tuple(self._leaving), []
         means = {incarnation: item.total_s / item.count for incarnation, item in times.items()}
-        return InstanceReport(keys, means, leaving=leaving)
+        return InstanceReport(keys, means, leaving=leaving, work=stated)
 
     def collect_recent(self) -> InstanceReport:
         """Return a report of recent load for a new leader and clear the collected data.
 
-        Its request counts include those that earlier leaders received.
+        Its request counts include those that earlier leaders received, and count a request as its
+        work.
         """
         report = self.collect()
         return InstanceReport(self._recent.counts(), report.times)
--- a/src/hyssopwood/gateway/queue_keeper.py
+++ b/src/hyssopwood/gateway/queue_keeper.py
@@ -30,6 +30,9 @@
 # Resolution of timers; one that fires early finds no token yet.
 TIMER_RESOLUTION_S = 0.002
 
+# Lowest cost of a request; servers need at least this for any.
+MIN_COST_S = 0.001
+
 ReplyCallback: TypeAlias = Callable[[Reply], None]
 
 
@@ -121,7 +124,7 @@
             deadline=now + ask.deadline_s,
             max_wait_s=ask.max_wait_s,
             tried=ask.tried,
-            cost_s=ask.cost_s or None,
+            cost_s=max(MIN_COST_S, ask.cost_s) if ask.cost_s else None,
         )
         decision = queue.enter(request, now)
         if isinstance(decision, Granted | Queued):
--- a/src/hyssopwood/gateway/queue_link.py
+++ b/src/hyssopwood/gateway/queue_link.py
@@ -76,6 +76,8 @@
     sent_at: float
     tries: int = 1
     queued: bool = False
+    # Time at which the request is expected to be admitted, by the first reply that it is queued.
+    expected_at: float | None = None
 
 
 @define(eq=False)
@@ -333,7 +335,12 @@
         pending.tries = 0
         if reply.state is ReplyState.QUEUED:
             pending.queued = True
+            if pending.expected_at is None:
+                pending.expected_at = self._timers.now() + reply.wait_s
             return
+        if reply.state is ReplyState.GRANTED and pending.expected_at is not None:
+            error_s = abs(self._timers.now() - pending.expected_at)
+            self._metrics.observe("queue_wait_error", "remote", error_s)
         if not pending.final.done():
             pending.final.set_result(reply)
 
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -52,6 +52,9 @@
 # always answered. At peak load many requests start when they can just meet their target; with the
 # expected time itself, half of those would be late.
 RUN_TIME_MARGIN = 1.7
+# A sample without a load, of a request that got no answer in time, counts as at most this multiple
+# of the expected time: relative to a cheap request, the time until its deadline is very long.
+MAX_LOST_RATIO = 10.0
 # Cost of each request while no request of the queue states one.
 UNIT_COST = 1.0
 NEVER_S = float("inf")
@@ -182,7 +185,10 @@
         if now < self.backed_off_until:
             return REQUESTS_WHILE_BACKED_OFF - self.in_flight
         external = self.external if now - self.reported_at < REPORT_TTL_S else 0
-        extra = 0 if self.pace(now) >= SLOW_PACE else EXTRA_REQUESTS_PER_SERVER
+        extra = EXTRA_REQUESTS_PER_SERVER
+        # A pace only decays towards the usual one, which is below SLOW_PACE.
+        if self.reported_pace >= SLOW_PACE and self.pace(now) >= SLOW_PACE:
+            extra = 0
         limit = max(1, self.record.slots + extra - external)
         return limit - self.in_flight
 
@@ -190,13 +196,17 @@
         """Return how long a request of a given cost sent now is expected to take."""
         warming = WARMUP_PENALTY_S if self.record.warmup_left_s > 0 else 0.0
         work_s = (cost + self.work_before_free()) * self.service_time_s
+        if self.reported_pace == 1.0:
+            return work_s + warming
         return time_at_pace(work_s, self.pace(now)) + warming
 
     def work_before_free(self) -> float:
         """Return the work that the server does before a slot is free for one more request."""
-        behind = max(0, self.in_flight + 1 - self.record.slots) / self.record.slots
+        behind = self.in_flight + 1 - self.record.slots
+        if behind <= 0 or not self.in_flight:
+            return 0.0
         # The first slot becomes free after a part of the mean work in flight.
-        return behind * self.work / self.in_flight if behind else 0.0
+        return behind / self.record.slots * (self.work / self.in_flight)
 
     def add(self, cost: float) -> None:
         """Count a request as in flight."""
@@ -212,11 +222,14 @@
     def learn(self, sample_s: float, admission: _Admission, load: ServerLoad | None) -> None:
         """Learn the service time from a request."""
         sample = sample_s / admission.cost
-        if load is not None and (load.pace is not None or admission.stated):
-            # The pace changes while the request runs; both its ends are known.
-            pace = 1.0 if load.pace is None else (admission.pace + bound_pace(load.pace)) / 2
+        if admission.stated or (load is not None and load.pace is not None):
+            # The pace changes while the request runs, and is known at both ends.
+            pace = admission.pace
+            if load is not None and load.pace is not None:
+                pace = (admission.pace + bound_pace(load.pace)) / 2
             sample = sample_s / ((admission.cost + admission.work_before) * pace)
-            sample = min(sample, MAX_SAMPLE_RATIO * self.service_time_s)
+            most = MAX_SAMPLE_RATIO if load is not None else MAX_LOST_RATIO
+            sample = min(sample, most * self.service_time_s)
         self.service_time_s += SERVICE_TIME_WEIGHT * (sample - self.service_time_s)
 
 
@@ -488,7 +501,8 @@
         rate = paced_rate = free = work = 0.0
         in_flight = 0
         for server, _ in usable:
-            server_rate, pace = server.rate_per_s(now, mean_cost, 1.0), server.pace(now)
+            server_rate = server.rate_per_s(now, mean_cost, 1.0)
+            pace = 1.0 if server.reported_pace == 1.0 else server.pace(now)
             rate += server_rate
             paced_rate += server_rate if pace == 1.0 else server.rate_per_s(now, mean_cost, pace)
             free += server.free_capacity(now)
--- a/src/hyssopwood/gateway/work_estimates.py
+++ b/src/hyssopwood/gateway/work_estimates.py
@@ -129,6 +129,8 @@
 
     _services: dict[str, _Service] = field(factory=dict, init=False)
     _route_count: int = field(default=0, init=False)
+    # Routes whose costs were dropped since the last review.
+    _dropped: int = field(default=0, init=False)
 
     @property
     def server_count(self) -> int:
@@ -146,6 +148,11 @@
             return None
         return self._cost_s(known, route)
 
+    def costs_differ(self, service: str) -> bool:
+        """Return whether the routes of a service differ in cost."""
+        known = self._services.get(service)
+        return known is not None and known.differs
+
     def relative_cost(self, service: str, route: str) -> float:
         """Return a request's cost relative to the service's mean; 1 where costs don't differ."""
         known = self._services.get(service)
@@ -198,7 +205,13 @@
 
     def review(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget all servers except these, and find the services whose routes differ in cost."""
-        for name, service in self._services.items():
+        if self._dropped:
+            emit(Event.ROUTE_COST_DROPPED, routes=self._dropped)
+            self._dropped = 0
+        for name, service in list(self._services.items()):
+            if not service.costs:
+                del self._services[name]
+                continue
             service.retain(incarnations)
             differs = service.costs_differ()
             if differs != service.differs:
@@ -210,7 +223,7 @@
                     emit(Event.ROUTE_COST_CHANGED, service=name, route=route, cost_s=cost.mean_s)
 
     def costs(self) -> Iterator[tuple[str, str, float]]:
-        """Yield service, route and expected cost of all routes."""
+        """Yield service, route and expected cost of all known routes."""
         for name, service in self._services.items():
             for route, cost in service.costs.items():
                 yield name, route, cost.mean_s
@@ -226,4 +239,4 @@
         route = next(iter(largest.costs))
         del largest.costs[route]
         self._route_count -= 1
-        emit(Event.ROUTE_COST_DROPPED, route=route)
+        self._dropped += 1
--- a/src/hyssopwood/keyspace/cluster.capnp
+++ b/src/hyssopwood/keyspace/cluster.capnp
@@ -56,6 +56,8 @@
 struct KeyCount {
   key @0 :UInt16;
   count @1 :UInt16;
+  # Work of the requests, in requests of mean cost of the service; 0 if not stated.
+  work @2 :Float32;
 }
 
 struct ServiceKeys {
--- a/src/hyssopwood/keyspace/link_codec.py
+++ b/src/hyssopwood/keyspace/link_codec.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeAlias
 
 import capnp
-from attrs import frozen
+from attrs import field, frozen
 
 from hyssopwood.errors import ProtocolError
 from hyssopwood.gateway.crash_suspects import CrashReport, Suspects
@@ -22,6 +22,8 @@
 _SCHEMA = capnp.load(str(Path(__file__).with_name("cluster.capnp")))
 # Limit on what the decoder reads from a peer's message, in words of 8 bytes.
 TRAVERSAL_WORDS = 1 << 20
+# Highest work of a request in relation to the mean of its service.
+MAX_WORK_PER_REQUEST = 1000.0
 MAX_COUNT = 65_535
 MAX_MS = 2**32 - 1
 
@@ -49,6 +51,9 @@
     leaving: tuple[tuple[str, int], ...] = ()
     # Limits that servers have named, or no longer name, in answers to the instance.
     limits: tuple[LimitNotice, ...] = ()
+    # Work of the requests in `keys`, in requests of mean cost, for services whose routes differ in
+    # cost.
+    work: dict[str, dict[int, float]] = field(factory=dict)
 
     @property
     def empty(self) -> bool:
@@ -143,9 +148,11 @@
     for service, (name, counts) in zip(services, message.keys.items(), strict=True):
         service.service = name
         keys = service.init("keys", len(counts))
+        work = message.work.get(name, {})
         for item, (key, count) in zip(keys, counts.items(), strict=True):
             item.key = key
             item.count = min(MAX_COUNT, count)
+            item.work = work.get(key, 0.0)
     servers = report.init("servers", len(message.times))
     for item, ((server, born_ms), mean_s) in zip(servers, message.times.items(), strict=True):
         item.server = server
@@ -291,11 +298,29 @@
         service.service: {item.key: item.count for item in service.keys}
         for service in report.services
     }
+    work = {
+        service.service: {item.key: _read_work(item) for item in service.keys if item.work}
+        for service in report.services
+    }
     times = {(item.server, item.bornMs): item.meanMs / 1000 for item in report.servers}
     lost = tuple((item.fingerprint, (item.server, item.bornMs)) for item in report.lost)
     leaving = tuple((item.server, item.bornMs) for item in report.leaving)
     limits = tuple(read_limit(item) for item in report.limits)
-    return InstanceReport(keys, times, CrashReport(lost, tuple(report.cleared)), leaving, limits)
+    return InstanceReport(
+        keys,
+        times,
+        CrashReport(lost, tuple(report.cleared)),
+        leaving,
+        limits,
+        {service: items for service, items in work.items() if items},
+    )
+
+
+def _read_work(item: Any) -> float:
+    # A comparison with NaN is false as well.
+    if not 0 < item.work <= MAX_WORK_PER_REQUEST * max(1, item.count):
+        raise ValueError(f"{item.count} requests with a work of {item.work}")
+    return float(item.work)
 
 
 def _read_change(change: Any) -> PlanChange:
--- a/src/hyssopwood/metrics.py
+++ b/src/hyssopwood/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import resource
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from attrs import define, field
 from hdrh.histogram import HdrHistogram
@@ -105,6 +105,14 @@
             self._gauges[name] = gauge
         gauge.labels(label).set(value)
 
+    def replace(self, name: str, values: Mapping[str, float]) -> None:
+        """Set a gauge to these values by label, and remove its other labels."""
+        gauge = self._gauges.get(name)
+        if gauge is not None:
+            gauge.clear()
+        for label, value in values.items():
+            self.set(name, value, label)
+
     def durations(self, name: str) -> dict[str, DurationHistogram]:
         """Return the histograms of a duration metric by label."""
         return self._durations.get(f"hyssopwood_{name}_seconds", {})
