--- a/features/gateway_dispatch.feature
+++ b/features/gateway_dispatch.feature
@@ -148,3 +148,17 @@
       | non-idempotent | broken | in doubt | not reported |
       | non-idempotent | late   | sound    | reported     |
       | non-idempotent | late   | in doubt | not reported |
+
+  Scenario: The keeper of a queue is told the expected cost of a request and the pace of its server
+    Guards against estimates that are learned and never reach the instance that decides.
+    Given a dispatcher with servers "s1" of a keyless service
+    And requests to route "idempotent" cost 0.05 s and to "non-idempotent" 0.4 s
+    When a request to route "non-idempotent" is sent, answered "paced" and its messages are kept
+    Then the keeper was told a cost of 0.4 s and a pace of 2.5
+
+  Scenario: Nothing is told of requests of equal cost to a server that states no pace
+    Guards against decisions that change on deployments that ask for nothing new.
+    Given a dispatcher with servers "s1" of a keyless service
+    And requests to route "idempotent" cost 0.1 s and to "non-idempotent" 0.1 s
+    When a request to route "non-idempotent" is sent, answered "ok" and its messages are kept
+    Then the keeper was told no cost and no pace
--- a/features/steps/gateway_dispatch_steps.py
+++ b/features/steps/gateway_dispatch_steps.py
@@ -1,6 +1,7 @@
 """Steps for the dispatcher."""
 
 import asyncio
+from unittest.mock import patch
 
 from attrs import evolve
 from behave import given, then, when
@@ -116,6 +117,8 @@
     elif entry == "busy":
         status = 503
         headers = [*headers[:1], (b"not-executed", b"1"), (b"retry-after", b"0.6")]
+    elif entry == "paced":
+        headers.append((b"server-load", b"1,0,2,250"))
     elif entry == "limited":
         headers.append((b"server-limit", b"5.4"))
     elif entry == "failed":
@@ -435,3 +438,46 @@
         assert lost and (suspect or times), (suspect, lost, times)
     else:
         assert not suspect and not lost and not times, (suspect, lost, times)
+
+
+@given('requests to route "{route}" cost {cost_s:g} s and to "{other}" {other_s:g} s')
+def step_costs(context, route, cost_s, other, other_s):
+    work = context.reports.work
+    for _ in range(50):
+        work.record(SERVICE, route, ("s1", 1), cost_s, None)
+        work.record(SERVICE, other, ("s1", 1), other_s, None)
+    work.review({("s1", 1)})
+
+
+@when('a request to route "{route}" is sent, answered "{script}" and its messages are kept')
+def step_send_kept(context, route, script):
+    context.asks, context.dones = [], []
+    ask, release = QueueKeeper.ask, QueueKeeper.release
+
+    def keep_ask(keeper, ticket, message, *more):
+        context.asks.append(message)
+        return ask(keeper, ticket, message, *more)
+
+    def keep_done(keeper, ticket, message):
+        context.dones.append(message)
+        return release(keeper, ticket, message)
+
+    with (
+        patch.object(QueueKeeper, "ask", keep_ask),
+        patch.object(QueueKeeper, "release", keep_done),
+    ):
+        step_send(context, route, script)
+
+
+@then("the keeper was told a cost of {cost_s:g} s and a pace of {pace:g}")
+def step_told(context, cost_s, pace):
+    (told_ask,), (told_done,) = context.asks, context.dones
+    assert abs(told_ask.cost_s - cost_s) <= 0.2 * cost_s, told_ask
+    assert told_done.load.pace == pace, told_done
+    assert context.metrics.durations("work_error")[SERVICE].count == 1
+
+
+@then("the keeper was told no cost and no pace")
+def step_told_nothing(context):
+    (told_ask,), (told_done,) = context.asks, context.dones
+    assert told_ask.cost_s == 0.0 and told_done.load is None, (told_ask, told_done)
