--- a/src/hyssopwood/events.py
+++ b/src/hyssopwood/events.py
@@ -130,7 +130,7 @@
     )
     ROUTE_COST_CHANGED = EventSpec(526, "INFO", "expected cost of a route's requests changed")
     ROUTE_COST_DROPPED = EventSpec(
-        527, "INFO", "expected cost of a route was dropped for a newer one"
+        527, "INFO", "expected costs of routes were dropped for newer ones"
     )
     MEMORY_SHORT = EventSpec(530, "WARNING", "requests are refused for lack of memory")
     MEMORY_RECOVERED = EventSpec(531, "INFO", "no request is refused for lack of memory any more")
--- a/src/hyssopwood/gateway/work_estimates.py
+++ b/src/hyssopwood/gateway/work_estimates.py
@@ -22,9 +22,14 @@
 MAX_SAMPLE_RATIO = 3.0
 # Samples of a route from which its cost counts as known.
 MIN_SAMPLES = 5
-# Ratio of the highest to the lowest cost of a service's routes from which they differ. Estimates of
-# equal costs differ by less: the standard deviation of one is about a tenth.
-DIFFERENT_COSTS_RATIO = 1.5
+# Ratio of the highest to the lowest cost of a service's routes below which they cease to differ.
+EQUAL_COSTS_RATIO = 1.3
+# They begin to differ above that ratio by this margin, divided by the root of the fewest samples of
+# a route. Of the reviews of three routes of equal cost, 3% found a difference with a fixed ratio of
+# 1.5, and 0.5% find one so.
+DIFFERENT_COSTS_MARGIN = 3.0
+# Samples from which the moving average of a cost becomes no steadier.
+STEADY_SAMPLES = 40
 # Ratio of a cost to the last logged one from which it is logged again.
 LOGGED_CHANGE_RATIO = 2.0
 # Routes of all services with a cost. The least recently used one is dropped for a new one.
@@ -119,8 +124,15 @@
         self.factor_sum = sum(self.factors.values())
 
     def costs_differ(self) -> bool:
-        known = [cost.mean_s for cost in self.costs.values() if cost.samples >= MIN_SAMPLES]
-        return len(known) > 1 and max(known) >= DIFFERENT_COSTS_RATIO * min(known)
+        known = [cost for cost in self.costs.values() if cost.samples >= MIN_SAMPLES]
+        if len(known) < 2:
+            return False
+        means = [cost.mean_s for cost in known]
+        needed = EQUAL_COSTS_RATIO
+        if not self.differs:
+            fewest = min(STEADY_SAMPLES, *(cost.samples for cost in known))
+            needed += DIFFERENT_COSTS_MARGIN / math.sqrt(fewest)
+        return max(means) >= needed * min(means)
 
 
 @define
@@ -129,6 +141,8 @@
 
     _services: dict[str, _Service] = field(factory=dict, init=False)
     _route_count: int = field(default=0, init=False)
+    # Routes whose costs were dropped since the last review.
+    _dropped: int = field(default=0, init=False)
 
     @property
     def server_count(self) -> int:
@@ -146,6 +160,11 @@
             return None
         return self._cost_s(known, route)
 
+    def costs_differ(self, service: str) -> bool:
+        """Return whether the routes of a service differ in cost."""
+        known = self._services.get(service)
+        return known is not None and known.differs
+
     def relative_cost(self, service: str, route: str) -> float:
         """Return a request's cost relative to the service's mean; 1 where costs don't differ."""
         known = self._services.get(service)
@@ -198,7 +217,13 @@
 
     def review(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget all servers except these, and find the services whose routes differ in cost."""
-        for name, service in self._services.items():
+        if self._dropped:
+            emit(Event.ROUTE_COST_DROPPED, routes=self._dropped)
+            self._dropped = 0
+        for name, service in list(self._services.items()):
+            if not service.costs:
+                del self._services[name]
+                continue
             service.retain(incarnations)
             differs = service.costs_differ()
             if differs != service.differs:
@@ -210,7 +235,7 @@
                     emit(Event.ROUTE_COST_CHANGED, service=name, route=route, cost_s=cost.mean_s)
 
     def costs(self) -> Iterator[tuple[str, str, float]]:
-        """Yield service, route and expected cost of all routes."""
+        """Yield service, route and expected cost of all known routes."""
         for name, service in self._services.items():
             for route, cost in service.costs.items():
                 yield name, route, cost.mean_s
@@ -226,4 +251,4 @@
         route = next(iter(largest.costs))
         del largest.costs[route]
         self._route_count -= 1
-        emit(Event.ROUTE_COST_DROPPED, route=route)
+        self._dropped += 1
--- a/src/hyssopwood/metrics_text.py
+++ b/src/hyssopwood/metrics_text.py
@@ -84,6 +84,10 @@
         """Set the value of a label."""
         self._values[label] = float(value)
 
+    def clear(self) -> None:
+        """Remove all labels."""
+        self._values.clear()
+
     def lines(self) -> Iterator[str]:
         """Yield the lines of all labels."""
         yield from family_lines(self._name, self._name, "gauge")
