Store: connections that were closed are not opened again

Cause: the client of the store repeats a GET whose connection ends before the answer, also when the client itself has ended it. A process that stopped called the store again.

Change: StoreConnections opens none after close(). store_connections.feature covers what the HTTP library did before: reuse, one repetition of a GET and none of an append, no reuse after 1 s, and at most 8 connections.

Measured: 'Closed connections are not opened again' showed 4 calls instead of 2 before; all 7 scenarios pass in three runs. Also passed: platform_store, platform_restores, answer_statuses.

--- a/src/hyssopwood/platform/store_connection.py
+++ b/src/hyssopwood/platform/store_connection.py
@@ -209,11 +209,14 @@
     _lent: set[StoreConnection] = field(factory=set, init=False)
     _free: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(MAX_CONNECTIONS), init=False)
     _retired: bool = field(default=False, init=False)
+    _closed: bool = field(default=False, init=False)
 
     @asynccontextmanager
     async def lend(self) -> AsyncIterator[StoreConnection]:
         """Lend a connection for one call; one whose call didn't end is reset."""
         async with self._free:
+            if self._closed:
+                raise StoreCallError(CLOSED, "the connections were closed")
             connection = self._take_idle() or await _connect(self._host, self._port)
             self._lent.add(connection)
             try:
@@ -229,7 +232,8 @@
             self._idle.pop().close()
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, and open no further one."""
+        self._closed = True
         self.retire()
         for connection in tuple(self._lent):
             connection.abort()
