--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -66,7 +66,7 @@
     return addresses
 
 
-def _settings(name, store, addresses, shutdown_s, domain):
+def _settings(name, store, addresses, shutdown_s, domain, evacuate_s):
     return GatewaySettings(
         instance=name,
         failure_domain=domain,
@@ -82,6 +82,7 @@
             retry_ratio=0.2,
             retry_window_s=10,
             retry_extra=56,
+            evacuate_s=evacuate_s,
         ),
     )
 
@@ -89,10 +90,12 @@
 class Instance:
     """A gateway daemon and its addresses; `links` are those to the servers if they can be cut."""
 
-    def __init__(self, name, store_address, shutdown_s, domain="a", links=None):
+    def __init__(self, name, store_address, shutdown_s, domain="a", links=None, evacuate_s=None):
         self.name = name
         self.links = links
-        self.settings = _settings(name, store_address, free_addresses(5), shutdown_s, domain)
+        self.settings = _settings(
+            name, store_address, free_addresses(5), shutdown_s, domain, evacuate_s
+        )
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
         self.daemon = GatewayDaemon(
@@ -128,9 +131,11 @@
     The servers belong to `service`, which is divided by key if it is "portal"; instances of
     other services never become ready. `timeout_s` replaces the timeouts of all routes. With
     `cuttable`, the links of each instance to the servers can be cut. An instance's failure domain
-    is looked up in `domains`.
+    is looked up in `domains`. Instances act on evacuations if `evacuate_s` is set before the start.
     """
 
+    new_server = KeyServer
+
     def __init__(
         self, shutdown_s=SHUTDOWN_S, timeout_s=None, cuttable=False, domains=None, service=SERVICE
     ):
@@ -139,6 +144,7 @@
         self.timeout_s = timeout_s
         self.cuttable = cuttable
         self.domains = domains or {}
+        self.evacuate_s = None
         self.store = KeyedStore()
         self.servers = {}
         self.draining = set()
@@ -156,7 +162,7 @@
             self.publish(version)
         for name in servers:
             domain = self.domains.get(name, "a")
-            self.servers[name] = KeyServer(
+            self.servers[name] = self.new_server(
                 name, self.service, failure_domain=domain, sharded=self.service == SERVICE
             )
             await self.servers[name].start()
@@ -183,6 +189,7 @@
             self.shutdown_s,
             self.domains.get(name, "a"),
             CuttableLinks() if self.cuttable else None,
+            self.evacuate_s,
         )
 
     async def kill(self, instance):
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -61,6 +61,9 @@
 
 HOUSEKEEPING_INTERVAL_S = 1.0
 SHUTDOWN_POLL_S = 0.05
+# Time for which a new leader that knows no evacuations waits to learn of them. It starts to read
+# them when its process starts, so that a store that lets it claim has usually answered already.
+INFORMED_LIMIT_S = 2.0
 # Share of the time after which nothing may reach an evacuated domain in which grants may still void
 # unanswered ones there, counted from when the leader learned of the evacuation. The rest covers how
 # late it learned of it.
@@ -371,16 +374,11 @@
             is_candidate=lambda: self._instances.is_among_first("leader", CANDIDATES_PER_DOMAIN),
             capacity=self._settings.capacity,
             lead=self._lead,
-            may_lead=self._may_lead,
+            may_lead=lambda: not self._stopping.is_set(),
             wait_hand_over=self._wait_hand_over,
             is_cut_off=lambda: self._paths.reach.any_cut_off,
         )
 
-    def _may_lead(self) -> bool:
-        """Return whether this instance may lead: it grants nothing before it knows evacuations."""
-        informed = self._evacuations.informed or not self._evacuates
-        return informed and not self._stopping.is_set()
-
     def _handle_evacuation(self, domain: str, evacuated: bool) -> None:
         """Close unused connections to servers of an evacuated domain, and tell the followers."""
         self._directory.set_evacuated(domain, evacuated)
@@ -435,6 +433,9 @@
         )
 
     async def _lead(self, claim: Claim) -> None:
+        if self._evacuates and not await self._evacuations.wait_informed(INFORMED_LIMIT_S):
+            # Grants could reach an evacuated domain; this instance, or another one, claims again.
+            return
         manager = KeyManager(
             KeyManagerDependencies(
                 writer=claim.writer,
--- a/src/hyssopwood/gateway/evacuations.py
+++ b/src/hyssopwood/gateway/evacuations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from attrs import define, evolve, field, frozen
@@ -80,7 +81,7 @@
     _metrics: Metrics
     _domains: dict[str, _Evacuation] = field(factory=dict, init=False)
     _position: TopicPosition = field(default=_UNKNOWN_POSITION, init=False)
-    _informed: bool = field(default=False, init=False)
+    _informed: asyncio.Event = field(factory=asyncio.Event, init=False)
     # Changes of which the listeners haven't been told yet.
     _unreported: list[tuple[str, bool]] = field(factory=list, init=False)
     _listeners: list[Callable[[str, bool], None]] = field(factory=list, init=False)
@@ -90,11 +91,6 @@
         """Return the evacuated domains."""
         return frozenset(self._domains)
 
-    @property
-    def informed(self) -> bool:
-        """Return whether any statement of the evacuated domains was received."""
-        return self._informed
-
     @property
     def state(self) -> EvacuationState | None:
         """Return what the topic states, or None if its whole content isn't known."""
@@ -117,13 +113,22 @@
         evacuation = self._domains.get(domain)
         return None if evacuation is None else evacuation.learned_at
 
+    async def wait_informed(self, limit_s: float) -> bool:
+        """Wait for the first statement of the evacuated domains; return whether it has come."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._informed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def subscribe(self, listener: Callable[[str, bool], None]) -> None:
         """Call back with a domain and whether it is evacuated, after all changes of a read."""
         self._listeners.append(listener)
 
     def apply(self, records: EvacuationRecords) -> None:
         """Apply the records of a read of the topic unless a later position is known."""
-        self._informed = True
+        self._informed.set()
         for error in records.rejected:
             self._reject(error)
         self._apply_changes(records)
@@ -150,7 +155,7 @@
 
     def accept(self, state: EvacuationState) -> None:
         """Apply what the leader states unless this instance knows of the same or a later one."""
-        self._informed = True
+        self._informed.set()
         if state.position <= self._position:
             return
         self._position = state.position
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -361,8 +361,9 @@
         until = self._deps.evacuated_until(record)
         if until is None:
             return lease.may_grant(now)
-        voids = not lease.may_release(now) and not lease.has_expired(now)
-        return voids and now < until and lease.may_grant(now)
+        provable = lease.may_release(now) and not lease.is_disputed(now)
+        needed = not provable and not lease.has_expired(now)
+        return needed and now < until and lease.may_grant(now)
 
     async def _renew_server(self, record: ServerRecord, interval_s: float) -> None:
         self._renewing.add(record.incarnation)
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -312,18 +312,19 @@
         self._authority = authority
         try:
             claim = _claim(writer, authority, plan, stored.leader, deps.identity)
-            await self._lead(evolve(claim, doubtful=doubtful))
+            await self._lead(evolve(claim, doubtful=doubtful), at)
         except (MembershipLostError, LogError) as error:
             emit(Event.AUTHORITY_LOST, error=error)
         finally:
             self._authority = None
             authority.revoke()
 
-    async def _lead(self, claim: Claim) -> None:
+    async def _lead(self, claim: Claim, claimed_at: int) -> None:
         tasks = {
             asyncio.ensure_future(self._confirm(claim.writer)),
             asyncio.ensure_future(self._hand_over(claim.writer)),
             asyncio.ensure_future(self._deps.lead(claim)),
+            asyncio.ensure_future(self._wait_replaced(claimed_at)),
         }
         try:
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -334,6 +335,18 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _wait_replaced(self, claimed_at: int) -> None:
+        """Raise MembershipLostError when a leader announces itself that claimed after this one.
+
+        A leader that is cut off from the store doesn't learn of its successor otherwise, and would
+        route requests by a plan that is no longer continued.
+        """
+        while True:
+            self._announcement_received.clear()
+            await self._announcement_received.wait()
+            if self._announced is not None and self._announced_claim > claimed_at:
+                raise MembershipLostError(f"{self._announced.instance} has claimed the plan since")
+
     async def _hand_over(self, writer: PlanWriter) -> None:
         await self._deps.wait_hand_over()
         emit(Event.LEADERSHIP_HANDED_OVER, instance=self._deps.identity.instance)
--- a/src/hyssopwood/platform/feeds.py
+++ b/src/hyssopwood/platform/feeds.py
@@ -139,9 +139,7 @@
 
     async def next(self, wait_s: float) -> tuple[RouteTable, ...]:
         """Return the newest configuration that was stored since the last call, if there is one."""
-        if self._evacuations_due:
-            await self._list_evacuations()
-        records, listed = await self._cursor.next(wait_s)
+        records, listed = await self._cursor.next(0.0 if self._evacuations_due else wait_s)
         self._pass_evacuations(records, listed)
         tables = self._take_newest(records)
         if self._evacuations_due:
@@ -159,10 +157,12 @@
             return
         era, offset = self._cursor.era, self._cursor.offset
         assert era is not None and offset is not None
-        if self._cursor.skipped:
+        complete = listed and not self._cursor.truncated
+        if not complete and (self._evacuations_due or self._cursor.skipped):
+            # A position past these records would state that none before them was left out.
             self._evacuations_due = True
             return
-        self._evacuations_due = listed and self._cursor.truncated
+        self._evacuations_due = listed and not complete
         position = None if self._evacuations_due else TopicPosition(era, offset)
         self._on_evacuations(decode_evacuations(records, position, listed))
 
--- a/src/hyssopwood_standins/keyed_store.py
+++ b/src/hyssopwood_standins/keyed_store.py
@@ -62,6 +62,8 @@
     # Whether the body of an answer to a read never ends.
     endless: bool = False
     page_items: int = PAGE_ITEMS
+    # Time by which each answer is delayed.
+    delay_s: float = 0.0
     # Values of the `Store-Era` header that replace the store's own era; empty for its own.
     era_headers: tuple[str, ...] = ()
 
@@ -120,6 +122,7 @@
         assert request.transport is not None
         self._open.add(request.transport)
         await self._wait_if_silent(request)
+        await asyncio.sleep(self.faults.delay_s)
         return await handler(request)
 
     async def _wait_if_silent(self, request: web.Request) -> None:
