--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -131,9 +131,11 @@
     The servers belong to `service`, which is divided by key if it is "portal"; instances of
     other services never become ready. `timeout_s` replaces the timeouts of all routes. With
     `cuttable`, the links of each instance to the servers can be cut. An instance's failure domain
-    is looked up in `domains`.
+    is looked up in `domains`. Instances act on evacuations if `evacuate_s` is set before the start.
     """
 
+    new_server = KeyServer
+
     def __init__(
         self, shutdown_s=SHUTDOWN_S, timeout_s=None, cuttable=False, domains=None, service=SERVICE
     ):
@@ -142,6 +144,7 @@
         self.timeout_s = timeout_s
         self.cuttable = cuttable
         self.domains = domains or {}
+        self.evacuate_s = None
         self.store = KeyedStore()
         self.servers = {}
         self.draining = set()
@@ -162,7 +165,7 @@
             self.publish(version)
         for name in servers:
             domain = self.domains.get(name, "a")
-            self.servers[name] = KeyServer(
+            self.servers[name] = self.new_server(
                 name, self.service, failure_domain=domain, sharded=self.service == SERVICE
             )
             await self.servers[name].start()
@@ -189,7 +192,7 @@
             self.shutdown_s,
             self.domains.get(name, "a"),
             CuttableLinks() if self.cuttable else None,
-            self.bounds,
+            {**self.bounds, "evacuate_s": self.evacuate_s},
         )
 
     async def kill(self, instance):
