Fix: a server that joins a queue with stated costs counts as one of mean speed

Cause: a new server started with the initial time of a request, 0.1 s, in place of the factor 1.

What callers would see: a server that joins or restarts seems ten times as fast as the others and is chosen first until about 25 answers have corrected it.

Before: the scenario 'A server that joins after costs were stated' expects 0.2 s and gets 0.02 s.

--- a/features/steps/work_estimate_steps.py
+++ b/features/steps/work_estimate_steps.py
@@ -282,7 +282,12 @@
 def step_queue(context, names, slots):
     context.now, context.next_ticket = 1000.0, 0
     servers = [QueueServer(_record(name, slots)) for name in names.split(",")]
-    context.queue = SharedQueue(lambda: servers)
+    context.queue, context.servers = SharedQueue(lambda: servers), servers
+
+
+@when('server "{name}" with {slots:d} slots joins')
+def step_joins(context, name, slots):
+    context.servers.append(QueueServer(_record(name, slots)))
 
 
 def _enter(context, cost_s, **more):
--- a/features/work_estimates.feature
+++ b/features/work_estimates.feature
@@ -140,6 +140,13 @@
     When 100 requests without a cost took 0.1 s at "s1" and 0.3 s at "s2"
     Then a request of 0.15 s is expected to take 0.1 s at "s1" within 10 percent
 
+  Scenario: A server that joins after costs were stated counts as one of mean speed
+    Guards against a new server that seems ten times as fast as the others and gets all requests.
+    Given a work queue for servers "s1" with 1 slots
+    When 100 requests of 0.2 s were served
+    And server "s0" with 1 slots joins
+    Then a request of 0.2 s is expected to take 0.2 s at "s0" within 1 percent
+
   Scenario Outline: Without costs and paces the queue decides as in the earlier build
     Guards against deployments with one route and three figures on which requests are sent elsewhere.
     When <count> random events are replayed on queues of this and the earlier build with seed <seed>
--- a/src/hyssopwood/gateway/shared_queue.py
+++ b/src/hyssopwood/gateway/shared_queue.py
@@ -55,6 +55,8 @@
 # A sample without a load, of a request that got no answer in time, counts as at most this multiple
 # of the expected time: relative to a cheap request, the time until its deadline is very long.
 MAX_LOST_RATIO = 10.0
+# Time for a second of cost at a server of mean speed, and at one that isn't known yet.
+MEAN_FACTOR = 1.0
 # Cost of each request while no request of the queue states one.
 UNIT_COST = 1.0
 NEVER_S = float("inf")
@@ -221,7 +223,6 @@
 
     def learn(self, sample_s: float, admission: _Admission, load: ServerLoad | None) -> None:
         """Learn the service time from a request."""
-        sample = sample_s / admission.cost
         if admission.stated or (load is not None and load.pace is not None):
             # The pace changes while the request runs, and is known at both ends.
             pace = admission.pace
@@ -230,6 +231,8 @@
             sample = sample_s / ((admission.cost + admission.work_before) * pace)
             most = MAX_SAMPLE_RATIO if load is not None else MAX_LOST_RATIO
             sample = min(sample, most * self.service_time_s)
+        else:
+            sample = sample_s / admission.cost
         self.service_time_s += SERVICE_TIME_WEIGHT * (sample - self.service_time_s)
 
 
@@ -432,7 +435,7 @@
             record = candidate.record
             server = self._servers.get(record.incarnation)
             if server is None:
-                server = self._servers[record.incarnation] = _Server(record)
+                server = self._servers[record.incarnation] = self._new_server(record)
             server.record = record
             server.set_rate(candidate.rate_per_s, now)
             incarnations.add(record.incarnation)
@@ -442,6 +445,11 @@
                 del self._servers[incarnation]
         return usable
 
+    def _new_server(self, record: ServerRecord) -> _Server:
+        if self._mean_cost_s is None:
+            return _Server(record)
+        return _Server(record, service_time_s=MEAN_FACTOR)
+
     def _admit(
         self, request: QueuedRequest, usable: list[tuple[_Server, bool]], now: float
     ) -> Granted | None:
