Evacuated domains: tests of a malformed bound

Cause: nothing showed that a malformed bounds.evacuate_s ends the start, rather than that evacuations are ignored.

--- a/features/evacuated_domains.feature
+++ b/features/evacuated_domains.feature
@@ -1,5 +1,19 @@
 Feature: Nothing is sent to the servers of an evacuated failure domain
 
+  Scenario Outline: A bound of evacuations that is no positive number ends the start
+    Guards against a process that takes a malformed bound for none and ignores evacuations.
+    When the platform's settings are read with the line "bounds.evacuate_s=<value>"
+    Then reading the platform's settings fails and names "<named>"
+
+    Examples:
+      | value | named             |
+      | soon  | bounds.evacuate_s |
+      |       | bounds.evacuate_s |
+      | 0     | $                 |
+      | -5    | $                 |
+      | nan   | $                 |
+      | inf   | $                 |
+
   Scenario Outline: Records of the topic evacuate domains and lift their evacuations
     Guards against a record that is taken for another one, or whose value is needed.
     When the topic's records "<records>" are applied one read after the other
