Requests that outlast their own timeout while they are read end with their connection

After a flood of tiny chunks had ended, its 32 connections stayed for more than 7 s and held 25 MB of the budget: what the callers had sent still waited in their machine's buffers, so the close behind it couldn't be seen. A request that is still being read after the time that it states is refused with 408 now.

--- a/src/hyssopwood/gateway/caller_connection.py
+++ b/src/hyssopwood/gateway/caller_connection.py
@@ -257,11 +257,19 @@
             # Nobody needs its remaining bytes. The event loop doesn't report the close while
             # reading is paused.
             self._transport.abort()
+        elif self._is_expired(now):
+            # Its bytes may wait at the caller's side, where a close behind them can't be seen.
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif not self._awaits_turn and self._reader.is_overdue(now):
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif not self.busy and now - self._idle_since > self._limits().idle_timeout_s:
             self.close_if_idle()
 
+    def _is_expired(self, now: float) -> bool:
+        """Return whether the request that is being read has exceeded its own timeout."""
+        protection = self._protection
+        return protection is not None and self._reader.is_expired(now, protection.timeout_of)
+
     def continue_expected(self) -> None:
         """Send 100 Continue, so that the caller sends the body."""
         if not self._slots:
--- a/src/hyssopwood/gateway/caller_protection.py
+++ b/src/hyssopwood/gateway/caller_protection.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from attrs import define, field
 
 from hyssopwood.events import Event, emit
-from hyssopwood.gateway.exchange import Headers
+from hyssopwood.gateway.exchange import BadHeadError, HeaderCodec, Headers
 from hyssopwood.gateway.gateway_settings import FILE_DESCRIPTORS
 from hyssopwood.gateway.memory_budget import Kind, MemoryBudget, Shortage
 from hyssopwood.gateway.read_turns import ReadTurns
@@ -52,7 +50,7 @@
 
     _timers: Timers
     _metrics: Metrics
-    retry_after: Callable[[float], Headers]
+    _header_codec: HeaderCodec
     memory_mb: float | None = None
     max_descriptors: int | None = None
     turns: ReadTurns = field(init=False)
@@ -86,6 +84,18 @@
     def _sockets(self) -> int:
         return 0 if self.max_descriptors is None else int(self.max_descriptors) - FILE_DESCRIPTORS
 
+    def retry_after(self, seconds: float) -> Headers:
+        """Return the header that states when a refused caller should retry."""
+        return self._header_codec.retry_after(seconds)
+
+    def timeout_of(self, headers: Headers) -> float | None:
+        """Return the time for which a caller waits, if its headers state a valid one."""
+        try:
+            return self._header_codec.decode_caller_headers(headers).timeout_s
+        except BadHeadError:
+            # The dispatcher answers it once it has been read.
+            return None
+
     def record_connection(self, result: str, open_connections: int) -> None:
         """Count a connection that was closed or not accepted because of the bound."""
         self._metrics.count("caller_connections_refused", result)
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -146,7 +146,7 @@
         self._protection = CallerProtection(
             timers,
             metrics,
-            adapters.header_codec.retry_after,
+            adapters.header_codec,
             settings.memory_mb,
             settings.max_descriptors,
         )
--- a/src/hyssopwood/gateway/memory_budget.py
+++ b/src/hyssopwood/gateway/memory_budget.py
@@ -188,7 +188,8 @@
     def _heaviest(self, now: float) -> Holder | None:
         eligible = [
             holder
-            for holder in self._holders
+            # A copy, as the garbage collector may free a body meanwhile, which changes the holders.
+            for holder in list(self._holders)
             if holder.is_past_grace(now) and holder.is_refusable()
         ]
         return max(eligible, key=lambda holder: holder.weight(now), default=None)
--- a/src/hyssopwood/gateway/request_reader.py
+++ b/src/hyssopwood/gateway/request_reader.py
@@ -9,7 +9,7 @@
 import httptools
 from attrs import define, field
 
-from hyssopwood.gateway.exchange import CallerRequest, HeaderCollector, has_unknown_coding
+from hyssopwood.gateway.exchange import CallerRequest, HeaderCollector, Headers, has_unknown_coding
 from hyssopwood.gateway.held_body import BodyBuffer, OverBudgetError
 from hyssopwood.gateway.read_buffer import READ_BYTES, FramingMeter
 from hyssopwood.gateway.read_turns import PIECES_PER_TURN, SMALL_PIECE_BYTES
@@ -144,6 +144,14 @@
         """Return the bytes of the request that is being read, without its body's segments."""
         return 0 if self._reading is None else self._reading.small_bytes
 
+    def is_expired(self, now: float, timeout_of: Callable[[Headers], float | None]) -> bool:
+        """Return whether the caller no longer waits for the request that is being read."""
+        reading = self._reading
+        if reading is None or not reading.head_complete:
+            return False
+        timeout_s = timeout_of(tuple(reading.head.headers))
+        return timeout_s is not None and now - reading.arrived > timeout_s
+
     def age_s(self, now: float) -> float:
         """Return for how long the current request has been read."""
         return 0.0 if self._reading is None else now - self._reading.began
