--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -479,7 +479,9 @@
         return None if self._cold is None else self._cold.max_rate(record)
 
     def _record_heartbeat(self, term: int, count: int, age_s: float, store_age_s: float) -> None:
-        self._rank.record_contact(age_s)
+        link_age_s = self._link.longest_heartbeat_age_s()
+        confirmed_age_s = store_age_s - age_s + link_age_s
+        self._rank.record_contact(("link", self._link.linked_at), link_age_s, confirmed_age_s)
         self._retries.record(term, count, age_s, store_age_s)
 
     def _announce_leadership(self, address: str) -> None:
@@ -540,9 +542,9 @@
         age_s = self._leadership.store_age_s()
         if age_s is None:
             return None
-        self._rank.record_contact(0.0)
         table = self._tables.current
         term, sharers = self._retries.announce(age_s)
+        self._rank.record_contact(("term", term), 0.0, age_s)
         return LeaderStatus(
             age_s,
             0 if table is None else table.version,
--- a/src/hyssopwood/gateway/warmup.py
+++ b/src/hyssopwood/gateway/warmup.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from enum import Enum
 
 from attrs import define, field, frozen
@@ -41,14 +41,21 @@
 # A keeper admits to cold servers only this long after its leader sent the last heartbeat; three
 # heartbeats fit in.
 MAX_CONTACT_AGE_S = 0.9
-# Changes of the instance list are sent after the next heartbeat, which is up to 0.3 s later, and
-# the age of a heartbeat is estimated from the fastest one of its link.
-CONTACT_ERROR_S = 0.55
-# A keeper must have been the first in rank for this time: then an earlier one has admitted nothing
-# for a whole window, and what it admitted has been sent or dropped.
-SETTLING_S = MAX_CONTACT_AGE_S + CONTACT_ERROR_S + BOUND_WINDOW_S + MAX_ADMISSION_AGE_S
+# The leader sends changes of the instance list after its next heartbeat, which is up to 0.3 s later
+# and states nothing of them; the rest is for late timers.
+LIST_DELAY_S = 0.35
+# A keeper must have been the first in rank for this time: then an earlier one under the same leader
+# has admitted nothing for a whole second, and what it admitted has been sent or dropped.
+SETTLING_S = MAX_CONTACT_AGE_S + LIST_DELAY_S + BOUND_WINDOW_S + MAX_ADMISSION_AGE_S
+# A keeper admits to cold servers only this long after the store last confirmed its leader. Leaders
+# that lose the store one after the other claim at least 1.15 s apart, so a keeper under the fourth
+# one admits 3 x 1.15 + SETTLING_S = 5.85 s after the first one's last confirmation at the earliest:
+# a second after the last request that a keeper under the first one has admitted.
+MAX_CONFIRMED_AGE_S = 4.5
 # Minimum time between two log lines of one kind about one server.
 LOG_INTERVAL_S = 1.0
+# Time up to which a server was cold that isn't any more.
+WARM = float("-inf")
 
 
 class ColdAdmission(Enum):
@@ -91,7 +98,7 @@
 @define
 class _State:
     record: ServerRecord
-    cold_until: float = float("-inf")
+    cold_until: float = WARM
     # Time up to which the server is cold by the registration that was last distributed.
     published_until: float = float("-inf")
     # Whether the last log line on the server states that it is cold.
@@ -147,7 +154,8 @@
         if warmup_s > 0:
             self._extend(state, self._timers.now() + warmup_s)
         else:
-            state.cold_until = float("-inf")
+            # Expires at the next question, which logs the change.
+            state.cold_until = min(state.cold_until, self._timers.now())
 
     def record_unreachable(self, incarnation: tuple[str, int]) -> None:
         """Treat a server as cold until its state is known, as it may have restarted."""
@@ -158,15 +166,15 @@
     def is_cold(self, record: ServerRecord) -> bool:
         """Return whether a server counts as cold, which limits its requests."""
         state = self._states.get(record.incarnation)
-        cold = (
-            state is not None
-            and self._timers.now() < state.cold_until
-            and self._limit(record) is not None
-        )
-        if state is not None and cold != state.logged_cold:
+        if state is None or state.cold_until == WARM:
+            return False
+        cold = self._timers.now() < state.cold_until and self._limit(record) is not None
+        if cold != state.logged_cold:
             state.logged_cold = cold
             self._cold_count += 1 if cold else -1
             self._log_change(state, cold)
+        if self._timers.now() >= state.cold_until:
+            state.cold_until = WARM
         return cold
 
     def window(self, record: ServerRecord) -> SlidingWindow | None:
@@ -269,6 +277,9 @@
     _own: InstanceRecord
     # Time at which the leader sent the last heartbeat, and since when there was no gap in them.
     _contact_at: float = field(default=float("-inf"), init=False)
+    _confirmed_at: float = field(default=float("-inf"), init=False)
+    # Identity of the link or of the own term that the heartbeats belong to.
+    _source: Hashable = field(default=None, init=False)
     _in_contact_since: float = field(default=float("inf"), init=False)
     # Instances that have left the list, and when.
     _former: dict[InstanceRecord, float] = field(factory=dict, init=False)
@@ -276,12 +287,16 @@
     def __attrs_post_init__(self) -> None:
         self._instances.subscribe(self._record_removed)
 
-    def record_contact(self, age_s: float) -> None:
-        """Record a heartbeat that the leader sent `age_s` ago, or one of this leader's own."""
+    def record_contact(self, source: Hashable, age_s: float, confirmed_age_s: float) -> None:
+        """Record a heartbeat that the leader sent `age_s` ago, or one of this leader's own.
+
+        The settling time begins again with each link and term: another instance may have been the
+        first in rank meanwhile.
+        """
         now = self._timers.now()
-        if now - self._contact_at > MAX_CONTACT_AGE_S:
-            self._in_contact_since = now
-        self._contact_at = max(self._contact_at, now - age_s)
+        if source != self._source or now - self._contact_at > MAX_CONTACT_AGE_S:
+            self._source, self._in_contact_since = source, now
+        self._contact_at, self._confirmed_at = now - age_s, now - confirmed_age_s
 
     def is_settled_first(self, queue: QueueName) -> bool:
         """Return whether this instance has been the first in rank for the settling time.
@@ -293,6 +308,8 @@
             return False
         if now - self._in_contact_since < SETTLING_S:
             return False
+        if now - self._confirmed_at > MAX_CONFIRMED_AGE_S:
+            return False
         first = self._instances.ranked(str(queue), queue.failure_domain)[0]
         if first != self._own:
             return False
--- a/src/hyssopwood/keyspace/link.py
+++ b/src/hyssopwood/keyspace/link.py
@@ -405,6 +405,10 @@
     # Smallest difference between the own clock at the arrival of a heartbeat and the leader's at
     # its sending; None if the leader doesn't state the latter.
     _clock_offset_s: float | None = field(default=None, init=False)
+    # Time at which the hello was sent on the current link, and the leader's clock at its first
+    # heartbeat, which can't have been sent earlier.
+    _linked_at: float = field(default=float("-inf"), init=False)
+    _first_sent_at: float | None = field(default=None, init=False)
     _heartbeat_received: asyncio.Event = field(factory=asyncio.Event, init=False)
     _writer: asyncio.StreamWriter | None = field(default=None, init=False)
 
@@ -413,6 +417,20 @@
         """Return the leader's last heartbeat on the current link."""
         return self._heartbeat
 
+    @property
+    def linked_at(self) -> float:
+        """Return when the hello was sent on the current or last link."""
+        return self._linked_at
+
+    def longest_heartbeat_age_s(self) -> float:
+        """Return the longest time that can have passed since the leader sent the last heartbeat."""
+        if self._heartbeat is None:
+            return float("inf")
+        if self._first_sent_at is None or self._heartbeat.sent_at is None:
+            return self._heartbeat_age_s()
+        since_first_s = self._heartbeat.sent_at - self._first_sent_at
+        return self._timers.now() - self._linked_at - since_first_s
+
     def fresh_heartbeat(self) -> Heartbeat | None:
         """Return the last heartbeat if it is fresh enough to replace reads of registrations."""
         if self._heartbeat is None or self._heartbeat_age_s() > HEARTBEAT_FRESH_S:
@@ -454,6 +472,8 @@
     def _accept_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self._timers.now()
         self._heartbeat, self._heartbeat_at = heartbeat, now
+        if self._first_sent_at is None:
+            self._first_sent_at = heartbeat.sent_at
         if heartbeat.sent_at is None:
             self._clock_offset_s = None
         else:
@@ -481,7 +501,7 @@
 
     async def follow(self, address: str, stay: Callable[[Heartbeat], bool]) -> None:
         """Follow until `stay` returns False; raise PeerUnavailableError if the link is lost."""
-        self._heartbeat = self._clock_offset_s = None
+        self._heartbeat = self._clock_offset_s = self._first_sent_at = None
         host, _, port = address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -489,6 +509,7 @@
         except (OSError, TimeoutError, ValueError) as error:
             raise PeerUnavailableError(f"no link to the leader at {address}") from error
         _set_send_timeout(writer)
+        self._linked_at = self._timers.now()
         _write(writer, self._hello())
         self._writer = writer
         reports = asyncio.ensure_future(self._send_reports(writer))
