--- a/features/configuration_check.feature
+++ b/features/configuration_check.feature
@@ -23,6 +23,7 @@
       | a negative priority                  | rules.0.priority = -1                                       | error    | 4    | the priority is -1                    |
       | a service that no route leads to     | clusters.2 = {"name": "spare", "max_connections": 4}         | warning  | 0    | no route leads to it                  |
       | a service without connections        | clusters.1.max_connections = 0                              | warning  | 0    | it accepts 0 connections              |
+      | a rate without a warm-up time        | clusters.1.warmup_per_s = 5                                 | warning  | 0    | states no warm-up time                |
       | contradictory timeouts of callers    | limits.idle_timeout_s = 0.5                                 | warning  | 0    | longer than the idle timeout          |
       | a limit of zero                      | limits.max_body_bytes = 0                                   | error    | 4    | expected a positive number            |
 
--- a/src/hyssopwood/gateway/configuration_check.py
+++ b/src/hyssopwood/gateway/configuration_check.py
@@ -189,6 +189,12 @@
             yield _warning(_service_subject(name), "no route leads to it")
         if spec.max_connections <= 0:
             yield _warning(_service_subject(name), f"it accepts {spec.max_connections} connections")
+        if spec.warmup_per_s > 0 and spec.warmup_s <= 0:
+            yield _warning(
+                _service_subject(name),
+                f"it takes {spec.warmup_per_s:g} requests a second while it is cold, but states no "
+                "warm-up time",
+            )
         if spec.health_path and not spec.health_path.startswith("/"):
             yield _error(
                 _service_subject(name), f"the health path {spec.health_path!r} isn't a path"
