--- a/features/steps/uncontrolled_caller_steps.py
+++ b/features/steps/uncontrolled_caller_steps.py
@@ -34,7 +34,7 @@
 FILES = 200
 
 
-def _configuration(max_body_bytes):
+def encode_configuration(max_body_bytes):
     document = configuration(5)
     document["limits"]["max_body_bytes"] = max_body_bytes
     cluster = {**document["clusters"][0], "name": SERVICE}
@@ -54,7 +54,7 @@
 def _start(context, memory_mb, max_fds, body_mib, answer_bytes=0):
     async def start():
         await context.store.start()
-        context.store.put("keyed.op", "config", _configuration(body_mib * MIB))
+        context.store.put("keyed.op", "config", encode_configuration(body_mib * MIB))
         for server in context.servers:
             server.large_answer_bytes = answer_bytes
             await server.start()
