--- a/src/hyssopwood/explain.py
+++ b/src/hyssopwood/explain.py
@@ -23,6 +23,7 @@
     "bad-head": "the request's headers were invalid",
     "no-owner": "no usable server owned the key: its owner was lost, leaving or suspected",
     "no-server": "no server was registered for the service",
+    "evacuated": "the owner, or all servers of the service, were in evacuated failure domains",
     "server-refused": "the server said that it did not run the request",
     "server-busy": "every eligible server had asked this instance to back off",
     "cut-off": "the instance had lost its links to the service, and no other one had any",
