--- a/features/steps/cold_server_steps.py
+++ b/features/steps/cold_server_steps.py
@@ -332,7 +332,7 @@
     context.record = evolve(RECORD, slots=30, warmup_left_s=5.0)
     context.directory = ServerDirectory()
     if cold is not None:
-        context.directory.subscribe(lambda record, removed: None, cold.record_registration)
+        context.directory.subscribe_registrations(cold.record_registration)
     context.directory.put(context.record)
     limits = ServerLimits(context.timers, Metrics())
     context.keeper = QueueKeeper(
