Show requests lost with the broken answer before them

Pipelined requests are passed on while an earlier answer is streamed. If that one breaks off, the connection is reset, and answers of sound servers to the requests behind it are dropped: six after two broken answers.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -25,7 +25,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-SLOW_CLOCK_FACTOR = 1.02
+# Time after the first half of an answer at which a server breaks it off.
+BREAK_AFTER_S = 0.1
 STATUS_TEXT = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
                412: "Precondition Failed", 421: "Misdirected Request", 429: "Too Many Requests",
                500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
@@ -312,9 +313,13 @@
         self.ended = asyncio.Event()
         self.answers = 0
         self.runs: dict[str, int] = {}
+        # Time of the record at which each request began to run.
+        self.run_at: dict[str, float] = {}
         # Called with each answer to a command; returns whether another copy of it arrives late, at
         # the point where the next answer is expected.
         self.repeats: Callable[[Request], bool] = lambda request: False
+        # Called with each request; returns whether its answer breaks off halfway.
+        self.breaks_off: Callable[[Request], bool] = lambda request: False
         self.peers: list[BackendServer] = []
         self.violations: list[str] = []
         self._numbers = 0
@@ -387,6 +392,12 @@
                 late = b""
             answer = await self._answer(request)
             self.answers += 1
+            if self.breaks_off(request):
+                self.record.write("answer broken off", server=self.name)
+                writer.write(answer[: len(answer) // 2])
+                await writer.drain()
+                await asyncio.sleep(BREAK_AFTER_S)
+                return
             writer.write(answer)
             await writer.drain()
             if self.repeats(request):
@@ -489,6 +500,7 @@
             number = self._numbers
             self.running[number] = key, request_id
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            self.run_at[request_id] = self.record.now()
             self.record.write("run", server=self.name, request=request_id, key=key)
             try:
                 await asyncio.sleep(int(request.path.rsplit("/", 1)[-1] or "0") / 1000)
@@ -768,8 +780,8 @@
         await asyncio.gather(*self._tasks)
 
 
-def configuration(version: int, service: str, **action: object) -> bytes:
-    """Return a configuration with two routes, one idempotent and one not, to one sharded service."""
+def configuration(version: int, service: str, sharded: bool = True) -> bytes:
+    """Return a configuration with two routes, one idempotent and one not, to one service."""
 
     def rule(name: str, prefix: str, kind: str) -> dict:
         return {
@@ -778,7 +790,7 @@
             "type": kind,
             "target_latency_s": 0.6,
             "priority": 1,
-            "action": {"service": service, "timeout_s": 6.0, "max_attempts": 2, **action},
+            "action": {"service": service, "timeout_s": 6.0, "max_attempts": 2},
         }
 
     document = {
@@ -794,7 +806,7 @@
                 "name": service,
                 "health_path": "/health",
                 "max_connections": 110,
-                "sharded": True,
+                "sharded": sharded,
                 "warm_s": 0.0,
             }
         ],
