--- a/review/9/case.py
+++ b/review/9/case.py
@@ -35,6 +35,7 @@
 
 
 async def play(record: Record, trouble: bool) -> int:
+    """Return 1 if the rule was broken, 0 if it held, and 2 if the case could not run."""
     store = Store(record)
     await store.start()
     store.put("keyed.op", "config", configuration(5, SERVICE))
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -25,11 +26,19 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-# Time after the first half of an answer at which a server breaks it off.
-BREAK_AFTER_S = 0.1
-STATUS_TEXT = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
-               412: "Precondition Failed", 421: "Misdirected Request", 429: "Too Many Requests",
-               500: "Internal Server Error", 503: "Service Unavailable", 504: "Gateway Timeout"}
+STATUS_TEXT = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition Failed",
+    421: "Misdirected Request",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Record:
@@ -201,7 +210,9 @@
                 writer.transport.abort()
                 return
             status, body = await self._answer(request)
-            kind = "application/octet-stream" if request.path.endswith("read") else "application/json"
+            kind = (
+                "application/octet-stream" if request.path.endswith("read") else "application/json"
+            )
             writer.write(
                 encode_answer(status, {"Store-Era": str(self.era), "Content-Type": kind}, body)
             )
@@ -239,10 +250,8 @@
             return 410, json.dumps({"first_offset": 0}).encode()
         if start == len(partition.records):
             wait_s = int(request.query.get("wait_ms", "0")) / 1000
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(partition.changed.wait(), max(0.001, wait_s))
-            except TimeoutError:
-                pass
             if partition is not self.topics.get(topic):
                 return 410, json.dumps({"first_offset": 0}).encode()
         body = struct.pack(">QQ", len(partition.records), 0)
@@ -313,13 +322,9 @@
         self.ended = asyncio.Event()
         self.answers = 0
         self.runs: dict[str, int] = {}
-        # Time of the record at which each request began to run.
-        self.run_at: dict[str, float] = {}
         # Called with each answer to a command; returns whether another copy of it arrives late, at
         # the point where the next answer is expected.
         self.repeats: Callable[[Request], bool] = lambda request: False
-        # Called with each request; returns whether its answer breaks off halfway.
-        self.breaks_off: Callable[[Request], bool] = lambda request: False
         self.peers: list[BackendServer] = []
         self.violations: list[str] = []
         self._numbers = 0
@@ -392,12 +397,6 @@
                 late = b""
             answer = await self._answer(request)
             self.answers += 1
-            if self.breaks_off(request):
-                self.record.write("answer broken off", server=self.name)
-                writer.write(answer[: len(answer) // 2])
-                await writer.drain()
-                await asyncio.sleep(BREAK_AFTER_S)
-                return
             writer.write(answer)
             await writer.drain()
             if self.repeats(request):
@@ -500,7 +499,6 @@
             number = self._numbers
             self.running[number] = key, request_id
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
-            self.run_at[request_id] = self.record.now()
             self.record.write("run", server=self.name, request=request_id, key=key)
             try:
                 await asyncio.sleep(int(request.path.rsplit("/", 1)[-1] or "0") / 1000)
@@ -699,6 +697,16 @@
         return False
 
 
+async def until(condition: Callable[[], bool], limit_s: float) -> bool:
+    """Return whether a condition holds within a time."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        if condition():
+            return True
+        await asyncio.sleep(0.02)
+    return False
+
+
 async def call(
     host: str, port: int, data: bytes, limit_s: float
 ) -> tuple[int, dict[str, str], bytes]:
@@ -757,7 +765,11 @@
         return request_id, "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     async def send(
-        self, gateway: Gateway, path: str, key: int | None, deadline_ms: int = 2000,
+        self,
+        gateway: Gateway,
+        path: str,
+        key: int | None,
+        deadline_ms: int = 2000,
         method: str = "GET",
     ) -> int:
         """Send a request over a new connection and return the status, 0 without an answer."""
@@ -800,7 +812,10 @@
         "listeners": [
             {
                 "host": "shop.example",
-                "route_rules": [rule("browse", "/browse/", "safe"), rule("book", "/book/", "unsafe")],
+                "route_rules": [
+                    rule("browse", "/browse/", "safe"),
+                    rule("book", "/book/", "unsafe"),
+                ],
             }
         ],
         "clusters": [
