Log what shows that the owner of a moved range has no lease

E417 stated how long a move had waited, but not why it went on, so that a log couldn't tell an answered release from an expired lease, from another server that answers at the owner's address, or from another server's registration there. The event has the field `evidence` now.

No decision changes.

--- a/features/support/key_guards.py
+++ b/features/support/key_guards.py
@@ -78,7 +78,7 @@
 async def _forget_restarted(manager, lease, target):
     record = manager._deps.directory.get(lease.keys.server)
     if record is not None and record.born_ms > lease.keys.born_ms:
-        return key_manager._Released(target, None)
+        return key_manager._Released(target, key_manager._Evidence.STARTED_AGAIN)
     return await _wait_for_release(manager, lease, target)
 
 
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -145,12 +145,23 @@
     leased_until_before: float
 
 
+class _Evidence(Enum):
+    """What shows that the previous owner of a range can have no lease of it."""
+
+    ANSWERED = "the owner answered a release"
+    EXPIRED = "every lease of the owner has expired"
+    REPLACED = "another server answers at the owner's address"
+    ADDRESS_REGISTERED = "another server has registered the owner's address"
+    STARTED_AGAIN = "the next owner is a later start of the owner"
+
+
 @frozen
 class _Released:
     """The next owner of a range, and the previous owner's handover if it sent one."""
 
     target: ServerRecord
-    handover: str | None
+    evidence: _Evidence
+    handover: str | None = None
 
 
 class _GrantResult(Enum):
@@ -731,6 +742,7 @@
             last=lease.keys.last,
             server=lease.keys.server,
             warm=released.handover is not None,
+            evidence=released.evidence.value,
             waited_ms=round((self._deps.timers.now() - started_at) * 1000),
         )
         await self._commit()
@@ -771,9 +783,10 @@
                 continue
             restarted = self._restarted(lease)
             if restarted is not None and not lease.may_release(now):
-                return _Released(restarted, None)
-            if lease.has_expired(now) or self._has_ended(lease):
-                return _Released(target, None)
+                return _Released(restarted, _Evidence.STARTED_AGAIN)
+            evidence = self._evidence_of_end(lease, now)
+            if evidence is not None:
+                return _Released(target, evidence)
             if not self._deps.authority.is_valid(now):
                 await self._deps.timers.sleep(COMMAND_RETRY_S)
                 continue
@@ -784,10 +797,10 @@
             if record is not None and record.born_ms >= lease.keys.born_ms:
                 answer = await self._release(lease, record, now)
                 if answer.done:
-                    return _Released(target, answer.handover)
+                    return _Released(target, _Evidence.ANSWERED, answer.handover)
                 if answer.replaced_by is not None:
                     self._record_replaced(record, answer.replaced_by)
-                    return _Released(target, None)
+                    return _Released(target, _Evidence.REPLACED)
             await self._deps.timers.sleep(COMMAND_RETRY_S)
 
     async def _release(self, lease: RangeLease, record: ServerRecord, now: float) -> CommandAnswer:
@@ -803,9 +816,13 @@
         self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
         return await self._deps.commands.release(record, lease.sent_keys, limit_s, pause)
 
-    def _has_ended(self, lease: RangeLease) -> bool:
-        """Return whether the owner has ended and no other server can have its lease."""
-        return lease.keys.incarnation in self._ended or self._address_reused(lease)
+    def _evidence_of_end(self, lease: RangeLease, now: float) -> _Evidence | None:
+        """Return what shows that neither the owner nor another server can have its lease."""
+        if lease.has_expired(now):
+            return _Evidence.EXPIRED
+        if lease.keys.incarnation in self._ended:
+            return _Evidence.REPLACED
+        return _Evidence.ADDRESS_REGISTERED if self._address_reused(lease) else None
 
     def _address_reused(self, lease: RangeLease) -> bool:
         """Return whether a later server has the owner's address.
