Ask the process at a server's address whether the server has ended

Cause: a move goes on without a release if its owner has ended. A later entry with the owner's address counted as proof of that. Anybody may have written an entry, so the owner may be running. On a related path, a 421 from the address in an entry under the owner's own id counted as well, even where that address isn't the owner's.

Change: such an entry only is a reason to ask. While ranges of the owner move, the leader sends a status check that names the owner to the owner's own address (`KeyCommands.identify`). Only an answer of another id shows the end of the owner, which can't be listening there then; the owner's own answer, none, and one that belongs to a request show nothing, and the release goes on as usual. A 421 to a release counts at the owner's address only.

The guard "order of registrations at one address" is no guard any more, as no order of them frees a range.

--- a/features/gateway_command_answers.feature
+++ b/features/gateway_command_answers.feature
@@ -44,3 +44,31 @@
       | release | 421    | Instance-Id: s2                         | not done, s2 answered    |
       | release | 421    | Instance-Id: s2, Server-Leaving: 1      | not done, s2 answered    |
       | release | 503    | Not-Executed: 1                         | not done                 |
+
+  Scenario Outline: Only the server at an address shows that another one has ended
+    Guards against keys that are granted to the next server as an answer to a request, or none, counts
+    for the end of their owner.
+    Given a server "s1" that answers commands with status <status> and the headers "<headers>"
+    When it is asked for its id
+    Then the id in the answer is "<id>"
+
+    Examples:
+      | status | headers                                 | id |
+      | 421    | Instance-Id: s2                         | s2 |
+      | 503    | Instance-Id: s2                         | s2 |
+      | 200    | Instance-Id: s1                         | s1 |
+      | 421    |                                         |    |
+      | 421    | Instance-Id: s2, Request-Id: r1         |    |
+      | 200    | Instance-Id: s2, Response-Signature: s  |    |
+
+  Scenario Outline: A server that can't be asked for its id shows nothing
+    Guards against keys that are granted to the next server as their owner can't be reached.
+    Given a server "s1" whose connections <fail>
+    When it is asked for its id
+    Then the id in the answer is ""
+
+    Examples:
+      | fail                |
+      | are refused         |
+      | break               |
+      | give no answer      |
--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -56,16 +56,16 @@
     Then one of them broke ownership
 
     Examples:
-      | guard                                   | first | most |
-      | wait for the end of leases              | 1     | 20   |
-      | slow clocks and late arrivals           | 1     | 20   |
-      | unanswered grants                       | 1     | 20   |
-      | order of registrations at one address   | 1     | 20   |
-      | names of servers in commands            | 1     | 20   |
-      | one connection for each token           | 1     | 20   |
-      | confirmed leader for another connection | 259   | 1    |
-      | leases of the next process              | 21    | 2    |
-      | leases that the next process keeps      | 649   | 1    |
+      | guard                                              | first | most |
+      | wait for the end of leases                         | 1     | 20   |
+      | slow clocks and late arrivals                      | 1     | 20   |
+      | unanswered grants                                  | 1     | 20   |
+      | answers from addresses that others have registered | 1     | 20   |
+      | names of servers in commands                       | 1     | 20   |
+      | one connection for each token                      | 1     | 20   |
+      | confirmed leader for another connection            | 259   | 1    |
+      | leases of the next process                         | 21    | 2    |
+      | leases that the next process keeps                 | 649   | 1    |
 
   Scenario: Ranges that have used up their tokens get a higher fencing token of the plan
     Guards against ranges that can't be renewed any more, or that are renewed under an old token.
@@ -129,6 +129,18 @@
     When a server crashes and another server follows at its address, without the store for 8 s, with seeds from 1 to 20
     Then no key had two owners and no token decreased
 
+  Scenario Outline: An entry at an address is no proof that the server there has ended
+    Guards against keys that are granted to a second server without a release at the first one, as
+    another writer's entry has its address, or its id and another server's address.
+    When an entry of <server> has the address of <address of>, which no server wrote, and s1 drains, with seeds from 1 to 10
+    Then no key had two owners and no token decreased
+    And its keys have an owner again within <seconds> s
+
+    Examples:
+      | server | address of | seconds |
+      | s9     | s1         | 1.5     |
+      | s1     | s2         | 6.5     |
+
   Scenario: A later start of a server gets its keys under a higher token only
     Guards against renewals that reach the next process of a server before the store shows it.
     When a server crashes and a later start of it follows at its address, with the store, with seeds from 1 to 20
--- a/features/steps/gateway_command_answer_steps.py
+++ b/features/steps/gateway_command_answer_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from hyssopwood.gateway.exchange import ServerAnswer
+from hyssopwood.gateway.exchange import ExchangeBrokenError, NotSentError, ServerAnswer
 from hyssopwood.gateway.server_directory import ServerRecord
 from hyssopwood.keyspace.grant_channels import GrantChannels
 from hyssopwood.keyspace.plan import KeyRange
@@ -35,6 +35,28 @@
         return self._answer
 
 
+class _FailingPool:
+    """A pool whose exchanges fail."""
+
+    def __init__(self, failure):
+        self._failure = failure
+
+    async def exchange(self, *arguments):
+        if self._failure is None:
+            await asyncio.Event().wait()
+        raise self._failure
+
+    def abort_idle(self, server):
+        """Close no connection, as there is none."""
+
+
+FAILURES = {
+    "are refused": NotSentError("refused"),
+    "break": ExchangeBrokenError("reset"),
+    "give no answer": None,
+}
+
+
 @given('a server "{name}" that answers commands with status {status:d} and the headers "{headers}"')
 @given('a server "{name}" that answers commands with status {status:d} and the headers ""')
 def step_server(context, name, status, headers=""):
@@ -42,7 +64,18 @@
     lines = tuple((key.lower().encode(), value.encode()) for key, value in pairs)
     connection = _Connection(ServerAnswer(status, lines, b""))
     context.commands = PlatformKeyCommands(connection, GrantChannels(connection.connect))
-    context.record = ServerRecord(
+    context.record = _record(name)
+
+
+@given('a server "{name}" whose connections {fail}')
+def step_failing_server(context, name, fail):
+    pool = _FailingPool(FAILURES[fail])
+    context.commands = PlatformKeyCommands(pool, GrantChannels(pool.exchange))
+    context.record = _record(name)
+
+
+def _record(name):
+    return ServerRecord(
         server=name,
         service="portal",
         address="127.0.0.1:1",
@@ -65,6 +98,17 @@
     context.command_result = asyncio.run(sent)
 
 
+@when("it is asked for its id")
+def step_identify(context):
+    context.answered_by = asyncio.run(context.commands.identify(context.record, "/health"))
+
+
+@then('the id in the answer is "{name}"')
+@then('the id in the answer is ""')
+def step_id(context, name=""):
+    assert (context.answered_by or "") == name, context.answered_by
+
+
 @then("the command counts as {result}")
 def step_result(context, result):
     answer = context.command_result
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -33,6 +33,7 @@
 from hyssopwood.metrics import Metrics
 from support.key_cluster import (
     SERVICE,
+    add_other_entry,
     crash_server,
     cut_leader_off,
     explore,
@@ -182,6 +183,16 @@
     context.recovery_s = max(elapsed_s for _, elapsed_s in results)
 
 
+@when(
+    "an entry of {server} has the address of {address_of}, which no server wrote, and s1 drains, "
+    "with seeds from {first:d} to {last:d}"
+)
+def step_other_entry(context, server, address_of, first, last):
+    results = [add_other_entry(seed, server, address_of) for seed in range(first, last + 1)]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.recovery_s = max(elapsed_s for _, elapsed_s in results)
+
+
 @then("its keys have an owner again within {seconds:g} s")
 def step_recovered(context, seconds):
     assert context.recovery_s <= seconds, context.recovery_s
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -8,7 +8,7 @@
 import json
 import random
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from hyssopwood.errors import (
     AppendConflictError,
@@ -58,7 +58,7 @@
     routes=(),
     services={
         SERVICE: ServiceSpec(
-            name=SERVICE, health_path="", max_connections=10, sharded=True, warm_s=1.0
+            name=SERVICE, health_path="/health", max_connections=10, sharded=True, warm_s=1.0
         )
     },
     limits=CallerLimits(header_bytes=1, body_bytes=1, header_timeout_s=1, idle_timeout_s=1),
@@ -289,10 +289,11 @@
         """Open a connection to the process that listens at a server's address."""
         return await self.connect(record.address)
 
-    async def exchange(self, record, request, before_sending):
+    async def exchange(self, record, request, before_sending=None):
         """Send a command over a new connection."""
         connection = await self.connect(record.address)
-        before_sending()
+        if before_sending is not None:
+            before_sending()
         return await connection.exchange(record.address, request, None)
 
     def _is_cut(self, server):
@@ -310,6 +311,8 @@
         await asyncio.sleep(rng.uniform(0.0005, 0.003))
         if not server.alive or server.born_ms != born_ms or not self._process.alive:
             return await self._fail_after(0.0)
+        if request.method == b"GET":
+            return ServerAnswer(200, ((b"instance-id", server.name.encode()),), b"")
         command = _decode_command(request, ignored, cluster.loop.time())
         if command.addressee not in (None, server.name):
             return ServerAnswer(421, ((b"instance-id", server.name.encode()),), b"")
@@ -415,6 +418,9 @@
     async def release(self, server, keys, limit_s, before_sending):
         return await self._finish(self._commands.release(server, keys, limit_s, before_sending))
 
+    async def identify(self, server, health_path):
+        return await self._finish(self._commands.identify(server, health_path))
+
     async def _finish(self, command):
         answer = await command
         await self._process.wait_while_paused()
@@ -558,6 +564,9 @@
                 if server.listed and server.name not in self.cluster.unregistered:
                     self.directory.put(server.record(self.sequence))
                     present.append(server.name)
+            for record in self.cluster.other_entries:
+                self.directory.put(evolve(record, sequence=self.sequence))
+                present.append(record.server)
             self.directory.retain(present, now, with_grace=False)
             for key in range(0, KEY_COUNT, KEY_COUNT // 16):
                 self.load.record_requests(SERVICE, key + self.cluster.hot, 1.0 if key else 8.0)
@@ -571,6 +580,8 @@
         self.rng = random.Random(seed)
         self.cut_links = set()
         self.unregistered = set()
+        # Entries that no server has written.
+        self.other_entries = []
         self.late_commands = 0.0
         self.lost_commands = 0.0
         self.hot = 0
@@ -895,6 +906,25 @@
         await self.stop()
         return elapsed_s
 
+    async def add_other_entry(self, server, address_of):
+        """Add an entry of a later start than that of any server; then server s1 drains.
+
+        Return for how long some of the keys have no owner.
+        """
+        await self.start()
+        await asyncio.sleep(6.0)
+        record = self.servers[address_of].record(1)
+        born_ms = int(self.loop.time() * 1000)
+        self.other_entries.append(evolve(record, server=server, born_ms=born_ms))
+        await asyncio.sleep(1.2)
+        self.servers["s1"].draining = True
+        unowned_s = 0.0
+        for _ in range(300):
+            await asyncio.sleep(0.05)
+            unowned_s += 0.05 if self.owned_share() < 0.999 else 0.0
+        await self.stop()
+        return unowned_s
+
     async def lose_rival_claim(self):
         """Let a rival move keys, and the store lose its claim; the previous leader continues."""
         await self.start()
@@ -1077,6 +1107,13 @@
     return cluster.violations, elapsed_s
 
 
+def add_other_entry(seed, server, address_of):
+    """Simulate an entry that no server wrote; return violations and the time without an owner."""
+    cluster = KeyCluster(seed)
+    elapsed_s = cluster.run(cluster.add_other_entry(server, address_of))
+    return cluster.violations, elapsed_s
+
+
 def lose_rival_claim(seed):
     """Simulate a rival claim that the store loses.
 
--- a/features/support/key_guards.py
+++ b/features/support/key_guards.py
@@ -40,8 +40,8 @@
         return [patch.object(Authority, "is_valid", lambda self, now: True)]
     if guard == "new token at a claim":
         return [patch.object(Plan, "with_fence", lambda self, fence: Plan(fence, self.services))]
-    if guard == "order of registrations at one address":
-        return [patch.object(KeyManager, "_address_reused", _shares_address)]
+    if guard == "answers from addresses that others have registered":
+        return [patch.object(KeyManager, "_evidence_of_end", _take_registration_as_evidence)]
     if guard == "disputes after a restore":
         return [patch.object(plan_writer, "NO_RIVAL_WINDOW_S", 1000.0)]
     if guard == "disputed ranges stay where they are":
@@ -62,6 +62,7 @@
 _encode_command = key_commands._encode_command
 _exchange = GrantChannels.exchange
 _wait_for_release = KeyManager._wait_for_release
+_evidence_of_end = KeyManager._evidence_of_end
 _set_owner = RangeLease.set_owner
 
 
@@ -95,12 +96,13 @@
     return Plan(position, services)
 
 
-def _shares_address(manager, lease):
-    address = manager._addresses.get(lease.keys.incarnation)
-    return any(
-        record.address == address and record.server != lease.keys.server
+def _take_registration_as_evidence(manager, lease, now):
+    owner = manager._registered.get(lease.keys.incarnation)
+    shared = owner is not None and any(
+        record.address == owner.address and record.server != owner.server
         for record in manager._deps.directory.records()
     )
+    return key_manager._Evidence.REPLACED if shared else _evidence_of_end(manager, lease, now)
 
 
 @contextmanager
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -110,6 +110,10 @@
         """
         ...
 
+    async def identify(self, server: ServerRecord, health_path: str) -> str | None:
+        """Return the id of the server that answers at a server's address, or None if none does."""
+        ...
+
 
 @frozen(kw_only=True)
 class KeyManagerDependencies:
@@ -151,7 +155,6 @@
     ANSWERED = "the owner answered a release"
     EXPIRED = "every lease of the owner has expired"
     REPLACED = "another server answers at the owner's address"
-    ADDRESS_REGISTERED = "another server has registered the owner's address"
     STARTED_AGAIN = "the next owner is a later start of the owner"
 
 
@@ -186,10 +189,12 @@
     _renewal_due: dict[tuple[str, int], float] = field(factory=dict, init=False)
     _tasks: set[asyncio.Future[None]] = field(factory=set, init=False)
     _writing: asyncio.Future[None] | None = field(default=None, init=False)
-    # Last registered address of each incarnation of a server.
-    _addresses: dict[tuple[str, int], str] = field(factory=dict, init=False)
+    # Last registration of each incarnation of a server.
+    _registered: dict[tuple[str, int], ServerRecord] = field(factory=dict, init=False)
     # Incarnations at whose addresses other servers answer, so that they have ended.
     _ended: set[tuple[str, int]] = field(factory=set, init=False)
+    # Incarnations whose addresses are being asked who answers there.
+    _identifying: set[tuple[str, int]] = field(factory=set, init=False)
     # Incarnations whose leases aren't renewed because their channels have ended.
     _suspended: set[tuple[str, int]] = field(factory=set, init=False)
     _renewing: set[tuple[str, int]] = field(factory=set, init=False)
@@ -261,13 +266,14 @@
     def _work(self, now: float) -> None:
         """Start the due work without waiting, so that renewals continue without the store."""
         for record in self._deps.directory.records():
-            self._addresses[record.incarnation] = record.address
+            self._registered[record.incarnation] = record
         for ranges in self._leases.values():
             ranges[:] = merge_adjacent_leases(ranges)
         if self._writing is None or self._writing.done():
             self._writing = self._spawn(self._write_changes(now))
         self._start_renewals(now)
         self._replace_lost(now)
+        self._identify_successors()
         self._balance(now)
 
     async def _write_changes(self, now: float) -> None:
@@ -513,7 +519,7 @@
     def _record_replaced(self, record: ServerRecord, replaced_by: str) -> None:
         """Record that a server has ended, as another one answers at its address.
 
-        The other one has refused the command, so it has no lease of the first one's keys.
+        The other one refuses what is addressed to the first one, so it has no lease of its keys.
         """
         if record.incarnation in self._ended:
             return
@@ -800,9 +806,18 @@
                     return _Released(target, _Evidence.ANSWERED, answer.handover)
                 if answer.replaced_by is not None:
                     self._record_replaced(record, answer.replaced_by)
-                    return _Released(target, _Evidence.REPLACED)
+                    if self._is_at_address_of_owner(record, lease):
+                        return _Released(target, _Evidence.REPLACED)
             await self._deps.timers.sleep(COMMAND_RETRY_S)
 
+    def _is_at_address_of_owner(self, record: ServerRecord, lease: RangeLease) -> bool:
+        """Return whether a registration under the owner's id has the owner's own address.
+
+        At another address, it doesn't matter to the owner who answers.
+        """
+        owner = self._registered.get(lease.keys.incarnation)
+        return owner is not None and owner.address == record.address
+
     async def _release(self, lease: RangeLease, record: ServerRecord, now: float) -> CommandAnswer:
         """Release a range unless an unanswered grant could take effect after it."""
         if not lease.may_release(now):
@@ -820,27 +835,45 @@
         """Return what shows that neither the owner nor another server can have its lease."""
         if lease.has_expired(now):
             return _Evidence.EXPIRED
-        if lease.keys.incarnation in self._ended:
-            return _Evidence.REPLACED
-        return _Evidence.ADDRESS_REGISTERED if self._address_reused(lease) else None
+        return _Evidence.REPLACED if lease.keys.incarnation in self._ended else None
 
-    def _address_reused(self, lease: RangeLease) -> bool:
-        """Return whether a later server has the owner's address.
+    def _identify_successors(self) -> None:
+        """Ask who answers at the addresses of moved ranges' owners that others have registered.
 
-        An address is reassigned only after its server has ended, so the owner has no lease then.
-        The later one refuses what is addressed to the owner, so it has none either.
-        An earlier server's registration at the address may still exist; it proves nothing.
+        An address is reassigned only after its server has ended, but anybody may have written the
+        registration, so only the process at the address can show that.
         """
-        address = self._addresses.get(lease.keys.incarnation)
-        if address is None:
-            return False
+        table = self._deps.tables.current
+        for service, ranges in self._leases.items():
+            spec = None if table is None else table.services.get(service)
+            if spec is None or not spec.health_path:
+                continue
+            for incarnation in dict.fromkeys(
+                item.keys.incarnation for item in ranges if item.moving
+            ):
+                record = self._registered.get(incarnation)
+                known = incarnation in self._ended or incarnation in self._identifying
+                if record is not None and not known and self._address_registered(record):
+                    self._spawn(self._identify_successor(record, spec.health_path))
+
+    def _address_registered(self, owner: ServerRecord) -> bool:
+        """Return whether a later server has registered the owner's address."""
         return any(
-            record.address == address
-            and record.server != lease.keys.server
-            and record.born_ms > lease.keys.born_ms
+            record.address == owner.address
+            and record.server != owner.server
+            and record.born_ms > owner.born_ms
             for record in self._deps.directory.records()
         )
 
+    async def _identify_successor(self, record: ServerRecord, health_path: str) -> None:
+        self._identifying.add(record.incarnation)
+        try:
+            answered_by = await self._deps.commands.identify(record, health_path)
+        finally:
+            self._identifying.discard(record.incarnation)
+        if answered_by not in (None, record.server):
+            self._record_replaced(record, answered_by)
+
     async def _commit(self) -> None:
         """Store all moves whose ranges are released, unless another task is doing so."""
         if self._committing:
--- a/src/hyssopwood/platform/key_commands.py
+++ b/src/hyssopwood/platform/key_commands.py
@@ -63,6 +63,12 @@
     return _encode_command(server, RELEASE_PATH, keys)
 
 
+def encode_status_check(server: str, health_path: str) -> ServerRequest:
+    """Return a status check that every process but the named server refuses."""
+    target = (b"Target-Instance", server.encode())
+    return ServerRequest(method=b"GET", target=health_path.encode(), headers=(target,), body=b"")
+
+
 def _is_done(answer: ServerAnswer, is_release: bool) -> bool:
     """Return whether a command was carried out.
 
@@ -162,3 +168,20 @@
             self._pool.abort_idle(server)
             return CommandAnswer(done=False)
         return decoded
+
+    async def identify(self, server: ServerRecord, health_path: str) -> str | None:
+        """Return the id of the server that answers at a server's address, or None if none does."""
+        check = encode_status_check(server.server, health_path)
+        try:
+            async with asyncio.timeout(COMMAND_TIMEOUT_S):
+                answer = await self._pool.exchange(server, check)
+        except (NotSentError, ExchangeBrokenError, TimeoutError):
+            self._pool.abort_idle(server)
+            return None
+        if answer.stream is not None:
+            answer.stream.abandon()
+        if answer.header(REQUEST_ID) is not None or answer.header(SIGNATURE) is not None:
+            # The answer belongs to a request.
+            return None
+        answered_by = answer.header(ANSWERED_BY)
+        return None if not answered_by else answered_by.decode("latin-1")
