Set aside entries of services that no configuration names

What callers could see: a server's keys without an owner, or with two. An entry whose service no configuration names is another writer's and names no server to use, but the directory of servers used it like any other. Under a server's own id it replaced the server's record, and since its start time is later, the server's own heartbeats didn't count any more: the server was never used again. And as one more registration it put off the first division of keys.

Cause: `decode_server_entry` checks an entry's form only, and the directory doesn't know which services exist.

Change: the directory learns the services of each configuration. Records of others are set aside: they stay listed (so that digests agree with those of earlier builds and of instances that have no configuration yet) but change no other record, no address and no count, until a configuration names their service. A server that registers before that is used as soon as the version is in force.

--- a/features/gateway_feeds.feature
+++ b/features/gateway_feeds.feature
@@ -38,15 +38,55 @@
     Then the directory has server "s1" as <state>
 
     Examples:
-      | records                      | state    |
-      | 1.5 ready                    | ready    |
-      | 1.5 ready,1.6 draining       | draining |
-      | 1.6 draining,1.5 ready       | draining |
-      | 2.1 ready,1.9 draining       | ready    |
-      | 1.9 draining,2.1 ready       | ready    |
-      | 1.5 ready,removed            | removed  |
-      | 1.5 ready,removed,1.5 ready  | removed  |
-      | 1.5 ready,removed,1.6 ready  | ready    |
+      | records                     | state    |
+      | 1.5 ready                   | ready    |
+      | 1.5 ready,1.6 draining      | draining |
+      | 1.6 draining,1.5 ready      | draining |
+      | 2.1 ready,1.9 draining      | ready    |
+      | 1.9 draining,2.1 ready      | ready    |
+      | 1.5 ready,removed           | removed  |
+      | 1.5 ready,removed,1.5 ready | removed  |
+      | 1.5 ready,removed,1.6 ready | ready    |
+
+  Scenario Outline: Records of services that no configuration names change no other record
+    Guards against a server that is given up, or not used again, since another writer's entry has its
+    id or its address; and against servers that aren't used as they registered before the version
+    that names their service.
+    Given a directory of the services "p" and the records "<records>"
+    Then the directory uses the records "<used>"
+    And no address counts as reused
+
+    Examples:
+      | records                                          | used     |
+      | s1/p 1.5,s1/x 9.1                                | s1/p 1.5 |
+      | s1/p 1.5,s1/x 9.1,s1/p 1.6                       | s1/p 1.6 |
+      | s1/x 9.1,s1/p 1.5                                | s1/p 1.5 |
+      | s1/p 1.5,s2/x 9.1                                | s1/p 1.5 |
+      | s1/p 1.5,s1/x 9.1,removed s1,s1/p 1.6            | s1/p 1.6 |
+      | s1/p 1.5,s1/x 9.1,removed by the leader s1/x 9.1 | s1/p 1.5 |
+      | s2/x 9.1                                         |          |
+      | s2/x 9.1,s2/x 9.2,named x                        | s2/x 9.2 |
+      | s2/x 9.1,removed s2,s2/x 9.1,named x             |          |
+      | s2/x 9.1,removed s2,s2/x 9.2,named x             | s2/x 9.2 |
+      | s2/x 9.1,removed by the leader s2/x 9.1,named x  |          |
+
+  Scenario Outline: Records that were read before the first configuration are set aside with it
+    Guards against a server that isn't used as another writer's entry was read first.
+    Given a directory of no services yet and the records "<records>"
+    Then the directory uses the records "<used>"
+
+    Examples:
+      | records                   | used              |
+      | s1/p 1.5,s2/x 9.1         | s1/p 1.5,s2/x 9.1 |
+      | s1/p 1.5,s2/x 9.1,named p | s1/p 1.5          |
+      | s1/x 9.1,named p,s1/p 1.5 | s1/p 1.5          |
+      | s2/x 9.1,named p,named x  | s2/x 9.1          |
+
+  Scenario: Instances with other configurations list the same records
+    Guards against instances that read the store again and again, as the digests of their records
+    differ while one of them has no configuration yet, or is of an earlier build.
+    Given a directory of the services "p" and the records "s1/p 1.5,s2/x 9.1"
+    Then it lists the same records as one that knows no services
 
   Scenario: Entries that expire around an outage of the store are removed after a grace period
     Guards against servers that lose their keys because the store was unavailable.
--- a/features/platform_odd_entries.feature
+++ b/features/platform_odd_entries.feature
@@ -54,6 +54,15 @@
     And 40 requests are answered, none by "s1"
     And no task of the instances failed and no link between them was lost
 
+  Scenario: Entries of a service that no configuration names change nothing
+    Guards against keys that are granted to a second server, and against a server that is never used
+    again, as another writer's entry has its address or its id.
+    Given a platform with servers "s1,s2,s3" of a sharded service and instances "i1,i2"
+    When entries of a service that no configuration names are written at the address of "s2" and under its id
+    Then both instances know "s1,s2,s3" and nothing else for 3 s
+    And 40 requests are answered, none by "another server"
+    And no task of the instances failed and no link between them was lost
+
   Scenario Outline: Odd documents of other kinds raise typed errors only
     Guards against tasks that fail at the configuration, the plan or an answer of the store.
     When <document> with <odd> is decoded
--- a/features/steps/gateway_feed_steps.py
+++ b/features/steps/gateway_feed_steps.py
@@ -206,6 +206,60 @@
         context.directory.put(record)
 
 
+def _named_record(text):
+    """Return the record of a text like "s1/p 1.5": id, service, start time and sequence."""
+    name, version = text.split(" ")
+    server, service = name.split("/")
+    born, sequence = version.split(".")
+    return evolve(RECORD, server=server, service=service, born_ms=int(born), sequence=int(sequence))
+
+
+def _apply_change(directory, change):
+    kind, _, rest = change.rpartition(" s") if change.startswith("removed") else ("", "", change)
+    if kind == "removed":
+        directory.remove(f"s{rest}", 1000.0, with_grace=False)
+    elif kind == "removed by the leader":
+        directory.remove_version(_named_record(f"s{rest}"), 1000.0)
+    elif change.startswith("named "):
+        directory.name_services([change.removeprefix("named ")])
+    else:
+        directory.put(_named_record(change))
+
+
+@given('a directory of the services "{services}" and the records "{records}"')
+def step_named_records(context, services, records):
+    step_unnamed_records(context, f"named {services},{records}")
+
+
+@given('a directory of no services yet and the records "{records}"')
+def step_unnamed_records(context, records):
+    context.directory = ServerDirectory()
+    for change in records.split(","):
+        _apply_change(context.directory, change)
+
+
+@then('the directory uses the records "{records}"')
+@then('the directory uses the records ""')
+def step_used(context, records=""):
+    expected = {_named_record(item) for item in records.split(",") if item}
+    assert set(context.directory.records()) == expected, context.directory.records()
+
+
+@then("no address counts as reused")
+def step_address_not_reused(context):
+    directory = context.directory
+    assert not any(directory.is_address_reused(item) for item in directory.records())
+
+
+@then("it lists the same records as one that knows no services")
+def step_listed(context):
+    other = ServerDirectory()
+    for record in context.directory.listed_records():
+        other.put(record)
+    assert len(other.records()) == 2
+    assert other.digest() == context.directory.digest()
+
+
 @then('the directory has server "{name}" as {state}')
 def step_state(context, name, state):
     record = context.directory.get(name)
--- a/features/steps/platform_odd_steps.py
+++ b/features/steps/platform_odd_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 import json
+import time
 from unittest.mock import AsyncMock, patch
 
 from behave import then, when
@@ -21,6 +22,7 @@
 from steps.platform_steps import configuration
 
 DEEP = 100_000
+MS_PER_S = 1000
 SERVICE = "portal"
 
 
@@ -118,13 +120,50 @@
     assert context.error is not None
 
 
-@when("every odd entry is written to the servers' list, and again")
-def step_write(context):
-    deployment = context.deployment
+def _record_events(context):
     context.names = []
     handler = logger.add(lambda line: context.names.append(line.record["extra"].get("name")))
     context.add_cleanup(logger.remove, handler)
 
+
+@when(
+    "entries of a service that no configuration names are written at the address of "
+    '"{name}" and under its id'
+)
+def step_write_unnamed(context, name):
+    deployment = context.deployment
+    _record_events(context)
+    entry = _entry(
+        service="inventory",
+        address=deployment.servers[name].address,
+        born=int(time.time() * MS_PER_S),
+    )
+    for server in ("inventory-1", name):
+        deployment.store.put("keyed.servers", server, entry)
+
+
+@then('both instances know "{names}" and nothing else for {seconds:d} s')
+def step_known_throughout(context, names, seconds):
+    async def check():
+        # The list is read twice a second.
+        await asyncio.sleep(1.0)
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for instance in context.deployment.instances.values():
+                records = instance.daemon._directory.records()
+                assert {(item.server, item.service) for item in records} == {
+                    (name, SERVICE) for name in names.split(",")
+                }, records
+            await asyncio.sleep(0.1)
+
+    context.run(check())
+
+
+@when("every odd entry is written to the servers' list, and again")
+def step_write(context):
+    deployment = context.deployment
+    _record_events(context)
+
     async def write():
         for _ in range(2):
             for number, (odd, value) in enumerate(_ENTRIES.items()):
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -225,7 +225,7 @@
             timers,
             self._leader_status,
             lambda: self._view.plan,
-            self._directory.stored_records,
+            self._directory.listed_records,
             self._add_report,
             self._on_link_opened,
             self._instances,
@@ -241,7 +241,7 @@
             self._tables,
             timers,
             self._link,
-            self._link_server.send_heartbeat,
+            self._handle_configuration,
             self._availability,
             ConfigurationAge(timers, self._leader_configuration_age_s),
         )
@@ -558,6 +558,13 @@
     def _on_leader_announced(self, leads: Leads) -> None:
         self._leadership.handle_announcement(leads.leader, leads.claim)
 
+    def _handle_configuration(self) -> None:
+        """Use the servers of a new configuration's services, and as the leader announce it."""
+        table = self._tables.current
+        if table is not None:
+            self._directory.name_services(table.services)
+        self._link_server.send_heartbeat()
+
     def _hello(self) -> Hello:
         return Hello(
             self._record, self._identity.incarnation, self._view.version, self._instances.digest()
--- a/src/hyssopwood/gateway/server_directory.py
+++ b/src/hyssopwood/gateway/server_directory.py
@@ -38,6 +38,11 @@
         """Return the id and start time, which identify this incarnation of the server."""
         return self.server, self.born_ms
 
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the order of the records under one id."""
+        return self.born_ms, self.sequence
+
 
 @define
 class _Entry:
@@ -54,17 +59,21 @@
     record: ServerRecord
     at: float
 
-    @property
-    def version(self) -> tuple[int, int]:
-        return self.record.born_ms, self.record.sequence
-
 
 @define
 class ServerDirectory:
-    """Hold the newest record of each server; stale and duplicate records are ignored."""
+    """Hold the newest record of each server; stale and duplicate records are ignored.
+
+    Records of services that no configuration has named may have any writer. They are set aside, so
+    that they change no other record, until a configuration names the service.
+    """
 
     _entries: dict[str, _Entry] = field(factory=dict, init=False)
     _removed: dict[str, _Removal] = field(factory=dict, init=False)
+    # All services that were named so far, or None before the first configuration.
+    _services: set[str] | None = field(default=None, init=False)
+    _set_aside: dict[str, ServerRecord] = field(factory=dict, init=False)
+    _removed_aside: dict[str, _Removal] = field(factory=dict, init=False)
     _listeners: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
     _observers: list[Callable[[ServerRecord, bool], None]] = field(factory=list, init=False)
     _digest: int | None = field(default=None, init=False)
@@ -88,9 +97,26 @@
         self._observers.append(observer)
 
     def subscribe_stored(self, listener: Callable[[ServerRecord, bool], None]) -> None:
-        """Call back after each change of a record, with the record as the server registered it."""
+        """Call back after each change of a listed record, as the server registered it."""
         self._stored_listeners.append(listener)
 
+    def name_services(self, services: Iterable[str]) -> None:
+        """Use the records of these services from now on, besides those that were named before."""
+        first = self._services is None
+        self._services = (self._services or set()).union(services)
+        if first:
+            for record in self.stored_records():
+                if not self._is_named(record):
+                    self._set_aside[record.server] = record
+                    self._forget(record)
+        for record in list(self._set_aside.values()):
+            if self._is_named(record):
+                del self._set_aside[record.server]
+                self.put(record)
+
+    def _is_named(self, record: ServerRecord) -> bool:
+        return self._services is None or record.service in self._services
+
     def set_evacuated(self, domain: str, evacuated: bool) -> None:
         """Return the servers of a failure domain as draining from now on, or no more."""
         if evacuated:
@@ -160,7 +186,7 @@
         same registrations.
         """
         if self._digest is None:
-            rows = sorted(_routing_row(record) for record in self.stored_records())
+            rows = sorted(_routing_row(record) for record in self.listed_records())
             data = "\n".join(rows).encode()
             self._digest = int.from_bytes(blake2b(data, digest_size=8).digest())
         return self._digest
@@ -179,6 +205,10 @@
         """Return all records as the servers registered them, whatever is evacuated."""
         return tuple(entry.record for entry in self._entries.values())
 
+    def listed_records(self) -> tuple[ServerRecord, ...]:
+        """Return all records as they were registered, also those that are set aside."""
+        return (*self.stored_records(), *self._set_aside.values())
+
     def leaving(self) -> tuple[tuple[str, int], ...]:
         """Return the listed incarnations that have reported in an answer that they are leaving."""
         return tuple(
@@ -199,17 +229,19 @@
 
     def put(self, record: ServerRecord) -> None:
         """Store a record unless a newer one is known."""
+        if not self._is_named(record):
+            self._put_aside(record)
+            return
         if record.leaving:
             self.mark_leaving(record.incarnation)
         if record.incarnation in self._leaving:
             # Later heartbeats of the same incarnation may still state that it is ready.
             record = evolve(record, draining=True, leaving=True)
-        version = (record.born_ms, record.sequence)
         removed = self._removed.get(record.server)
-        if removed is not None and version <= removed.version:
+        if removed is not None and record.version <= removed.record.version:
             return
         known = self._entries.get(record.server)
-        if known is not None and version <= (known.record.born_ms, known.record.sequence):
+        if known is not None and record.version <= known.record.version:
             return
         self._removed.pop(record.server, None)
         self._entries[record.server] = _Entry(record)
@@ -220,8 +252,25 @@
             _log_change(record, "registered" if known is None else "changed")
             self._notify(record, removed=False)
 
+    def _put_aside(self, record: ServerRecord) -> None:
+        removed = self._removed_aside.get(record.server)
+        known = self._set_aside.get(record.server)
+        if any(
+            record.version <= other.version
+            for other in (known, None if removed is None else removed.record)
+            if other is not None
+        ):
+            return
+        self._removed_aside.pop(record.server, None)
+        self._set_aside[record.server] = record
+        if known is None or _routing_differs(known, record):
+            _log_change(record, "set aside, as no configuration names the service")
+            self._notify_stored(record, removed=False)
+
     def remove(self, server: str, now: float, with_grace: bool) -> None:
         """Remove a server, immediately or, around a store outage, after a grace period."""
+        if server in self._set_aside:
+            self._drop_aside(self._set_aside[server], now)
         entry = self._entries.get(server)
         if entry is None:
             return
@@ -232,16 +281,18 @@
 
     def remove_version(self, record: ServerRecord, now: float) -> None:
         """Remove a server unless a record newer than the given one is known."""
+        aside = self._set_aside.get(record.server)
+        if aside is not None and aside.version <= record.version:
+            self._drop_aside(aside, now)
         entry = self._entries.get(record.server)
-        if entry is None:
+        if entry is None or not self._is_named(record):
             return
-        known = entry.record
-        if (known.born_ms, known.sequence) <= (record.born_ms, record.sequence):
-            self._drop(known, now, "removed by the leader")
+        if entry.record.version <= record.version:
+            self._drop(entry.record, now, "removed by the leader")
 
     def retain(self, present: Iterable[str], now: float, with_grace: bool) -> None:
         """Remove every server that a complete listing doesn't contain."""
-        for server in self._entries.keys() - set(present):
+        for server in (self._entries.keys() | self._set_aside.keys()) - set(present):
             self.remove(server, now, with_grace)
 
     def expire(self, now: float) -> None:
@@ -251,16 +302,33 @@
                 self._drop(entry.record, now, "grace period ended without a new entry")
 
     def _drop(self, record: ServerRecord, now: float, cause: str) -> None:
-        del self._entries[record.server]
-        self._leaving.discard(record.incarnation)
         self._removed[record.server] = _Removal(record, now)
         _log_change(record, cause)
-        self._notify(record, removed=True)
+        self._forget(record)
+        self._notify_stored(record, removed=True)
+
+    def _drop_aside(self, record: ServerRecord, now: float) -> None:
+        del self._set_aside[record.server]
+        self._removed_aside[record.server] = _Removal(record, now)
+        self._notify_stored(record, removed=True)
+
+    def _forget(self, record: ServerRecord) -> None:
+        """Stop to use a server."""
+        del self._entries[record.server]
+        self._leaving.discard(record.incarnation)
+        self._notify_routing(record, removed=True)
 
     def _notify(self, record: ServerRecord, removed: bool) -> None:
-        self._digest = self._newest_at = None
+        self._notify_stored(record, removed)
+        self._notify_routing(record, removed)
+
+    def _notify_stored(self, record: ServerRecord, removed: bool) -> None:
+        self._digest = None
         for listener in self._stored_listeners:
             listener(record, removed)
+
+    def _notify_routing(self, record: ServerRecord, removed: bool) -> None:
+        self._digest = self._newest_at = None
         effective = self._effective(_Entry(record))
         for listener in self._listeners:
             listener(effective, removed)
