Take an empty store for a new one at the system's first start only

Cause: a store that holds neither a plan nor a leader counted as new. It may also be a copy from before the first plan, as the store may come back from a copy some seconds old. Then no record of ours can show that keys were granted, and with all instances killed nobody else can.

Change: a claim on an empty store is doubtful, like one on an older copy, so nothing is granted until every lease of a leader that the store had confirmed has expired, and the record says so to the next leader. It isn't doubtful where the process belongs to the first start of the system (`bootstrap` in the settings, which wasn't read), has read the store within EARLY_READ_S (0.9 s) of its own start, sooner than another process of that start can have divided keys, and has seen no loss since. The time is counted from the first read in the store's present era rather than from the claim: leaders that it doesn't show were confirmed before that read. That is the only safe gain: such a leader may grant for AUTHORITY_S more where only servers reach it, and servers that the copy doesn't list can't be asked to release.

The project's own deployments of the tests state a first start for the instances that they start first. gateway_queue.feature's race for a claim does too: its store is new.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -247,3 +247,34 @@
     Guards against a leader that mistakes its own record for another leader's.
     When the answer to a write is lost and the leader's record changes before it writes again
     Then the leader continues
+
+  Scenario Outline: A store without a plan is no proof that no key was granted
+    Guards against a division of all keys beside the leases of a plan that the store has lost.
+    When the store is restored to before its first plan and <last> of the instances stays alone, cut off, with seeds from 1 to 10
+    Then no key had two owners and no token decreased
+    And all keys have an owner within <seconds> s
+
+    Examples:
+      | last                       | seconds |
+      | none                       | 16      |
+      | one from its start on      | 16      |
+      | one from its first read on | 16      |
+
+  Scenario: The doubt about a store without a plan matters
+    Guards against a directed schedule that passes without the guard.
+    Given the key cluster runs without "doubts about an empty store"
+    When the store is restored to before its first plan and none of the instances stays alone, cut off, with seeds from 1 to 10
+    Then one of them broke ownership
+
+  Scenario Outline: Keys are divided at once where the store has lost nothing
+    Guards against keys without an owner for seconds at the first start of the system, and when all
+    instances restart.
+    When the system starts for the first time, and all instances are killed after <killed> s, with seeds from 1 to 10
+    Then no key had two owners and no token decreased
+    And all keys have an owner within <seconds> s
+
+    Examples:
+      | killed | seconds |
+      | 0      | 3       |
+      | 0.8    | 4.5     |
+      | 6      | 3       |
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -29,6 +29,17 @@
       | limits.memory_mb=552.5\nlimits.max_fds=1535   | 552.5  | 1535        |
       | new.field=7                                   | None   | 4100        |
 
+  Scenario Outline: The settings state whether the whole system starts for the first time
+    Guards against a process that takes a restored store for a new one.
+    When the platform's settings are read with the line "<line>"
+    Then the gateway settings have a first start: <first>
+
+    Examples:
+      | line            | first |
+      | bootstrap=true  | True  |
+      | bootstrap=false | False |
+      | bootstrap=      | False |
+
   Scenario Outline: Invalid settings raise one error with all faults
     Guards against a process that starts with incomplete settings.
     When the platform's settings are read with the line "<line>"
@@ -43,6 +54,7 @@
       | limits.cpu_share=much     | limits.cpu_share    |
       | limits.link_mbps=0        | $                   |
       | limits.memory_mb=all      | limits.memory_mb    |
+      | bootstrap=perhaps         | bootstrap           |
       | limits.memory_mb=nan      | $                   |
       | limits.memory_mb=-1       | $                   |
       | limits.max_fds=200        | $                   |
--- a/features/steps/gateway_capacity_steps.py
+++ b/features/steps/gateway_capacity_steps.py
@@ -102,6 +102,7 @@
                         rng=random.Random(1),
                         availability=StoreAvailability(timers),
                         capacity=int(capacity),
+                        first_start=True,
                         lead=lead,
                         may_lead=lambda: True,
                     )
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -41,11 +41,13 @@
     explore_restores,
     isolate_leader,
     lose_leader_and_server,
+    lose_plan,
     lose_registration_beside_leader,
     lose_rival_claim,
     lose_server_after_claim,
     lose_server_without_store,
     run_two_leaders,
+    start_first,
 )
 from support.key_guards import without_guard
 from support.steady_reach import SteadyReach
@@ -193,7 +195,31 @@
     context.recovery_s = max(elapsed_s for _, elapsed_s in results)
 
 
+@when(
+    "the store is restored to before its first plan and {last} of the instances stays alone, cut "
+    "off, with seeds from {first:d} to {last_seed:d}"
+)
+def step_lose_plan(context, last, first, last_seed):
+    results = [
+        lose_plan(seed, last.removeprefix("one ").removesuffix(" on"))
+        for seed in range(first, last_seed + 1)
+    ]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.recovery_s = max(elapsed_s for _, elapsed_s in results)
+
+
+@when(
+    "the system starts for the first time, and all instances are killed after {killed_s:g} s, "
+    "with seeds from {first:d} to {last:d}"
+)
+def step_start_first(context, killed_s, first, last):
+    results = [start_first(seed, killed_s) for seed in range(first, last + 1)]
+    context.violations = [item for violations, _ in results for item in violations]
+    context.recovery_s = max(elapsed_s for _, elapsed_s in results)
+
+
 @then("its keys have an owner again within {seconds:g} s")
+@then("all keys have an owner within {seconds:g} s")
 def step_recovered(context, seconds):
     assert context.recovery_s <= seconds, context.recovery_s
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -142,6 +142,11 @@
     assert context.result.max_descriptors == descriptors
 
 
+@then("the gateway settings have a first start: {first}")
+def step_first_start(context, first):
+    assert str(context.result.first_start) == first, context.result
+
+
 @then("the gateway settings have capacity {capacity:d}")
 def step_capacity(context, capacity):
     assert context.result.capacity == capacity, context.result.capacity
--- a/features/support/gateway_deployment.py
+++ b/features/support/gateway_deployment.py
@@ -66,9 +66,10 @@
     return addresses
 
 
-def _settings(name, store, addresses, shutdown_s, domain, bounds):
+def _settings(name, store, addresses, shutdown_s, domain, bounds, first_start):
     return GatewaySettings(
         instance=name,
+        first_start=first_start,
         failure_domain=domain,
         caller_address=addresses[0],
         readiness_address=addresses[1],
@@ -90,11 +91,13 @@
 class Instance:
     """A gateway daemon and its addresses; `links` are those to the servers if they can be cut."""
 
-    def __init__(self, name, store_address, shutdown_s, domain="a", links=None, bounds=None):
+    def __init__(
+        self, name, store_address, shutdown_s, domain="a", links=None, bounds=None, first_start=True
+    ):
         self.name = name
         self.links = links
         self.settings = _settings(
-            name, store_address, free_addresses(5), shutdown_s, domain, bounds or {}
+            name, store_address, free_addresses(5), shutdown_s, domain, bounds or {}, first_start
         )
         self.metrics = Metrics()
         self.client = StoreClient(store_address, self.metrics)
@@ -152,6 +155,8 @@
         self.bounds = {}
         self.cluster_fields = {}
         self.instances = {}
+        # Whether instances that start belong to the first start of the whole system.
+        self.first_start = True
         self.answers = []
         self.ids = itertools.count(1)
         self.session = None
@@ -172,6 +177,7 @@
         self.heartbeats = asyncio.ensure_future(self._send_heartbeats())
         for name in instances:
             self.start_instance(name)
+        self.first_start = False
         await asyncio.sleep(START_S)
         if servers and self.service == SERVICE:
             await self.until(
@@ -193,6 +199,7 @@
             self.domains.get(name, "a"),
             CuttableLinks() if self.cuttable else None,
             {**self.bounds, "evacuate_s": self.evacuate_s},
+            self.first_start,
         )
 
     async def kill(self, instance):
--- a/features/support/gateway_process.py
+++ b/features/support/gateway_process.py
@@ -35,6 +35,7 @@
 bounds.retry_budget_extra=56
 bounds.max_hold_s=10
 platform.address={store}
+bootstrap={first_start}
 """
 
 
@@ -70,6 +71,7 @@
                 first=first,
                 last=first + PORT_RANGE,
                 store=store_address,
+                first_start="true",
                 memory_mb=memory_mb,
                 max_fds=max_fds,
             ),
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -488,6 +488,7 @@
                 availability=StoreAvailability(self.process, cluster.rng),
                 lead=self.lead,
                 may_lead=lambda: not self.stopping,
+                first_start=self.starts == 1,
                 wait_hand_over=self.wait_hand_over,
                 is_cut_off=lambda: self.reach.any_cut_off,
             )
@@ -550,7 +551,7 @@
                 max_lease_s=MAX_LEASE_S,
             )
         )
-        manager.inherit(claim.plan, claim.predecessor_ended, claim.doubtful)
+        manager.inherit(claim.plan, claim.predecessor_ended, claim.writes_lost_by)
         self.cluster.record_leader(manager, claim.predecessor)
         await manager.run()
 
@@ -925,6 +926,65 @@
         await self.stop()
         return unowned_s
 
+    async def lose_plan(self, last):
+        """Restore the store to before its first use, and lose the instances that know the plan.
+
+        All instances restart, but for the last one: that is "none" of them, or one that reached
+        neither the store nor another instance "from its start" or "from its first read" on. Return
+        the time without an owner from the restore on.
+        """
+        await self.start()
+        lone = None if last == "none" else self.instances[-1]
+        if lone is not None:
+            if last == "from its first read":
+                await asyncio.sleep(0.2)
+            self.store.disconnected.add(lone.name)
+            self.cut_links |= {(item.name, lone.name) for item in self.instances}
+        await asyncio.sleep(6.0)
+        # The keys are divided otherwise the next time.
+        self._add_server("10.0.0.1:8005")
+        await asyncio.sleep(3.0)
+        for instance in self.instances:
+            if instance is not lone:
+                await instance.stop()
+        self.store.restore(0.0)
+        restored_at = self.loop.time()
+        self.store.disconnected.clear()
+        self.cut_links.clear()
+        for instance in self.instances:
+            if lone is None:
+                instance.start()
+        await self._wait_owned_by_leader()
+        elapsed_s = self.loop.time() - restored_at
+        await asyncio.sleep(6.0)
+        await self.stop()
+        return elapsed_s
+
+    async def start_first(self, killed_after_s):
+        """Start for the first time; return the time until all keys are owned.
+
+        All instances may be killed once after some time, where the store keeps what it has.
+        """
+        await self.start()
+        if killed_after_s:
+            await asyncio.sleep(killed_after_s)
+            for instance in self.instances:
+                await instance.stop()
+            for instance in self.instances:
+                instance.start()
+        started_at = self.loop.time()
+        await self._wait_owned_by_leader()
+        elapsed_s = self.loop.time() - started_at
+        await self.stop()
+        return elapsed_s
+
+    async def _wait_owned_by_leader(self):
+        """Wait until all keys are owned by grants of the present leader."""
+        while not self.leaders() or self.leaders()[0].view.plan is None:
+            await asyncio.sleep(0.02)
+        while self.owned_share() < 0.999:
+            await asyncio.sleep(0.02)
+
     async def lose_rival_claim(self):
         """Let a rival move keys, and the store lose its claim; the previous leader continues."""
         await self.start()
@@ -1114,6 +1174,20 @@
     return cluster.violations, elapsed_s
 
 
+def lose_plan(seed, last):
+    """Simulate a store without a plan after all was divided; return violations and the time."""
+    cluster = KeyCluster(seed)
+    elapsed_s = cluster.run(cluster.lose_plan(last))
+    return cluster.violations, elapsed_s
+
+
+def start_first(seed, killed_after_s):
+    """Simulate a first start; return violations and the time until all keys are owned."""
+    cluster = KeyCluster(seed)
+    elapsed_s = cluster.run(cluster.start_first(killed_after_s))
+    return cluster.violations, elapsed_s
+
+
 def lose_rival_claim(seed):
     """Simulate a rival claim that the store loses.
 
--- a/features/support/key_guards.py
+++ b/features/support/key_guards.py
@@ -54,6 +54,8 @@
         return [patch.object(leases, "TOKENS_PER_FENCE", 1)]
     if guard == "doubtful claims":
         return [patch.object(Leadership, "_may_lack_writes", lambda self, stored: False)]
+    if guard == "doubts about an empty store":
+        return [patch.object(Leadership, "_track_losses", _track_no_losses)]
     if guard == "eras in tokens":
         return [patch.object(Plan, "with_fence", _with_offset_as_fence)]
     raise ValueError(guard)
@@ -96,6 +98,10 @@
     return Plan(position, services)
 
 
+def _track_no_losses(leadership, end):
+    leadership._complete = True
+
+
 def _take_registration_as_evidence(manager, lease, now):
     owner = manager._registered.get(lease.keys.incarnation)
     shared = owner is not None and any(
--- a/src/hyssopwood/gateway/daemon.py
+++ b/src/hyssopwood/gateway/daemon.py
@@ -411,6 +411,7 @@
             timers=self._timers,
             rng=random.Random(),
             availability=self._availability,
+            first_start=self._settings.first_start,
             is_candidate=lambda: self._instances.is_among_first("leader", CANDIDATES_PER_DOMAIN),
             capacity=self._settings.capacity,
             lead=self._lead,
@@ -496,7 +497,7 @@
                 cold_rate=self._cold_rate,
             )
         )
-        manager.inherit(claim.plan, claim.predecessor_ended, claim.doubtful)
+        manager.inherit(claim.plan, claim.predecessor_ended, claim.writes_lost_by)
         self._claim_version = -1 if claim.plan is None else claim.plan.version
         self._retries.begin_term()
         self._manager, self._predecessor = manager, claim.predecessor
--- a/src/hyssopwood/gateway/gateway_settings.py
+++ b/src/hyssopwood/gateway/gateway_settings.py
@@ -69,6 +69,8 @@
     metrics_address: str = field(validator=validate_address)
     store_address: str = field(validator=validate_address)
     bounds: Bounds
+    # Whether the process starts because the whole system starts for the first time.
+    first_start: bool = False
     # Processor time of the machine in cores, and the speed of its link in Mbit/s.
     cores: float = field(default=1.0, validator=validate_positive)
     link_mbps: float = field(default=DEFAULT_LINK_MBPS, validator=validate_positive)
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -209,18 +209,22 @@
     _registration_count_changed_at: float = field(default=0.0, init=False)
     _balanced_at: float = field(default=float("-inf"), init=False)
 
-    def inherit(self, plan: Plan | None, predecessor_ended: bool, doubtful: bool = False) -> None:
+    def inherit(
+        self, plan: Plan | None, predecessor_ended: bool, writes_lost_by: float | None = None
+    ) -> None:
         """Take over the ranges of the plan that this leader has claimed.
 
         Unless the previous leader has ended, it may have renewed leases until its authority ended,
-        at the latest AUTHORITY_S after this claim. If the claim is doubtful, servers may have
-        leases that the plan doesn't record, so nothing is granted before these have expired.
+        at the latest AUTHORITY_S after this claim. If the store had lost writes by some time,
+        servers may have leases that the plan doesn't record: of leaders that it had confirmed
+        before. Nothing is granted before these have expired.
         """
         now = self._deps.timers.now()
         self._started_at = now
         self._deps.writer.subscribe(self._handle_store_restored)
-        if doubtful:
-            self._unrecorded_leases_until = self._no_grants_until = self._latest_lease_end(now)
+        if writes_lost_by is not None:
+            until = self._latest_lease_end(writes_lost_by)
+            self._unrecorded_leases_until = self._no_grants_until = until
         if plan is None:
             return
         self._published_version = plan.version
@@ -230,9 +234,9 @@
             lease = RangeLease(service, keys, inherited_until=leased_until)
             self._leases.setdefault(service, []).append(lease)
 
-    def _latest_lease_end(self, now: float) -> float:
-        """Return when the leases of every leader that the store confirmed by now have expired."""
-        return lease_end(now + AUTHORITY_S, self._lease_s)
+    def _latest_lease_end(self, confirmed_by: float) -> float:
+        """Return when the leases of leaders that the store confirmed by a time have expired."""
+        return lease_end(confirmed_by + AUTHORITY_S, self._lease_s)
 
     def _handle_store_restored(self) -> None:
         """Mark every range as disputed: a leader whose writes were lost may have moved it."""
--- a/src/hyssopwood/keyspace/leadership.py
+++ b/src/hyssopwood/keyspace/leadership.py
@@ -23,6 +23,7 @@
 from hyssopwood.gateway.instance_list import NOMINAL_CAPACITY_MILLICORES
 from hyssopwood.gateway.store_availability import StoreAvailability
 from hyssopwood.keyspace.authority import Authority
+from hyssopwood.keyspace.key_manager import SETTLE_S
 from hyssopwood.keyspace.link import LEADER_STALE_S, LeaderLink
 from hyssopwood.keyspace.link_codec import Heartbeat
 from hyssopwood.keyspace.plan import Leader, Plan
@@ -55,6 +56,10 @@
 # Delay of an instance that reaches no server. It claims only if no other does, as whoever leads
 # then still passes on configurations and the list of instances.
 CUT_OFF_CLAIM_DELAY_S = 2.0
+# A process of the system's first start that reads an empty store this soon after its own start, has
+# read it before any other process divided keys: others start at most START_SKEW_S earlier.
+START_SKEW_S = 0.3
+EARLY_READ_S = SETTLE_S - START_SKEW_S
 # A leader whose last announcement is older than this, three heartbeats, may have been replaced.
 ANNOUNCEMENT_LIFETIME_S = 1.0
 
@@ -73,8 +78,9 @@
     predecessor: Leader | None
     # The process of the previous leader has certainly ended.
     predecessor_ended: bool
-    # The store was restored, so servers may have leases that the plan doesn't record.
-    doubtful: bool = False
+    # Time by which the store had lost writes, so that servers may have leases that the plan doesn't
+    # record; None if it has lost none.
+    writes_lost_by: float | None = None
 
 
 @frozen(kw_only=True)
@@ -88,6 +94,8 @@
     timers: Timers
     rng: random.Random
     availability: StoreAvailability
+    # Whether this process belongs to the first start of the whole system.
+    first_start: bool = False
     # Whether this instance is one of the few that check closely whether the leader is silent.
     is_candidate: Callable[[], bool] = lambda: True
     # Thousandths of a core that this instance has.
@@ -108,6 +116,13 @@
     _deps: LeadershipDependencies
     _authority: Authority | None = field(default=None, init=False)
     _last_end_position: int = field(default=-1, init=False)
+    _started_at: float | None = field(default=None, init=False)
+    # Highest end of the plan's partition that was read; None before the first read.
+    _highest_end: int | None = field(default=None, init=False)
+    # When the store was first read in its present era, or later if it lost writes within it.
+    _era_read_at: float = field(default=float("-inf"), init=False)
+    # The store has lost nothing since the first start of the whole system.
+    _complete: bool = field(default=False, init=False)
     _last_write_seen_at: float = field(default=0.0, init=False)
     _follow_not_before: float = field(default=float("-inf"), init=False)
     _store_available: bool = field(default=True, init=False)
@@ -133,6 +148,8 @@
 
     async def run(self) -> None:
         """Follow or lead until cancelled."""
+        if self._started_at is None:
+            self._started_at = self._deps.timers.now()
         while True:
             stored = await self._load()
             if stored is None:
@@ -201,11 +218,24 @@
             emit(Event.LOG_RECOVERED, use="plan")
             # The leader can't be observed without the store, so that time isn't its silence.
             self._last_end_position = -1
+        self._track_losses(stored.end_position)
         if stored.end_position != self._last_end_position:
             self._last_end_position = stored.end_position
             self._last_write_seen_at = self._deps.timers.now()
         return stored
 
+    def _track_losses(self, end: int) -> None:
+        """Record when the store can have lost writes at the latest."""
+        now, highest = self._deps.timers.now(), self._highest_end
+        known = max(self._deps.view.version, -1 if highest is None else highest - 1)
+        if highest is not None and era_of(end) == era_of(highest) and end > known:
+            self._highest_end = end
+            return
+        self._highest_end, self._era_read_at = end, now
+        started = float("-inf") if self._started_at is None else self._started_at
+        early = highest is None and now - started <= EARLY_READ_S
+        self._complete = self._deps.first_start and early
+
     async def _read_plan(self, version: int) -> None:
         """Read the plan from the store; request it from the leader if `version` isn't reached."""
         try:
@@ -230,7 +260,7 @@
         return self._deps.timers.now() - self._last_write_seen_at >= LEADER_SILENCE_S
 
     def _may_lack_writes(self, stored: StoredPlan) -> bool:
-        """Return whether a restored store may have lost writes of earlier leaders."""
+        """Return whether the store may have lost writes of earlier leaders by a restore."""
         end, plan, leader = stored.end_position, stored.plan, stored.leader
         if leader is not None and (
             leader.has_unrecorded_leases or is_from_earlier_era(leader, end)
@@ -238,7 +268,10 @@
             return True
         if self._deps.view.version > (-1 if plan is None else plan.version):
             return True
-        return plan is not None and era_of(plan.version) < era_of(end)
+        if plan is not None:
+            return era_of(plan.version) < era_of(end)
+        # Without a plan and a leader the store may be a copy from before the first plan.
+        return leader is None and not self._complete
 
     async def _defer_to_stronger(self, stored: StoredPlan) -> bool:
         """Let instances with more capacity claim first; return whether that delayed this one.
@@ -312,7 +345,8 @@
         self._authority = authority
         try:
             claim = _claim(writer, authority, plan, stored.leader, deps.identity)
-            await self._lead(evolve(claim, doubtful=doubtful), at)
+            lost_by = self._era_read_at if doubtful else None
+            await self._lead(evolve(claim, writes_lost_by=lost_by), at)
         except (MembershipLostError, LogError) as error:
             emit(Event.AUTHORITY_LOST, error=error)
         finally:
--- a/src/hyssopwood/platform/boot_settings.py
+++ b/src/hyssopwood/platform/boot_settings.py
@@ -17,6 +17,7 @@
 
 # The deploy file names the same port.
 METRICS_PORT = 9464
+_FLAGS = {"true": True, "false": False}
 
 
 @frozen
@@ -45,6 +46,12 @@
             self.faults.append(InputFault(name, repr(value), "a number"))
             return 0.0
 
+    def flag(self, name: str) -> bool:
+        value = self.values.get(name) or "false"
+        if value not in _FLAGS:
+            self.faults.append(InputFault(name, repr(value), "true or false"))
+        return _FLAGS.get(value, False)
+
 
 def _parse_lines(text: str) -> dict[str, str]:
     values: dict[str, str] = {}
@@ -92,6 +99,7 @@
         "relay_address": f"{ip}:{first_port + 1}",
         "metrics_address": f"{ip}:{METRICS_PORT}",
         "store_address": settings.text("platform.address"),
+        "first_start": settings.flag("bootstrap"),
         # "cpu_share" is a share of one core, and "cpu_cores" is the speed of that core.
         "cores": settings.number("limits.cpu_share", 1.0)
         * settings.number("limits.cpu_cores", 1.0),
