Put off the first owners of a new service after a restore that lost a rival

What callers could see: two owners of a new service's keys.

Cause: `_plan_new_services` took it for granted that a service that this leader has no ranges of has no owners.

Change: it divides nothing until every lease of such a rival has expired. The write of a division may itself be the one that finds the store restored; then its ranges are granted only after that time.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -278,3 +278,16 @@
       | 0      | 3       |
       | 0.8    | 4.5     |
       | 6      | 3       |
+
+  Scenario Outline: A restore that may have lost a rival puts off the first owners of a new service
+    Guards against a division of keys that a rival, lost by the store, has divided among the servers
+    already. Where there was no rival, keys must not be without an owner for seconds.
+    When a leader's store is restored <confirmed> s after it last confirmed the leader, and a version names a new service <named> s later
+    Then the server of the new service is granted its keys after <least> to <most> s
+
+    Examples:
+      | confirmed | named | least | most |
+      | 0.2       | 0     | 0     | 0.5  |
+      | 0.2       | 1     | 0     | 1.5  |
+      | 2.0       | 0     | 12    | 14   |
+      | 2.0       | 1     | 12    | 14   |
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 
 from hyssopwood.errors import AppendConflictError, AppendUnconfirmedError
-from hyssopwood.gateway.route_table import RouteTables
+from hyssopwood.gateway.route_table import CallerLimits, RouteTable, RouteTables, ServiceSpec
 from hyssopwood.gateway.server_directory import ServerDirectory, ServerRecord
 from hyssopwood.gateway.server_limits import ServerLimits
 from hyssopwood.gateway.store_availability import StoreAvailability
@@ -373,10 +373,10 @@
     return KeyManager(dependencies), writer
 
 
-def _server_record(name):
+def _server_record(name, service=SERVICE):
     return ServerRecord(
         server=name,
-        service=SERVICE,
+        service=service,
         address=f"{name}:1",
         failure_domain="d",
         slots=2,
@@ -422,6 +422,70 @@
     assert store.era == 1 and store.writes > 1
 
 
+# Time after a claim at which the keys of a new service are divided without a further wait.
+SETTLED_S = 2.0
+NEW_SERVICE = "desk"
+NEW_SERVER = "new"
+NEW_TABLE = RouteTable(
+    version=2,
+    routes=(),
+    services={
+        NEW_SERVICE: ServiceSpec(
+            name=NEW_SERVICE, health_path="/health", max_connections=10, sharded=True, warm_s=1.0
+        )
+    },
+    limits=CallerLimits(header_bytes=1, body_bytes=1, header_timeout_s=1, idle_timeout_s=1),
+)
+
+
+@when(
+    "a leader's store is restored {seconds:g} s after it last confirmed the leader, and a version "
+    "names a new service {named_s:g} s later"
+)
+def step_restored_with_new_service(context, seconds, named_s):
+    loop = VirtualLoop()
+    store = _RestoredStore()
+
+    async def add_service():
+        timers = SimulatedProcess("i1", random.Random(1))
+        manager, writer = _manager(store, timers, [])
+        manager._deps.directory.put(_server_record(NEW_SERVER, NEW_SERVICE))
+        manager._balanced_at = float("inf")
+        keys = divide_evenly((("s1", 1),), 8)
+        manager.inherit(await writer.claim(Plan(8, {SERVICE: keys})), True)
+        running = asyncio.ensure_future(manager.run())
+        await timers.sleep(SETTLED_S)
+        await writer.confirm()
+        await timers.sleep(seconds)
+        store.restore()
+        context.restored_at = timers.now()
+        confirming = asyncio.ensure_future(_confirm_often(writer, timers))
+        await timers.sleep(named_s)
+        manager._deps.tables.offer(NEW_TABLE)
+        await timers.sleep(16.0)
+        for task in (running, confirming):
+            task.cancel()
+        await asyncio.gather(running, confirming, return_exceptions=True)
+        return manager._deps.commands.grants
+
+    try:
+        context.grants = loop.run_until_complete(add_service())
+    finally:
+        loop.close()
+
+
+async def _confirm_often(writer, timers):
+    while True:
+        await timers.sleep(0.5)
+        await writer.confirm()
+
+
+@then("the server of the new service is granted its keys after {least_s:g} to {most_s:g} s")
+def step_new_service_granted(context, least_s, most_s):
+    at, _ = _grants_since_restore(context, NEW_SERVER)[0]
+    assert least_s <= at <= most_s, at
+
+
 def _grants_since_restore(context, server):
     return [
         (at - context.restored_at, keys)
--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -312,6 +312,9 @@
         for name, spec in table.services.items():
             if not spec.sharded or name in self._leases:
                 continue
+            if self._deps.timers.now() < self._unrecorded_leases_until:
+                # A rival whose writes the store has lost may have divided the keys.
+                return
             servers = sorted(self._usable_servers(name), key=lambda record: record.server)
             if not servers:
                 continue
@@ -322,7 +325,12 @@
                 return Plan(version, {**self._planned_services(), name: parts})
 
             plan = await self._deps.writer.change(build)
-            self._leases[name] = [RangeLease(name, keys) for keys in plan.services[name]]
+            # This write may have been the one that found the store restored.
+            wait_until = self._unrecorded_leases_until
+            self._leases[name] = [
+                RangeLease(name, keys, not_granted_before=wait_until)
+                for keys in plan.services[name]
+            ]
             self._record_written(plan, tuple((name, keys) for keys in plan.services[name]))
             await asyncio.gather(*(self._grant_all(record) for record in servers))
             self._publish()
