Show further forms of an empty or older store

A leader that is lost while it waits, a copy with a leader's record and no plan, and a copy that lacks a service: none breaks ownership. The wait is counted from when the store had lost its writes: a loss 3 s before the claim shortens it from 12.5 to 9.5 s.

--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -257,6 +257,8 @@
     Examples:
       | last                       | seconds |
       | none                       | 16      |
+      | none, twice                | 16      |
+      | none, after a claim        | 16      |
       | one from its start on      | 16      |
       | one from its first read on | 16      |
 
@@ -291,3 +293,15 @@
       | 0.2       | 1     | 0     | 1.5  |
       | 2.0       | 0     | 12    | 14   |
       | 2.0       | 1     | 12    | 14   |
+
+  Scenario Outline: A claim on an older copy puts off all grants, counted from the loss
+    Guards against grants of ranges whose owners the copy doesn't show, and of a service that it
+    lacks; and against a longer wait than for the leases of leaders that were confirmed before.
+    When a leader claims on a store that had lost writes <lost> s before
+    Then nothing is granted before <least> s
+    And the server of the new service is granted its keys after <least> to <most> s
+
+    Examples:
+      | lost | least | most |
+      | 0    | 12.5  | 13   |
+      | 3    | 9.5   | 10   |
--- a/features/steps/keyspace_steps.py
+++ b/features/steps/keyspace_steps.py
@@ -474,6 +474,39 @@
         loop.close()
 
 
+@when("a leader claims on a store that had lost writes {lost_s:g} s before")
+def step_claim_after_loss(context, lost_s):
+    loop = VirtualLoop()
+
+    async def claim():
+        timers = SimulatedProcess("i1", random.Random(1))
+        manager, writer = _manager(_RestoredStore(), timers, [])
+        manager._deps.directory.put(_server_record(NEW_SERVER, NEW_SERVICE))
+        manager._deps.tables.offer(NEW_TABLE)
+        manager._balanced_at = float("inf")
+        keys = divide_evenly((("s1", 1),), 8)
+        plan = await writer.claim(Plan(8, {SERVICE: keys}), doubtful=True)
+        context.restored_at = timers.now()
+        manager.inherit(plan, False, timers.now() - lost_s)
+        tasks = [asyncio.ensure_future(manager.run())]
+        tasks.append(asyncio.ensure_future(_confirm_often(writer, timers)))
+        await timers.sleep(16.0)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return manager._deps.commands.grants
+
+    try:
+        context.grants = loop.run_until_complete(claim())
+    finally:
+        loop.close()
+
+
+@then("nothing is granted before {seconds:g} s")
+def step_no_grants_before(context, seconds):
+    assert min(at for at, _, _ in context.grants) - context.restored_at >= seconds, context.grants
+
+
 async def _confirm_often(writer, timers):
     while True:
         await timers.sleep(0.5)
--- a/features/support/key_cluster.py
+++ b/features/support/key_cluster.py
@@ -661,9 +661,14 @@
         return [item for item in self.instances if item.leadership.leading]
 
     async def start(self):
+        self.started_at = self.loop.time()
         for number in range(1, self._instance_count + 1):
             self.instances.append(_Instance(self, f"i{number}", number))
 
+    def _start_all(self):
+        for instance in self.instances:
+            instance.start()
+
     async def stop(self):
         for instance in self.instances:
             await instance.stop()
@@ -930,11 +935,12 @@
         """Restore the store to before its first use, and lose the instances that know the plan.
 
         All instances restart, but for the last one: that is "none" of them, or one that reached
-        neither the store nor another instance "from its start" or "from its first read" on. Return
-        the time without an owner from the restore on.
+        neither the store nor another instance "from its start" or "from its first read" on. With
+        "none, twice" the next leader is lost as well, and with "none, after a claim" the store
+        keeps the record of a leader. Return the time without an owner from the restore on.
         """
         await self.start()
-        lone = None if last == "none" else self.instances[-1]
+        lone = None if last.startswith("none") else self.instances[-1]
         if lone is not None:
             if last == "from its first read":
                 await asyncio.sleep(0.2)
@@ -947,13 +953,18 @@
         for instance in self.instances:
             if instance is not lone:
                 await instance.stop()
-        self.store.restore(0.0)
+        self.store.restore(self.started_at + 0.5 if last == "none, after a claim" else 0.0)
+        assert self.store.plan is None
         restored_at = self.loop.time()
         self.store.disconnected.clear()
         self.cut_links.clear()
-        for instance in self.instances:
-            if lone is None:
-                instance.start()
+        if lone is None:
+            self._start_all()
+        if last == "none, twice":
+            await asyncio.sleep(3.0)
+            for instance in self.instances:
+                await instance.stop()
+            self._start_all()
         await self._wait_owned_by_leader()
         elapsed_s = self.loop.time() - restored_at
         await asyncio.sleep(6.0)
@@ -970,8 +981,7 @@
             await asyncio.sleep(killed_after_s)
             for instance in self.instances:
                 await instance.stop()
-            for instance in self.instances:
-                instance.start()
+            self._start_all()
         started_at = self.loop.time()
         await self._wait_owned_by_leader()
         elapsed_s = self.loop.time() - started_at
