--- a/features/mixed_builds.feature
+++ b/features/mixed_builds.feature
@@ -17,6 +17,7 @@
       | 4911bc0 |
       | 5adfd0b |
       | 51457f8 |
+      | ddc3c20 |
 
   Scenario Outline: What this build sends is known to an earlier one
     Guards against a new kind of message or state that ends the links between two builds.
@@ -33,6 +34,7 @@
       | 4911bc0 | none                                     |
       | 5adfd0b | none                                     |
       | 51457f8 | none                                     |
+      | ddc3c20 | none                                     |
 
   Scenario Outline: Stored records are read by earlier builds and by this one
     Guards against an instance that deposes each leader whose record it can't read.
@@ -51,6 +53,7 @@
       | 4911bc0 | reads        |
       | 5adfd0b | reads        |
       | 51457f8 | reads        |
+      | ddc3c20 | reads        |
 
   Scenario Outline: Builds that read no frames relay with this one
     Guards against a relayed connection of which one end sends frames that the other doesn't read.
