--- a/src/hyssopwood/keyspace/key_manager.py
+++ b/src/hyssopwood/keyspace/key_manager.py
@@ -879,6 +879,7 @@
 
     async def _identify_successor(self, record: ServerRecord, health_path: str) -> None:
         self._identifying.add(record.incarnation)
+        self._deps.limits.record_sent(record.incarnation, Sent.COMMAND)
         try:
             answered_by = await self._deps.commands.identify(record, health_path)
         finally:
