--- a/features/keyspace_ownership.feature
+++ b/features/keyspace_ownership.feature
@@ -61,7 +61,7 @@
       | slow clocks and late arrivals                      | 1     | 20   |
       | unanswered grants                                  | 1     | 20   |
       | answers from addresses that others have registered | 1     | 20   |
-      | names of servers in commands                       | 1     | 20   |
+      | names of servers in commands                       | 28    | 1    |
       | one connection for each token                      | 1     | 20   |
       | confirmed leader for another connection            | 259   | 1    |
       | leases of the next process                         | 21    | 2    |
