--- a/src/hyssopwood_standins/key_server.py
+++ b/src/hyssopwood_standins/key_server.py
@@ -58,15 +58,15 @@
         """Return for how long the server stays cold."""
         return round(max(0.0, self.cold_until - time.monotonic()), 3)
 
-    async def start(self) -> None:
-        """Listen on a free port of the loopback interface."""
-        app = web.Application(middlewares=[self._state_limit])
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port of the loopback interface, or on a free one."""
+        app = web.Application(middlewares=[self._refuse_misdirected, self._state_limit])
         app.router.add_post("/hyssopwood/grant", self._grant)
         app.router.add_post("/hyssopwood/release", self._release)
         app.router.add_route("*", "/{path:.*}", self._execute)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
         await site.start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
@@ -100,6 +100,18 @@
             lease.first <= key <= lease.last and lease.expires_at > now for lease in self._leases
         )
 
+    @web.middleware
+    async def _refuse_misdirected(
+        self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.Response]]
+    ) -> web.Response:
+        """Refuse requests and commands that name another server, and state the own id."""
+        if request.headers.get("Target-Instance", self.name) == self.name:
+            return await handler(request)
+        headers = {"Instance-Id": self.name}
+        if "Request-Id" in request.headers:
+            headers["Request-Id"] = request.headers["Request-Id"]
+        return web.Response(status=421, headers=headers)
+
     @web.middleware
     async def _state_limit(
         self, request: web.Request, handler: Callable[[web.Request], Awaitable[web.Response]]
@@ -145,8 +157,6 @@
 
     async def _execute(self, request: web.Request) -> web.Response:
         headers = {"Request-Id": request.headers.get("Request-Id", "")}
-        if request.headers.get("Target-Instance", self.name) != self.name:
-            return web.Response(status=421, headers=headers)
         key = request.headers.get("Shard-Key")
         if self.sharded and (key is None or not self.has_lease(int(key))):
             return web.Response(status=421, headers={**headers, "Not-Executed": "1"})
