--- a/scripts/measure_key_outages.py
+++ b/scripts/measure_key_outages.py
@@ -99,8 +99,8 @@
         self.servers: dict[str, KeyServer] = {}
         self.draining: set[str] = set()
         # Several measurements may run at the same time; the ports are the same for all.
-        folder = 1 + os.getpid() % 60_000
-        self._hosts = [f"127.{folder // 250}.{1 + folder % 250}.{number}" for number in (1, 2)]
+        network = 1 + os.getpid() % 60_000
+        self._hosts = [f"127.{network // 250}.{1 + network % 250}.{number}" for number in (1, 2)]
         self._processes: list[subprocess.Popen[bytes]] = []
         self._folder = tempfile.TemporaryDirectory()
         self._numbers = itertools.count()
