--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -195,7 +195,8 @@
                 if answer is not None:
                     writer.write(answer)
                     await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # The peer has closed the connection, or the test has ended.
             pass
         finally:
             writer.close()
@@ -394,7 +395,7 @@
             "HYSSOPWOOD_BOOT": str(self._settings),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
         }
-        out = asyncio.subprocess.DEVNULL if log is None else open(log, "wb")
+        out = asyncio.subprocess.DEVNULL if log is None else open(log, "ab")
         self.process = await asyncio.create_subprocess_exec(
             "python3", "src/gateway_main.py", cwd=ROOT, env=environment, stdout=out, stderr=out
         )
